--- /dev/null
+++ b/src/main/java/org/standlink/AbstractIdentifier.java
@@ -0,0 +1,86 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink;
+
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.util.regex.Pattern;
+
+/**
+ * A short checked text that names something.
+ *
+ * <p>Subclasses differ only in type, so that one kind of name is never taken for another.
+ *
+ * <p>{@code AbstractIdentifier} is thread-safe and immutable, and its subclasses must be as well.
+ */
+public abstract class AbstractIdentifier implements Comparable<AbstractIdentifier> {
+
+    /** What an identifier may look like. */
+    private static final Pattern FORM = Pattern.compile("[a-z0-9][a-z0-9._-]{0,63}");
+
+    /** The text. */
+    private final String value;
+
+    /**
+     * Constructor.
+     *
+     * @param value the checked text
+     */
+    protected AbstractIdentifier(String value) {
+        this.value = value;
+    }
+
+    /**
+     * Checks the form of an identifier.
+     *
+     * @param kind the name of the type, for the message
+     * @param text the text to check
+     * @return the text
+     * @throws StandlinkException with code INVALID_IDENTIFIER if the form is wrong
+     */
+    protected static String check(String kind, String text) {
+        if (text == null || !FORM.matcher(text).matches()) {
+            throw new StandlinkException(
+                    ErrorCode.INVALID_IDENTIFIER,
+                    kind + " '" + text + "' is not an identifier",
+                    "use 1 to 64 lower-case letters, digits, dots, hyphens and underscores");
+        }
+        return text;
+    }
+
+    // -----------------------------------------------------------------------
+    @Override
+    public final int compareTo(AbstractIdentifier other) {
+        return value.compareTo(other.value);
+    }
+
+    @Override
+    public final boolean equals(Object other) {
+        return other != null
+                && other.getClass() == getClass()
+                && ((AbstractIdentifier) other).value.equals(value);
+    }
+
+    @Override
+    public final int hashCode() {
+        return value.hashCode();
+    }
+
+    @JsonValue
+    @Override
+    public final String toString() {
+        return value;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/Incarnation.java
@@ -0,0 +1,93 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink;
+
+import com.fasterxml.jackson.annotation.JsonCreator;
+import com.fasterxml.jackson.annotation.JsonValue;
+import java.security.SecureRandom;
+
+/**
+ * Identifies one run of a process.
+ *
+ * <p>A process draws a new incarnation when it starts. Whatever was promised by one incarnation is
+ * not known to the next.
+ *
+ * <p>{@code Incarnation} is thread-safe and immutable.
+ */
+public final class Incarnation {
+
+    /** The source of new incarnations. */
+    private static final SecureRandom RANDOM = new SecureRandom();
+
+    /** The random number. */
+    private final long value;
+
+    /**
+     * Constructor.
+     *
+     * @param value the random number
+     */
+    private Incarnation(long value) {
+        this.value = value;
+    }
+
+    /**
+     * Makes an incarnation from its number.
+     *
+     * @param value the number
+     * @return the incarnation
+     */
+    @JsonCreator
+    public static Incarnation of(long value) {
+        return new Incarnation(value);
+    }
+
+    /**
+     * Draws a new incarnation.
+     *
+     * @return an incarnation that no other process has, but for one chance in 2^64
+     */
+    public static Incarnation ofRandom() {
+        return new Incarnation(RANDOM.nextLong());
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Gets the number.
+     *
+     * @return the number
+     */
+    @JsonValue
+    public long getValue() {
+        return value;
+    }
+
+    // -----------------------------------------------------------------------
+    @Override
+    public boolean equals(Object other) {
+        return other instanceof Incarnation && ((Incarnation) other).value == value;
+    }
+
+    @Override
+    public int hashCode() {
+        return Long.hashCode(value);
+    }
+
+    @Override
+    public String toString() {
+        return Long.toHexString(value);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/Resources.java
@@ -0,0 +1,84 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink;
+
+/**
+ * An amount of processors, memory and accelerators.
+ *
+ * <p>Processors are counted in thousandths of a core, so that sums are exact.
+ *
+ * <p>{@code Resources} is thread-safe and immutable.
+ *
+ * @param milliCores processors, in thousandths of a core
+ * @param memoryMegabytes memory, in megabytes
+ * @param accelerators whole accelerators
+ */
+public record Resources(long milliCores, long memoryMegabytes, long accelerators) {
+
+    /** Nothing at all. */
+    public static final Resources NONE = new Resources(0, 0, 0);
+
+    /**
+     * Makes an amount from whole cores.
+     *
+     * @param cores processors, in cores
+     * @param memoryMegabytes memory, in megabytes
+     * @param accelerators whole accelerators
+     * @return the amount
+     */
+    public static Resources ofCores(double cores, long memoryMegabytes, long accelerators) {
+        return new Resources(Math.round(cores * 1000), memoryMegabytes, accelerators);
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Adds an amount.
+     *
+     * @param other the amount to add
+     * @return the sum
+     */
+    public Resources plus(Resources other) {
+        return new Resources(
+                milliCores + other.milliCores,
+                memoryMegabytes + other.memoryMegabytes,
+                accelerators + other.accelerators);
+    }
+
+    /**
+     * Subtracts an amount.
+     *
+     * @param other the amount to subtract
+     * @return the difference, which may be negative in parts
+     */
+    public Resources minus(Resources other) {
+        return new Resources(
+                milliCores - other.milliCores,
+                memoryMegabytes - other.memoryMegabytes,
+                accelerators - other.accelerators);
+    }
+
+    /**
+     * Checks whether this amount fits into another in each part.
+     *
+     * @param available the amount to fit into
+     * @return true if no part exceeds the available one
+     */
+    public boolean fitsIn(Resources available) {
+        return milliCores <= available.milliCores
+                && memoryMegabytes <= available.memoryMegabytes
+                && accelerators <= available.accelerators;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/admin/HealthApi.java
@@ -0,0 +1,62 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.admin;
+
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.nio.charset.StandardCharsets;
+import java.util.function.BooleanSupplier;
+import org.standlink.process.HttpService;
+
+/**
+ * Health, readiness and metrics.
+ *
+ * <p>{@code HealthApi} is thread-safe and immutable.
+ */
+public final class HealthApi {
+
+    /** The content type of Prometheus' text format. */
+    private static final String PROMETHEUS = "text/plain; version=0.0.4; charset=utf-8";
+
+    /** No instances. */
+    private HealthApi() {}
+
+    /**
+     * Adds the paths to a service.
+     *
+     * @param service the service
+     * @param registry the metrics
+     * @param ready tells whether the process takes work
+     */
+    public static void addTo(
+            HttpService service, PrometheusMeterRegistry registry, BooleanSupplier ready) {
+        service.on("GET", "/health/live", request -> HttpService.Answer.ofText(200, "live"));
+        service.on(
+                "GET",
+                "/health/ready",
+                request ->
+                        ready.getAsBoolean()
+                                ? HttpService.Answer.ofText(200, "ready")
+                                : HttpService.Answer.ofText(503, "not ready"));
+        service.on(
+                "GET",
+                "/metrics",
+                request ->
+                        new HttpService.Answer(
+                                200,
+                                PROMETHEUS,
+                                registry.scrape().getBytes(StandardCharsets.UTF_8)));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/agent/SupervisorReport.java
@@ -0,0 +1,44 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.agent;
+
+import java.util.List;
+import org.standlink.Epoch;
+import org.standlink.LeaseGeneration;
+import org.standlink.wire.TaskReport;
+
+/**
+ * How the tasks of an agent stood after a tick.
+ *
+ * <p>{@code SupervisorReport} is thread-safe and immutable.
+ *
+ * @param epoch the epoch of the grant that was carried out
+ * @param generation its lease generation
+ * @param revision its revision of the assignments
+ * @param workerReady whether node lease and worker lease were live and the worker answered
+ * @param tasks the tasks
+ */
+public record SupervisorReport(
+        Epoch epoch,
+        LeaseGeneration generation,
+        long revision,
+        boolean workerReady,
+        List<TaskReport> tasks) {
+
+    /** Before the first tick. */
+    static final SupervisorReport NONE =
+            new SupervisorReport(Epoch.NONE, LeaseGeneration.NONE, 0, false, List.of());
+}
--- /dev/null
+++ b/src/main/java/org/standlink/bundle/ServiceSpecification.java
@@ -0,0 +1,59 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.bundle;
+
+import java.util.List;
+import org.standlink.Resources;
+import org.standlink.ServiceId;
+import org.standlink.VmId;
+
+/**
+ * A latency-critical service.
+ *
+ * <p>{@code ServiceSpecification} is thread-safe and immutable.
+ *
+ * @param id the service
+ * @param mode how far standlink goes with it
+ * @param pathPrefix requests whose path starts so belong to it; the longest prefix wins
+ * @param upstreams the VMs that serve it
+ * @param slots requests that one upstream runs at a time
+ * @param connections connections that one upstream takes
+ * @param queue requests that may wait at one upstream
+ * @param reserved what the service takes of each of its VMs
+ * @param keyWindowSeconds how long answers to keyed requests are kept, in seconds
+ * @param classes the classes of its requests
+ */
+public record ServiceSpecification(
+        ServiceId id,
+        Mode mode,
+        String pathPrefix,
+        List<VmId> upstreams,
+        int slots,
+        int connections,
+        int queue,
+        Resources reserved,
+        long keyWindowSeconds,
+        List<RequestClass> classes) {
+
+    /**
+     * Gets a digest of the upstreams, by which an entry and an agent tell that they see the same.
+     *
+     * @return the digest, the same in every process
+     */
+    public int rosterDigest() {
+        return upstreams.toString().hashCode();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/bundle/SignedBundle.java
@@ -0,0 +1,79 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.bundle;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.standlink.ErrorCode;
+import org.standlink.OperatorId;
+import org.standlink.json.Faults;
+import org.standlink.json.JsonSection;
+
+/**
+ * A bundle's text with its author and the sign-offs.
+ *
+ * <p>{@code SignedBundle} is thread-safe and immutable.
+ *
+ * @param bundle the bundle's JSON text, exactly as signed
+ * @param author the operator who wrote it
+ * @param signatures the signatures, the author's among them
+ */
+public record SignedBundle(String bundle, OperatorId author, List<Signature> signatures) {
+
+    /**
+     * One operator's signature over the bundle's text.
+     *
+     * @param operator the operator
+     * @param value the Ed25519 signature, in Base64
+     */
+    public record Signature(OperatorId operator, String value) {}
+
+    /**
+     * Reads a signed bundle.
+     *
+     * @param text the JSON text
+     * @return the signed bundle, whose signatures are not checked yet
+     * @throws org.standlink.StandlinkException with code INVALID_BUNDLE, listing every fault
+     */
+    public static SignedBundle read(String text) {
+        Faults faults = new Faults();
+        JsonSection top = JsonSection.parse(text, faults);
+        String bundle = top.requiredText("bundle");
+        OperatorId author = top.requiredValue("author", OperatorId::parse);
+        List<Signature> signatures = new ArrayList<>();
+        for (JsonSection section : top.sections("signatures")) {
+            OperatorId operator = section.requiredValue("operator", OperatorId::parse);
+            signatures.add(new Signature(operator, section.requiredText("value")));
+            section.finish();
+        }
+        top.finish();
+        faults.throwIfAny(ErrorCode.INVALID_BUNDLE, "the signed bundle");
+        return new SignedBundle(bundle, author, List.copyOf(signatures));
+    }
+
+    /**
+     * Copies this bundle with one more signature.
+     *
+     * @param signature the signature; one by the same operator is replaced
+     * @return the copy
+     */
+    public SignedBundle withSignature(Signature signature) {
+        List<Signature> all = new ArrayList<>(signatures);
+        all.removeIf(present -> present.operator().equals(signature.operator()));
+        all.add(signature);
+        return new SignedBundle(bundle, author, List.copyOf(all));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/command/AgentCommand.java
@@ -0,0 +1,65 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.command;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.nio.file.Path;
+import java.util.concurrent.ExecutorService;
+import org.kohsuke.args4j.Option;
+import org.standlink.admin.HealthApi;
+import org.standlink.agent.AgentProcess;
+import org.standlink.agent.AgentSettings;
+import org.standlink.process.HttpService;
+import org.standlink.process.ProcessThreads;
+
+/** {@code standlink agent}: runs an agent. */
+final class AgentCommand extends AbstractServerCommand {
+
+    /** The threads for timers; one for each kind of work. */
+    private static final int TIMER_THREADS = 5;
+
+    /** The threads of the health server. */
+    private static final int HEALTH_THREADS = 2;
+
+    /** The settings file. */
+    @Option(name = "--settings", required = true, metaVar = "FILE", usage = "settings, JSON")
+    private Path settingsFile;
+
+    @Override
+    public int run() throws InterruptedException {
+        AgentSettings settings = AgentSettings.read(Files.read(settingsFile));
+        setUpLog("agent " + settings.vm());
+        PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+        ExecutorService executor = ProcessThreads.newCached("agent");
+        AgentProcess agent =
+                new AgentProcess(
+                        settings,
+                        executor,
+                        ProcessThreads.newScheduled("timer", TIMER_THREADS),
+                        registry);
+        HttpService health =
+                new HttpService(
+                        settings.adminListen(),
+                        ProcessThreads.newBounded("health", HEALTH_THREADS));
+        HealthApi.addTo(health, registry, agent::isReady);
+        return serveUntilStopped(
+                () -> {
+                    agent.drain();
+                    health.close();
+                });
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/command/LoadCommand.java
@@ -0,0 +1,76 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.command;
+
+import java.util.List;
+import org.kohsuke.args4j.Option;
+import org.standlink.json.Addresses;
+import org.standlink.standin.LoadReport;
+import org.standlink.standin.RequestLoad;
+
+/** {@code standlink stand-in load}: sends numbered requests and checks each answer. */
+final class LoadCommand implements Command {
+
+    /** The exit code if an answer was wrong or missing. */
+    private static final int WRONG = 4;
+
+    /** The entries. */
+    @Option(name = "--entry", required = true, metaVar = "URL", usage = "an entry; may be repeated")
+    private List<String> entries;
+
+    /** How many. */
+    @Option(name = "--requests", metaVar = "N", usage = "how many requests (default: 200)")
+    private int requests = 200;
+
+    /** How many at once. */
+    @Option(name = "--concurrency", metaVar = "N", usage = "how many at once (default: 8)")
+    private int concurrency = 8;
+
+    /** The path. */
+    @Option(name = "--path", metaVar = "PATH", usage = "path of the requests (default: /)")
+    private String path = "/";
+
+    /** The method. */
+    @Option(name = "--method", metaVar = "NAME", usage = "HTTP method (default: POST)")
+    private String method = "POST";
+
+    /** Whether to give each request a key. */
+    @Option(name = "--keys", usage = "give each request an Idempotency-Key")
+    private boolean keys;
+
+    /** A pause. */
+    @Option(name = "--pause", metaVar = "MILLIS", usage = "pause after each request (default: 0)")
+    private long pauseMillis;
+
+    /** Retries. */
+    @Option(name = "--retries", metaVar = "N", usage = "retries of what did not run (default: 0)")
+    private int retries;
+
+    @Override
+    public int run() throws InterruptedException {
+        RequestLoad load =
+                new RequestLoad(
+                        entries.stream().map(Addresses::parseHttp).toList(),
+                        method,
+                        path,
+                        keys,
+                        pauseMillis,
+                        retries);
+        LoadReport report = load.run(requests, concurrency);
+        System.out.println(report);
+        return report.isEveryAnswerRight() ? 0 : WRONG;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/command/LogSetup.java
@@ -0,0 +1,128 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.command;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.text.MessageFormat;
+import java.time.Instant;
+import java.util.logging.ConsoleHandler;
+import java.util.logging.Formatter;
+import java.util.logging.Handler;
+import java.util.logging.LogRecord;
+import java.util.logging.Logger;
+
+/**
+ * Sets up the JDK's log: a line of text, or a JSON object a line.
+ *
+ * <p>{@code LogSetup} is thread-safe and immutable.
+ */
+final class LogSetup {
+
+    /** The serializer. */
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** The forms of a line. */
+    enum Form {
+        /** Time, level and message. */
+        TEXT,
+        /** One JSON object. */
+        JSON
+    }
+
+    /** No instances. */
+    private LogSetup() {}
+
+    /**
+     * Sets up the log.
+     *
+     * @param form the form of a line
+     * @param process names the process
+     */
+    static void apply(Form form, String process) {
+        Logger root = Logger.getLogger("");
+        for (Handler handler : root.getHandlers()) {
+            root.removeHandler(handler);
+        }
+        ConsoleHandler handler = new ConsoleHandler();
+        handler.setFormatter(form == Form.JSON ? new JsonLine(process) : new TextLine(process));
+        root.addHandler(handler);
+    }
+
+    private static String messageOf(LogRecord record) {
+        String message = record.getMessage();
+        Object[] parameters = record.getParameters();
+        if (parameters == null || parameters.length == 0) {
+            return message;
+        }
+        return MessageFormat.format(message, parameters);
+    }
+
+    /** Formats a line of text. */
+    private static final class TextLine extends Formatter {
+
+        /** Names the process. */
+        private final String process;
+
+        private TextLine(String process) {
+            this.process = process;
+        }
+
+        @Override
+        public String format(LogRecord record) {
+            String thrown = record.getThrown() == null ? "" : " " + record.getThrown();
+            return Instant.ofEpochMilli(record.getMillis())
+                    + " "
+                    + record.getLevel()
+                    + " "
+                    + process
+                    + " "
+                    + messageOf(record)
+                    + thrown
+                    + "\n";
+        }
+    }
+
+    /** Formats a JSON object a line. */
+    private static final class JsonLine extends Formatter {
+
+        /** Names the process. */
+        private final String process;
+
+        private JsonLine(String process) {
+            this.process = process;
+        }
+
+        @Override
+        public String format(LogRecord record) {
+            ObjectNode line = MAPPER.createObjectNode();
+            line.put("time", Instant.ofEpochMilli(record.getMillis()).toString());
+            line.put("level", record.getLevel().getName());
+            line.put("process", process);
+            line.put("logger", record.getLoggerName());
+            line.put("message", messageOf(record));
+            if (record.getThrown() != null) {
+                line.put("error", record.getThrown().toString());
+            }
+            try {
+                return MAPPER.writeValueAsString(line) + "\n";
+            } catch (JsonProcessingException impossible) {
+                return record.getMessage() + "\n";
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/command/PlatformAccess.java
@@ -0,0 +1,46 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.command;
+
+import org.standlink.json.Addresses;
+import org.standlink.platform.HttpLog;
+import org.standlink.platform.LogPort;
+import org.standlink.platform.PlatformHttp;
+import org.standlink.process.ProcessThreads;
+
+/**
+ * Reaches the platform from an operator's desk.
+ *
+ * <p>{@code PlatformAccess} is thread-safe and immutable.
+ */
+final class PlatformAccess {
+
+    /** No instances. */
+    private PlatformAccess() {}
+
+    /**
+     * Reaches the log.
+     *
+     * @param platform the platform's address
+     * @return the log
+     */
+    static LogPort log(String platform) {
+        return new HttpLog(
+                new PlatformHttp(
+                        Addresses.parseHttp(platform),
+                        PlatformHttp.newClient(ProcessThreads.newCached("platform"))));
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/command/package-info.java
@@ -0,0 +1,2 @@
+/** The command line: {@code standlink} and its subcommands. */
+package org.standlink.command;
--- /dev/null
+++ b/src/main/java/org/standlink/entry/CallerServer.java
@@ -0,0 +1,302 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.entry;
+
+import com.sun.net.httpserver.Headers;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.time.Duration;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+import org.standlink.TeamId;
+import org.standlink.bundle.Bundle;
+import org.standlink.bundle.BundleHolder;
+import org.standlink.bundle.TeamSpecification;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.policy.ConcurrencyLimiter;
+
+/**
+ * Takes callers' requests over HTTP, limits them per class and team, and answers each at once when
+ * it is given up.
+ *
+ * <p>{@code CallerServer} is thread-safe.
+ */
+public final class CallerServer implements AutoCloseable {
+
+    /** The header that tells the outcome. */
+    public static final String OUTCOME_HEADER = "Standlink-Outcome";
+
+    /** The header that tells which upstream answered. */
+    public static final String UPSTREAM_HEADER = "Standlink-Upstream";
+
+    /** The header that names the caller's team. */
+    public static final String TEAM_HEADER = "Standlink-Team";
+
+    /** The header that tells how long the caller waits, in milliseconds. */
+    public static final String WAIT_HEADER = "Standlink-Wait-Millis";
+
+    /** The header of the caller's key. */
+    public static final String KEY_HEADER = "Idempotency-Key";
+
+    /** The team of callers that name none. */
+    private static final TeamId NO_TEAM = TeamId.parse("none");
+
+    /** The most requests in progress of a team that the bundle does not name. */
+    private static final int UNKNOWN_TEAM_CONCURRENCY = 64;
+
+    /** The longest body taken, in bytes. */
+    private static final int MOST_BODY_BYTES = 8 * 1024 * 1024;
+
+    /** The HTTP status of a wrong request. */
+    private static final int BAD_REQUEST = 400;
+
+    /** When to come back after a limit was reached, in milliseconds. */
+    private static final long LIMIT_RETRY_MILLIS = 1000;
+
+    /** The server. */
+    private final HttpServer server;
+
+    /** Routes requests. */
+    private final RequestRouter router;
+
+    /** The bundle in force. */
+    private final BundleHolder holder;
+
+    /** Limits classes and teams. */
+    private final ConcurrencyLimiter limiter = new ConcurrencyLimiter();
+
+    /** The clock. */
+    private final MonotonicClock clock;
+
+    /** Where histograms go. */
+    private final MeterRegistry registry;
+
+    /** Requests in progress. */
+    private final AtomicInteger inProgress = new AtomicInteger();
+
+    /** Whether callers are asked to connect elsewhere. */
+    private volatile boolean leaving;
+
+    /**
+     * Constructor, which starts to listen.
+     *
+     * @param address where to listen
+     * @param executor where threads come from
+     * @param router routes requests
+     * @param holder the bundle in force
+     * @param clock the clock
+     * @param registry where histograms go
+     */
+    public CallerServer(
+            InetSocketAddress address,
+            Executor executor,
+            RequestRouter router,
+            BundleHolder holder,
+            MonotonicClock clock,
+            MeterRegistry registry) {
+        this.router = router;
+        this.holder = holder;
+        this.clock = clock;
+        this.registry = registry;
+        try {
+            server = HttpServer.create(address, 0);
+        } catch (IOException taken) {
+            throw new StandlinkException(
+                    ErrorCode.PEER_UNREACHABLE,
+                    "cannot listen on " + address,
+                    "free the address or change it in the settings",
+                    taken);
+        }
+        server.setExecutor(executor);
+        server.createContext("/", this::handle);
+        server.start();
+    }
+
+    /**
+     * Gets the port listened on.
+     *
+     * @return the port
+     */
+    public int getPort() {
+        return server.getAddress().getPort();
+    }
+
+    /** Asks callers to connect elsewhere from now on. */
+    public void leave() {
+        leaving = true;
+    }
+
+    /**
+     * Gets how many requests are in progress.
+     *
+     * @return the number
+     */
+    public int getInProgress() {
+        return inProgress.get();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+    }
+
+    // -----------------------------------------------------------------------
+    private void handle(HttpExchange exchange) throws IOException {
+        inProgress.incrementAndGet();
+        try (exchange) {
+            long start = System.nanoTime();
+            byte[] body = exchange.getRequestBody().readNBytes(MOST_BODY_BYTES + 1);
+            RoutedAnswer answer = answer(exchange, body, start);
+            write(exchange, answer);
+        } finally {
+            inProgress.decrementAndGet();
+        }
+    }
+
+    private RoutedAnswer answer(HttpExchange exchange, byte[] body, long start) {
+        if (body.length > MOST_BODY_BYTES) {
+            return bad("the body is longer than " + MOST_BODY_BYTES + " bytes");
+        }
+        Bundle bundle = holder.getBundle();
+        if (bundle == null) {
+            return RoutedAnswer.ofNotRun("the entry has no bundle yet", 0);
+        }
+        CallerRequest request;
+        try {
+            request = read(exchange, body);
+        } catch (StandlinkException | NumberFormatException wrong) {
+            return bad(wrong.getMessage());
+        }
+        Optional<MatchedRequest> matched = MatchedRequest.match(request, bundle);
+        if (matched.isEmpty()) {
+            return RoutedAnswer.ofNoService("no service takes " + request.path());
+        }
+        RoutedAnswer answer = admit(matched.get(), bundle);
+        record(matched.get(), bundle, answer, start);
+        return answer;
+    }
+
+    private static RoutedAnswer bad(String reason) {
+        RoutedAnswer notRun = RoutedAnswer.ofNoService(reason);
+        return new RoutedAnswer(
+                notRun.outcome(), BAD_REQUEST, notRun.headers(), notRun.body(), reason, 0, null);
+    }
+
+    private static CallerRequest read(HttpExchange exchange, byte[] body) {
+        Headers headers = exchange.getRequestHeaders();
+        Map<String, String> passed = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
+        headers.forEach((name, values) -> passed.put(name, String.join(", ", values)));
+        String team = headers.getFirst(TEAM_HEADER);
+        String wait = headers.getFirst(WAIT_HEADER);
+        return new CallerRequest(
+                exchange.getRequestMethod(),
+                exchange.getRequestURI().toString(),
+                exchange.getRequestURI().getPath(),
+                team == null ? NO_TEAM : TeamId.parse(team),
+                headers.getFirst(KEY_HEADER),
+                wait == null ? 0 : Math.max(1, Long.parseLong(wait)),
+                passed,
+                body);
+    }
+
+    private RoutedAnswer admit(MatchedRequest matched, Bundle bundle) {
+        Object classKey = matched.requestClass().id();
+        Object teamKey = matched.request().team();
+        if (!limiter.tryAcquire(classKey, matched.requestClass().concurrency())) {
+            return refused(matched, "the class is at its limit");
+        }
+        try {
+            int teamLimit =
+                    bundle.findTeam(matched.request().team())
+                            .map(TeamSpecification::concurrency)
+                            .orElse(UNKNOWN_TEAM_CONCURRENCY);
+            if (!limiter.tryAcquire(teamKey, teamLimit)) {
+                return refused(matched, "the team is at its limit");
+            }
+            try {
+                return router.route(matched, bundle, deadline(matched));
+            } finally {
+                limiter.release(teamKey);
+            }
+        } finally {
+            limiter.release(classKey);
+        }
+    }
+
+    private RoutedAnswer refused(MatchedRequest matched, String reason) {
+        registry.counter("standlink.entry.refused", "class", matched.requestClass().id().toString())
+                .increment();
+        return RoutedAnswer.ofNotRun(reason, LIMIT_RETRY_MILLIS);
+    }
+
+    private long deadline(MatchedRequest matched) {
+        long most = matched.requestClass().deadlineMillis();
+        long asked = matched.request().waitMillis();
+        return clock.nowMillis() + (asked == 0 ? most : Math.min(most, asked));
+    }
+
+    private void record(MatchedRequest matched, Bundle bundle, RoutedAnswer answer, long start) {
+        TeamId team = matched.request().team();
+        String known = bundle.findTeam(team).isPresent() ? team.toString() : "other";
+        Timer.builder("standlink.entry.requests")
+                .tag("service", matched.service().id().toString())
+                .tag("class", matched.requestClass().id().toString())
+                .tag("team", known)
+                .tag("outcome", answer.outcome().toString())
+                .publishPercentileHistogram()
+                .minimumExpectedValue(Duration.ofMillis(1))
+                .maximumExpectedValue(Duration.ofSeconds(30))
+                .register(registry)
+                .record(System.nanoTime() - start, TimeUnit.NANOSECONDS);
+    }
+
+    private void write(HttpExchange exchange, RoutedAnswer answer) throws IOException {
+        Headers headers = exchange.getResponseHeaders();
+        answer.headers().forEach(headers::set);
+        headers.set(OUTCOME_HEADER, answer.outcome().toString());
+        if (answer.upstream() != null) {
+            headers.set(UPSTREAM_HEADER, answer.upstream().toString());
+        }
+        if (answer.retryAfterMillis() > 0) {
+            long seconds = (answer.retryAfterMillis() + 999) / 1000;
+            headers.set("Retry-After", Long.toString(seconds));
+        }
+        if (leaving) {
+            headers.set("Connection", "close");
+        }
+        byte[] body = answer.body();
+        if (!answer.reason().isEmpty()) {
+            headers.set("Content-Type", "text/plain; charset=utf-8");
+            body = (answer.reason() + "\n").getBytes(StandardCharsets.UTF_8);
+        }
+        boolean none = body.length == 0 || exchange.getRequestMethod().equals("HEAD");
+        exchange.sendResponseHeaders(answer.status(), none ? -1 : body.length);
+        if (!none) {
+            exchange.getResponseBody().write(body);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/entry/EntryProcess.java
@@ -0,0 +1,276 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.entry;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import java.net.http.HttpClient;
+import java.security.SecureRandom;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.standlink.Incarnation;
+import org.standlink.StandlinkException;
+import org.standlink.VmId;
+import org.standlink.bundle.Bundle;
+import org.standlink.bundle.BundleHolder;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.log.LogFollower;
+import org.standlink.platform.HttpLog;
+import org.standlink.platform.HttpVmList;
+import org.standlink.platform.LogPort;
+import org.standlink.platform.PlatformHttp;
+import org.standlink.platform.VmListPort;
+import org.standlink.policy.RetryBudget;
+import org.standlink.policy.TwoChoicesRouting;
+import org.standlink.process.Timers;
+import org.standlink.wire.BundleAnswer;
+import org.standlink.wire.BundleQuery;
+import org.standlink.wire.Message;
+import org.standlink.wire.Peer;
+
+/**
+ * A running entry: it wires the parts together and drives them by timers.
+ *
+ * <p>{@code EntryProcess} is thread-safe.
+ */
+public final class EntryProcess implements AutoCloseable {
+
+    /** The log of changes of state. */
+    private static final System.Logger LOGGER = System.getLogger(EntryProcess.class.getName());
+
+    /** The time between two readings of the log, in milliseconds. */
+    private static final long LOG_MILLIS = 500;
+
+    /** The time between two rounds of connecting, in milliseconds. */
+    private static final long CONNECT_MILLIS = 250;
+
+    /** The time between two readings of the VM list, in milliseconds. */
+    private static final long LIST_MILLIS = 1000;
+
+    /** How long to wait for a bundle from a peer, in milliseconds. */
+    private static final long BUNDLE_MILLIS = 2000;
+
+    /** How long callers are asked to connect elsewhere before the entry stops, in milliseconds. */
+    private static final long NOTICE_MILLIS = 1000;
+
+    /** The settings. */
+    private final EntrySettings settings;
+
+    /** The timers. */
+    private final Timers timers;
+
+    /** Where threads come from. */
+    private final ExecutorService executor;
+
+    /** The bundle in force. */
+    private final BundleHolder holder = new BundleHolder();
+
+    /** The platform's log. */
+    private final LogPort log;
+
+    /** The platform's VM list. */
+    private final VmListPort vmList;
+
+    /** The fold of the log. */
+    private final LogFollower follower;
+
+    /** The agents. */
+    private final UpstreamDirectory directory;
+
+    /** The server for callers. */
+    private final CallerServer server;
+
+    /** The clock. */
+    private final MonotonicClock clock = MonotonicClock.ofSystem();
+
+    /** Whether a planned stop is under way. */
+    private volatile boolean leaving;
+
+    /**
+     * Constructor, which starts everything.
+     *
+     * @param settings the settings
+     * @param executor where threads come from
+     * @param callers where the threads for callers come from
+     * @param scheduler the timers
+     * @param registry where counters go
+     */
+    public EntryProcess(
+            EntrySettings settings,
+            ExecutorService executor,
+            ExecutorService callers,
+            ScheduledExecutorService scheduler,
+            MeterRegistry registry) {
+        this.settings = settings;
+        this.executor = executor;
+        this.timers = new Timers(scheduler, registry, "standlink.entry.failures");
+        HttpClient client = PlatformHttp.newClient(executor);
+        PlatformHttp platform = new PlatformHttp(settings.platform(), client);
+        this.log = new HttpLog(platform);
+        this.vmList = new HttpVmList(platform);
+        this.follower = new LogFollower(log, (record, refusal) -> {});
+        this.directory = new UpstreamDirectory(executor, holder);
+        RequestRouter router =
+                new RequestRouter(
+                        Incarnation.ofRandom(),
+                        settings.hall(),
+                        directory,
+                        new TwoChoicesRouting(new SecureRandom()),
+                        new RetryBudget(settings.retryShare() / 100.0),
+                        clock,
+                        registry);
+        this.server = new CallerServer(settings.listen(), callers, router, holder, clock, registry);
+        registry.gauge("standlink.entry.in.progress", server, CallerServer::getInProgress);
+        registry.gauge(
+                "standlink.entry.bundle.version",
+                holder,
+                present -> present.getVersion().getValue());
+        timers.every("log", LOG_MILLIS, this::readLog);
+        timers.every("connect", CONNECT_MILLIS, directory::connectAll);
+        timers.every("list", LIST_MILLIS, () -> directory.setListed(vmList.list()));
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Gets the bundle in force.
+     *
+     * @return the holder
+     */
+    public BundleHolder getHolder() {
+        return holder;
+    }
+
+    /**
+     * Gets the fold of the log.
+     *
+     * @return the follower
+     */
+    public LogFollower getFollower() {
+        return follower;
+    }
+
+    /**
+     * Gets the platform's log.
+     *
+     * @return the log
+     */
+    public LogPort getLog() {
+        return log;
+    }
+
+    /**
+     * Gets the agents.
+     *
+     * @return the directory
+     */
+    public UpstreamDirectory getDirectory() {
+        return directory;
+    }
+
+    /**
+     * Gets the port that callers use.
+     *
+     * @return the port
+     */
+    public int getPort() {
+        return server.getPort();
+    }
+
+    /**
+     * Checks whether the entry takes callers.
+     *
+     * @return true if it has a bundle and is not stopping
+     */
+    public boolean isReady() {
+        return holder.getBundle() != null && !leaving;
+    }
+
+    /**
+     * Ends in order: callers are asked to connect elsewhere, and requests in progress end.
+     *
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void drain() throws InterruptedException {
+        LOGGER.log(System.Logger.Level.INFO, "leaving: callers are asked to connect elsewhere");
+        leaving = true;
+        server.leave();
+        long notice = clock.nowMillis() + NOTICE_MILLIS;
+        long until = clock.nowMillis() + settings.drainMillis();
+        while (clock.nowMillis() < notice
+                || clock.nowMillis() < until && server.getInProgress() > 0) {
+            TimeUnit.MILLISECONDS.sleep(CONNECT_MILLIS / 10);
+        }
+        close();
+    }
+
+    @Override
+    public void close() {
+        server.close();
+        timers.close();
+        directory.close();
+    }
+
+    // -----------------------------------------------------------------------
+    private void readLog() {
+        try {
+            follower.poll();
+            follower.read(
+                    fold ->
+                            holder.offer(
+                                    fold.getBundles().getSignedText(),
+                                    fold.getBundles().getVersion()));
+        } catch (StandlinkException unavailable) {
+            askPeers();
+            throw unavailable;
+        }
+    }
+
+    private void askPeers() {
+        Bundle bundle = holder.getBundle();
+        if (bundle == null) {
+            settings.seeds().forEach(seed -> ask(new Peer(() -> seed, executor, (c, n, m) -> {})));
+            return;
+        }
+        List<VmId> vms =
+                bundle.services().stream().flatMap(s -> s.upstreams().stream()).distinct().toList();
+        int start = (int) Math.floorMod(clock.nowMillis(), (long) Math.max(1, vms.size()));
+        if (!vms.isEmpty()) {
+            askOpen(directory.getPeer(vms.get(start)));
+        }
+    }
+
+    private void ask(Peer peer) {
+        query(peer).whenComplete((answer, failure) -> peer.close());
+    }
+
+    private void askOpen(Peer peer) {
+        if (peer.getOpen() != null) {
+            query(peer);
+        }
+    }
+
+    private java.util.concurrent.CompletableFuture<Message> query(Peer peer) {
+        return peer.call(new BundleQuery(holder.getVersion()), BUNDLE_MILLIS)
+                .whenComplete((answer, failure) -> offer(answer));
+    }
+
+    private void offer(Message answer) {
+        if (answer instanceof BundleAnswer bundle) {
+            holder.offer(bundle.signedBundle(), bundle.version());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/entry/UpstreamDirectory.java
@@ -0,0 +1,200 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.entry;
+
+import java.net.InetSocketAddress;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+import org.standlink.VmId;
+import org.standlink.bundle.Bundle;
+import org.standlink.bundle.BundleHolder;
+import org.standlink.json.Addresses;
+import org.standlink.platform.VmEntry;
+import org.standlink.wire.BundleAnswer;
+import org.standlink.wire.BundleQuery;
+import org.standlink.wire.Connection;
+import org.standlink.wire.Load;
+import org.standlink.wire.Message;
+import org.standlink.wire.Peer;
+
+/**
+ * The agents that an entry is connected to.
+ *
+ * <p>{@code UpstreamDirectory} is thread-safe.
+ */
+public final class UpstreamDirectory implements AutoCloseable {
+
+    /** Where threads come from. */
+    private final ExecutorService executor;
+
+    /** The bundle in force. */
+    private final BundleHolder holder;
+
+    /** The agents. */
+    private final Map<VmId, Upstream> upstreams = new ConcurrentHashMap<>();
+
+    /** The addresses that the platform lists. */
+    private volatile Map<VmId, InetSocketAddress> listed = Map.of();
+
+    /**
+     * Constructor.
+     *
+     * @param executor where threads come from
+     * @param holder the bundle in force
+     */
+    public UpstreamDirectory(ExecutorService executor, BundleHolder holder) {
+        this.executor = executor;
+        this.holder = holder;
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Gets the agent of a VM.
+     *
+     * @param vm the VM
+     * @return the agent, connected or not
+     */
+    Upstream get(VmId vm) {
+        return upstreams.computeIfAbsent(vm, this::newUpstream);
+    }
+
+    /**
+     * Gets the agent of a VM for messages that are not requests.
+     *
+     * @param vm the VM
+     * @return the agent
+     */
+    public Peer getPeer(VmId vm) {
+        return get(vm).getPeer();
+    }
+
+    /**
+     * Tells how an upstream stands, as seen from here.
+     *
+     * @param vm the VM
+     * @return "leaving", "open" or "closed"
+     */
+    public String getState(VmId vm) {
+        Upstream upstream = get(vm);
+        if (upstream.isLeaving()) {
+            return "leaving";
+        }
+        return upstream.isOpen() ? "open" : "closed";
+    }
+
+    /**
+     * Gets the requests running or queued at an upstream.
+     *
+     * @param vm the VM
+     * @return the number, as last told or seen from here
+     */
+    public int getOutstanding(VmId vm) {
+        return get(vm).getOutstanding();
+    }
+
+    /** Connects to the upstreams of the bundle in force and drops those that are gone. */
+    public void connectAll() {
+        Bundle bundle = holder.getBundle();
+        if (bundle == null) {
+            return;
+        }
+        Set<VmId> wanted = new HashSet<>();
+        bundle.services().forEach(service -> wanted.addAll(service.upstreams()));
+        for (VmId vm : wanted) {
+            if (get(vm).getPeer().getOpen() == null) {
+                executor.execute(() -> connect(vm));
+            }
+        }
+        Set<VmId> known = new HashSet<>();
+        bundle.cells().forEach(cell -> cell.workers().forEach(worker -> known.add(worker.vm())));
+        for (VmId vm : List.copyOf(upstreams.keySet())) {
+            if (!known.contains(vm)) {
+                upstreams.remove(vm).getPeer().close();
+            }
+        }
+    }
+
+    /**
+     * Takes in the platform's list.
+     *
+     * @param entries the VMs
+     */
+    public void setListed(List<VmEntry> entries) {
+        Map<VmId, InetSocketAddress> addresses = new ConcurrentHashMap<>();
+        for (VmEntry entry : entries) {
+            addresses.put(entry.vm(), Addresses.parse(entry.address()));
+            Upstream upstream = upstreams.get(entry.vm());
+            if (upstream != null) {
+                upstream.setListedLeaving(entry.leaving());
+            }
+        }
+        listed = addresses;
+    }
+
+    @Override
+    public void close() {
+        upstreams.values().forEach(upstream -> upstream.getPeer().close());
+    }
+
+    // -----------------------------------------------------------------------
+    private void connect(VmId vm) {
+        try {
+            get(vm).getPeer().connect();
+        } catch (StandlinkException unreachable) {
+            if (unreachable.getCode() != ErrorCode.PEER_UNREACHABLE) {
+                throw unreachable;
+            }
+        }
+    }
+
+    private Upstream newUpstream(VmId vm) {
+        Upstream[] self = new Upstream[1];
+        Peer peer =
+                new Peer(
+                        () -> addressOf(vm),
+                        executor,
+                        (connection, call, message) -> handle(self[0], connection, call, message));
+        self[0] = new Upstream(vm, peer);
+        return self[0];
+    }
+
+    private InetSocketAddress addressOf(VmId vm) {
+        InetSocketAddress present = listed.get(vm);
+        if (present != null) {
+            return present;
+        }
+        return holder.getBundle()
+                .findWorker(vm)
+                .map(worker -> Addresses.parse(worker.address()))
+                .orElse(null);
+    }
+
+    private void handle(Upstream upstream, Connection connection, long call, Message message) {
+        if (message instanceof Load load) {
+            upstream.setLoad(load);
+        } else if (message instanceof BundleQuery query) {
+            boolean newer = holder.getVersion().isAfter(query.held());
+            String text = newer ? holder.getSignedText() : null;
+            connection.answer(call, new BundleAnswer(holder.getVersion(), text));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/json/Fault.java
@@ -0,0 +1,33 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.json;
+
+/**
+ * One thing that is wrong in a file.
+ *
+ * <p>{@code Fault} is thread-safe and immutable.
+ *
+ * @param path where it is, such as {@code services[0].slots}
+ * @param problem what is wrong, with the bad value
+ * @param remedy what to do about it
+ */
+public record Fault(String path, String problem, String remedy) {
+
+    @Override
+    public String toString() {
+        return path + ": " + problem + "; " + remedy;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/leader/AgentRecord.java
@@ -0,0 +1,131 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.leader;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.standlink.Incarnation;
+import org.standlink.LeaseGeneration;
+import org.standlink.TaskId;
+import org.standlink.wire.Assignment;
+import org.standlink.wire.Heartbeat;
+import org.standlink.wire.TaskReport;
+
+/**
+ * What a leader knows of one agent.
+ *
+ * <p>{@code AgentRecord} is mutable and not thread-safe; its leader guards it.
+ */
+final class AgentRecord {
+
+    /** The run of the agent, null until heard. */
+    private Incarnation incarnation;
+
+    /** The generation of its node lease. */
+    private LeaseGeneration generation = LeaseGeneration.NONE;
+
+    /** When it was last granted a lease, in milliseconds. */
+    private long grantedMillis;
+
+    /** The last heartbeat, null until heard. */
+    private Heartbeat last;
+
+    /** Whether it has been silent past its leases. */
+    private boolean lost;
+
+    /** The revision of the assignments last sent. */
+    private long revision;
+
+    /** The assignments last sent. */
+    private List<Assignment> assignments = List.of();
+
+    /** The last report of each task. */
+    private final Map<TaskId, TaskReport> reports = new HashMap<>();
+
+    /**
+     * Notes a heartbeat that will be answered with a lease.
+     *
+     * @param heartbeat the heartbeat
+     * @param nowMillis the time, in milliseconds
+     */
+    void heard(Heartbeat heartbeat, long nowMillis) {
+        if (!heartbeat.incarnation().equals(incarnation)) {
+            incarnation = heartbeat.incarnation();
+            generation = generation.next();
+        }
+        last = heartbeat;
+        grantedMillis = nowMillis;
+        lost = false;
+        reports.clear();
+        heartbeat.tasks().forEach(report -> reports.put(report.task(), report));
+    }
+
+    /** Notes that the agent was silent past its leases; its old starts are void from now. */
+    void markLost() {
+        if (!lost) {
+            lost = true;
+            generation = generation.next();
+            reports.clear();
+        }
+    }
+
+    /**
+     * Notes the assignments that it shall have.
+     *
+     * @param wanted the assignments
+     * @param firstRevision the revision to use for the first list of this leader
+     */
+    void want(List<Assignment> wanted, long firstRevision) {
+        if (revision == 0 || !wanted.equals(assignments)) {
+            revision = Math.max(firstRevision, revision + 1);
+            assignments = wanted;
+        }
+    }
+
+    // -----------------------------------------------------------------------
+    boolean isHeard() {
+        return last != null;
+    }
+
+    boolean isLost() {
+        return lost;
+    }
+
+    Heartbeat getLast() {
+        return last;
+    }
+
+    long getGrantedMillis() {
+        return grantedMillis;
+    }
+
+    LeaseGeneration getGeneration() {
+        return generation;
+    }
+
+    long getRevision() {
+        return revision;
+    }
+
+    List<Assignment> getAssignments() {
+        return assignments;
+    }
+
+    TaskReport getReport(TaskId task) {
+        return reports.get(task);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/leader/CellPlanner.java
@@ -0,0 +1,330 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.leader;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.Set;
+import java.util.function.IntSupplier;
+import org.standlink.Attempt;
+import org.standlink.CellId;
+import org.standlink.TaskId;
+import org.standlink.VmId;
+import org.standlink.bundle.Bundle;
+import org.standlink.bundle.JobSpecification;
+import org.standlink.bundle.Mode;
+import org.standlink.bundle.PlacementRule;
+import org.standlink.bundle.Urgency;
+import org.standlink.log.CellState;
+import org.standlink.log.TaskEvent;
+import org.standlink.log.TaskState;
+import org.standlink.policy.GradualRelief;
+import org.standlink.policy.InterferenceAwarePlacement;
+import org.standlink.policy.InterferenceModel;
+import org.standlink.policy.LearnedInterference;
+import org.standlink.policy.LearnedSizes;
+import org.standlink.policy.PlacementDecision;
+import org.standlink.policy.Plan;
+import org.standlink.policy.ReliefAction;
+import org.standlink.policy.ReliefPolicy;
+import org.standlink.policy.RunningTask;
+import org.standlink.policy.ServiceLoad;
+import org.standlink.policy.ServiceMeasure;
+import org.standlink.policy.SizeEstimator;
+import org.standlink.policy.TaskDemand;
+import org.standlink.policy.TaskPlanner;
+import org.standlink.policy.WaitingReason;
+import org.standlink.policy.WorkerHealth;
+import org.standlink.policy.WorkerView;
+import org.standlink.wire.Assignment;
+import org.standlink.wire.Heartbeat;
+import org.standlink.wire.ServiceReport;
+import org.standlink.wire.TaskReport;
+
+/**
+ * Turns the state of a cell into the policies' terms and their decisions into task events.
+ *
+ * <p>What it has learned lives only in memory; a new leader learns anew.
+ *
+ * <p>{@code CellPlanner} is mutable and not thread-safe; its leader guards it.
+ */
+public final class CellPlanner {
+
+    /** The most tasks assigned ahead to one worker. */
+    private static final int BACKLOG_PER_WORKER = 2;
+
+    /** How much urgency weighs among the priorities at an agent. */
+    private static final int URGENT_PRIORITY = 1000;
+
+    /** The cell. */
+    private final CellId cell;
+
+    /** Tells the hour of the day, UTC. */
+    private final IntSupplier hourOfDay;
+
+    /** Learned sizes. */
+    private final SizeEstimator sizes = new LearnedSizes();
+
+    /** Learned interference. */
+    private final InterferenceModel interference = new LearnedInterference();
+
+    /** Protects services. */
+    private final ReliefPolicy relief = new GradualRelief(interference);
+
+    /** Health of workers and jobs. */
+    private final WorkerHealth health = new WorkerHealth();
+
+    /** The load of the services on each VM, as last reported. */
+    private final Map<VmId, List<ServiceLoad>> loads = new HashMap<>();
+
+    /** Throttles and stops. */
+    private final TaskOrders orders = new TaskOrders();
+
+    /** Why tasks wait, as of the last round. */
+    private Map<TaskId, String> waiting = Map.of();
+
+    /**
+     * Constructor.
+     *
+     * @param cell the cell
+     * @param hourOfDay tells the hour of the day, UTC
+     */
+    public CellPlanner(CellId cell, IntSupplier hourOfDay) {
+        this.cell = cell;
+        this.hourOfDay = hourOfDay;
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Checks whether a task is standlink's to run.
+     *
+     * @param bundle the bundle in force, null if none
+     * @param task the task
+     * @return true if its job is in the bundle, has that task and is managed
+     */
+    static boolean isManaged(Bundle bundle, TaskId task) {
+        if (bundle == null) {
+            return false;
+        }
+        return bundle.findJob(task.getJob())
+                .filter(job -> job.mode() == Mode.MANAGE && task.getIndex() < job.tasks())
+                .isPresent();
+    }
+
+    /**
+     * Makes the assignment that an agent is sent.
+     *
+     * @param task an assigned task of a managed job
+     * @param bundle the bundle in force
+     * @return the assignment
+     */
+    Assignment assignment(TaskState task, Bundle bundle) {
+        JobSpecification job = bundle.findJob(task.task().getJob()).orElseThrow();
+        int urgency = job.urgency() == Urgency.URGENT ? URGENT_PRIORITY : 0;
+        return new Assignment(
+                task.task(),
+                task.attempt(),
+                task.resources(),
+                urgency + job.priority(),
+                job.runSeconds(),
+                task.checkpoint(),
+                orders.isStopping(task),
+                orders.getThrottle(task.task()));
+    }
+
+    /**
+     * Learns from a heartbeat and relieves services at risk.
+     *
+     * @param heartbeat the heartbeat
+     * @param state the folded state of the cell
+     * @param bundle the bundle in force
+     * @param nowMillis the time, in milliseconds
+     */
+    void learn(Heartbeat heartbeat, CellState state, Bundle bundle, long nowMillis) {
+        for (TaskReport report : heartbeat.tasks()) {
+            if (report.usage() != null) {
+                bundle.findJob(report.task().getJob())
+                        .ifPresent(job -> sizes.observe(job.batchClass(), report.usage()));
+            }
+        }
+        List<RunningTask> beside = views(bundle).runningOn(heartbeat, state);
+        List<String> classes =
+                beside.stream()
+                        .filter(task -> !task.queued())
+                        .map(RunningTask::batchClass)
+                        .toList();
+        List<ServiceLoad> present = new ArrayList<>();
+        for (ServiceReport report : heartbeat.services()) {
+            ServiceLoad load = new ServiceLoad(report.service(), report.level());
+            present.add(load);
+            interference.observe(load, classes, report.latencyPercent());
+            if (isManaged(bundle, report)) {
+                ServiceMeasure measure =
+                        new ServiceMeasure(heartbeat.vm(), load, report.latencyPercent());
+                relief.relieve(measure, beside).forEach(action -> act(action, state));
+            }
+        }
+        loads.put(heartbeat.vm(), present);
+    }
+
+    /**
+     * Notes the end of an attempt.
+     *
+     * @param event the end
+     * @param worker where it was
+     */
+    void ended(TaskEvent event, VmId worker) {
+        orders.forget(event.task());
+        if (event.kind() == TaskEvent.Kind.FINISH) {
+            health.succeeded(worker, event.task());
+        }
+    }
+
+    /**
+     * Notes a failed attempt.
+     *
+     * @param event the failure
+     * @param worker where it was
+     * @param nowMillis the time, in milliseconds
+     */
+    void failed(TaskEvent event, VmId worker, long nowMillis) {
+        health.failed(worker, event.task(), nowMillis);
+    }
+
+    /**
+     * Plans one round.
+     *
+     * @param state the folded state of the cell
+     * @param bundle the bundle in force
+     * @param agents what the leader knows of the agents
+     * @param nowMillis the time, in milliseconds
+     * @return the assignments to append
+     */
+    List<TaskEvent> plan(
+            CellState state, Bundle bundle, Map<VmId, AgentRecord> agents, long nowMillis) {
+        List<TaskDemand> demands = new ArrayList<>();
+        Map<TaskId, String> reasons = new HashMap<>();
+        for (JobSpecification job : bundle.jobs()) {
+            if (job.cell().equals(cell)) {
+                collect(job, state, bundle, demands, reasons);
+            }
+        }
+        CellViews views = views(bundle);
+        List<RunningTask> running = views.running(state, agents);
+        List<WorkerView> workers =
+                views.workers(agents, running, loads, vm -> health.isUsable(vm, nowMillis));
+        Plan plan = planner(bundle).plan(demands, workers, running, views.quotas(running));
+        plan.evictions().forEach(task -> orders.stop(task, state.get(task).attempt()));
+        reasons.putAll(plan.waiting());
+        waiting = reasons;
+        return events(plan, state);
+    }
+
+    /**
+     * Gets why tasks wait.
+     *
+     * @return the reasons as of the last round
+     */
+    Map<TaskId, String> getWaiting() {
+        return waiting;
+    }
+
+    // -----------------------------------------------------------------------
+    private List<TaskEvent> events(Plan plan, CellState state) {
+        List<TaskEvent> events = new ArrayList<>();
+        for (Map.Entry<TaskId, PlacementDecision> placed : plan.placements().entrySet()) {
+            PlacementDecision decision = placed.getValue();
+            Attempt attempt = state.get(placed.getKey()).attempt().next();
+            health.assigned(decision.worker());
+            events.add(
+                    TaskEvent.ofAssign(
+                            placed.getKey(), attempt, decision.worker(), decision.resources()));
+        }
+        return events;
+    }
+
+    private void collect(
+            JobSpecification job,
+            CellState state,
+            Bundle bundle,
+            List<TaskDemand> demands,
+            Map<TaskId, String> reasons) {
+        for (int index = 0; index < job.tasks(); index++) {
+            TaskId task = TaskId.of(job.id(), index);
+            if (state.get(task).phase() != TaskState.Phase.WAITING) {
+                continue;
+            }
+            if (job.mode() == Mode.OBSERVE) {
+                reasons.put(task, WaitingReason.OBSERVED.toString());
+            } else if (health.isHeldBack(job.id())) {
+                reasons.put(task, WaitingReason.KEEPS_FAILING.toString());
+            } else {
+                demands.add(demand(job, task, bundle));
+            }
+        }
+    }
+
+    private TaskDemand demand(JobSpecification job, TaskId task, Bundle bundle) {
+        Optional<PlacementRule> rule =
+                bundle.rules().stream().filter(r -> r.job().equals(job.id())).findFirst();
+        int hoursLeft =
+                job.finishByHour() < 0
+                        ? -1
+                        : Math.floorMod(job.finishByHour() - hourOfDay.getAsInt(), 24);
+        return new TaskDemand(
+                task,
+                job.team(),
+                job.batchClass(),
+                job.resources(),
+                job.urgency() == Urgency.URGENT,
+                job.priority(),
+                hoursLeft,
+                rule.map(r -> Set.copyOf(r.halls())).orElse(Set.of()),
+                rule.map(r -> Set.copyOf(r.avoidServices())).orElse(Set.of()),
+                health.getAvoided(task));
+    }
+
+    private CellViews views(Bundle bundle) {
+        return new CellViews(cell, bundle, orders);
+    }
+
+    private TaskPlanner planner(Bundle bundle) {
+        InterferenceAwarePlacement placement =
+                new InterferenceAwarePlacement(
+                        sizes,
+                        interference,
+                        bundle.weights().latency(),
+                        bundle.weights().throughput());
+        return new TaskPlanner(placement, sizes, BACKLOG_PER_WORKER);
+    }
+
+    private static boolean isManaged(Bundle bundle, ServiceReport report) {
+        return bundle.findService(report.service())
+                .filter(service -> service.mode() == Mode.MANAGE)
+                .isPresent();
+    }
+
+    private void act(ReliefAction action, CellState state) {
+        if (action.throttlePercent() == 0) {
+            orders.stop(action.task(), state.get(action.task()).attempt());
+        } else {
+            orders.throttle(action.task(), action.throttlePercent());
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/leader/CellStatus.java
@@ -0,0 +1,139 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.leader;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ArrayNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.util.Map;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+import org.standlink.TaskId;
+import org.standlink.VmId;
+import org.standlink.bundle.Bundle;
+import org.standlink.bundle.JobSpecification;
+import org.standlink.bundle.WorkerSpecification;
+import org.standlink.log.CellState;
+import org.standlink.log.TaskState;
+import org.standlink.wire.TaskReport;
+
+/**
+ * Describes a cell for operators, as JSON.
+ *
+ * <p>{@code CellStatus} is thread-safe and immutable.
+ */
+final class CellStatus {
+
+    /** The serializer. */
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** No instances. */
+    private CellStatus() {}
+
+    /**
+     * Describes a cell.
+     *
+     * @param leader the leader
+     * @param state the folded state of the cell
+     * @param bundle the bundle in force, null if none
+     * @param nowMillis the time, in milliseconds
+     * @return the JSON text
+     */
+    static String describe(CellLeader leader, CellState state, Bundle bundle, long nowMillis) {
+        ObjectNode top = MAPPER.createObjectNode();
+        top.put("cell", state.getCell().toString());
+        top.put("epoch", state.getEpoch().getValue());
+        top.put("leader", String.valueOf(state.getLeader()));
+        top.put("bundle", bundle == null ? 0 : bundle.version().getValue());
+        ArrayNode workers = top.putArray("workers");
+        ArrayNode tasks = top.putArray("tasks");
+        if (bundle != null && bundle.findCell(state.getCell()).isPresent()) {
+            bundle.findCell(state.getCell())
+                    .orElseThrow()
+                    .workers()
+                    .forEach(worker -> workers.add(worker(worker, leader, nowMillis)));
+            bundle.jobs().stream()
+                    .filter(job -> job.cell().equals(state.getCell()))
+                    .forEach(job -> addTasks(tasks, job, leader, state));
+        }
+        try {
+            return MAPPER.writeValueAsString(top);
+        } catch (JsonProcessingException impossible) {
+            throw new StandlinkException(
+                    ErrorCode.INTERNAL, "status not encoded", "report a defect", impossible);
+        }
+    }
+
+    private static ObjectNode worker(
+            WorkerSpecification worker, CellLeader leader, long nowMillis) {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("vm", worker.vm().toString());
+        node.put("hall", worker.hall().toString());
+        node.put("rack", worker.rack().toString());
+        AgentRecord agent = leader.getAgents().get(worker.vm());
+        boolean heard = agent != null && agent.isHeard();
+        node.put("state", stateOf(agent));
+        node.put("bundle", heard ? agent.getLast().bundle().getValue() : 0);
+        node.put("silentMillis", heard ? nowMillis - agent.getGrantedMillis() : -1);
+        node.put("tasks", heard ? agent.getLast().tasks().size() : 0);
+        return node;
+    }
+
+    private static String stateOf(AgentRecord agent) {
+        if (agent == null || !agent.isHeard()) {
+            return "unheard";
+        }
+        if (agent.isLost()) {
+            return "lost";
+        }
+        if (agent.getLast().leaving()) {
+            return "leaving";
+        }
+        return agent.getLast().workerReady() ? "ready" : "worker not ready";
+    }
+
+    private static void addTasks(
+            ArrayNode tasks, JobSpecification job, CellLeader leader, CellState state) {
+        Map<TaskId, String> waiting = leader.getPlanner().getWaiting();
+        for (int index = 0; index < job.tasks(); index++) {
+            TaskState task = state.get(TaskId.of(job.id(), index));
+            ObjectNode node = tasks.addObject();
+            node.put("task", task.task().toString());
+            node.put("attempt", task.attempt().getValue());
+            node.put("failures", task.failures());
+            node.put("state", phaseOf(task, leader));
+            if (task.worker() != null) {
+                node.put("worker", task.worker().toString());
+            }
+            if (waiting.containsKey(task.task())) {
+                node.put("reason", waiting.get(task.task()));
+            }
+        }
+    }
+
+    private static String phaseOf(TaskState task, CellLeader leader) {
+        if (!task.isAssigned()) {
+            return task.phase().name().toLowerCase(java.util.Locale.ROOT);
+        }
+        VmId worker = task.worker();
+        AgentRecord agent = leader.getAgents().get(worker);
+        TaskReport report = agent == null ? null : agent.getReport(task.task());
+        return report == null
+                ? "assigned"
+                : report.state().name().toLowerCase(java.util.Locale.ROOT);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/leader/CellViews.java
@@ -0,0 +1,219 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.leader;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.function.Predicate;
+import org.standlink.CellId;
+import org.standlink.Resources;
+import org.standlink.TaskId;
+import org.standlink.TeamId;
+import org.standlink.VmId;
+import org.standlink.bundle.Bundle;
+import org.standlink.bundle.CellSpecification;
+import org.standlink.bundle.JobSpecification;
+import org.standlink.bundle.ServiceSpecification;
+import org.standlink.bundle.TeamSpecification;
+import org.standlink.bundle.Urgency;
+import org.standlink.bundle.WorkerSpecification;
+import org.standlink.log.CellState;
+import org.standlink.log.TaskState;
+import org.standlink.policy.QuotaLedger;
+import org.standlink.policy.RunningTask;
+import org.standlink.policy.ServiceLoad;
+import org.standlink.policy.WorkerView;
+import org.standlink.wire.Heartbeat;
+import org.standlink.wire.TaskReport;
+
+/**
+ * Shows the state of a cell in the terms of the policies.
+ *
+ * <p>{@code CellViews} is thread-safe and immutable, if its orders do not change meanwhile.
+ */
+final class CellViews {
+
+    /** The cell. */
+    private final CellId cell;
+
+    /** The bundle in force. */
+    private final Bundle bundle;
+
+    /** Throttles and stops. */
+    private final TaskOrders orders;
+
+    /**
+     * Constructor.
+     *
+     * @param cell the cell
+     * @param bundle the bundle in force
+     * @param orders throttles and stops
+     */
+    CellViews(CellId cell, Bundle bundle, TaskOrders orders) {
+        this.cell = cell;
+        this.bundle = bundle;
+        this.orders = orders;
+    }
+
+    /**
+     * Sums up what the teams hold.
+     *
+     * @param running the tasks that hold room
+     * @return the quotas with what is held of them
+     */
+    QuotaLedger quotas(List<RunningTask> running) {
+        Map<TeamId, Resources> quotas = new HashMap<>();
+        for (TeamSpecification team : bundle.teams()) {
+            quotas.put(team.id(), team.quota());
+        }
+        QuotaLedger ledger = new QuotaLedger(quotas);
+        running.forEach(task -> ledger.add(task.team(), task.granted()));
+        return ledger;
+    }
+
+    /**
+     * Makes the views of the workers.
+     *
+     * @param agents what the leader knows of the agents
+     * @param running the tasks that hold room
+     * @param loads the load of the services on each VM, as last reported
+     * @param isHealthy tells whether a worker may take new work
+     * @return the views
+     */
+    List<WorkerView> workers(
+            Map<VmId, AgentRecord> agents,
+            List<RunningTask> running,
+            Map<VmId, List<ServiceLoad>> loads,
+            Predicate<VmId> isHealthy) {
+        List<WorkerView> views = new ArrayList<>();
+        Map<VmId, WorkerView> byVm = new HashMap<>();
+        CellSpecification specification = bundle.findCell(cell).orElseThrow();
+        for (WorkerSpecification worker : specification.workers()) {
+            AgentRecord agent = agents.get(worker.vm());
+            boolean usable = isReady(agent) && isHealthy.test(worker.vm());
+            WorkerView view = view(worker, loads, usable);
+            views.add(view);
+            byVm.put(worker.vm(), view);
+        }
+        for (RunningTask task : running) {
+            WorkerView view = byVm.get(task.worker());
+            if (view != null && task.queued()) {
+                view.addBacklog();
+            } else if (view != null) {
+                view.add(task.batchClass(), task.granted());
+            }
+        }
+        return views;
+    }
+
+    private static boolean isReady(AgentRecord agent) {
+        return agent != null
+                && agent.isHeard()
+                && !agent.isLost()
+                && agent.getLast().workerReady()
+                && !agent.getLast().leaving();
+    }
+
+    private WorkerView view(
+            WorkerSpecification worker, Map<VmId, List<ServiceLoad>> loads, boolean usable) {
+        Resources reserved = Resources.NONE;
+        List<ServiceLoad> present = new ArrayList<>();
+        for (ServiceSpecification service : bundle.services()) {
+            if (service.upstreams().contains(worker.vm())) {
+                reserved = reserved.plus(service.reserved());
+                present.add(loadOf(loads.get(worker.vm()), service));
+            }
+        }
+        return new WorkerView(
+                worker.vm(),
+                worker.hall(),
+                worker.rack(),
+                worker.capacity(),
+                reserved,
+                present,
+                usable);
+    }
+
+    private static ServiceLoad loadOf(List<ServiceLoad> reported, ServiceSpecification service) {
+        List<ServiceLoad> known = reported == null ? List.of() : reported;
+        return known.stream()
+                .filter(load -> load.service().equals(service.id()))
+                .findFirst()
+                .orElse(new ServiceLoad(service.id(), 0));
+    }
+
+    /**
+     * Lists the tasks that hold room.
+     *
+     * @param state the folded state of the cell
+     * @param agents what the leader knows of the agents
+     * @return the tasks
+     */
+    List<RunningTask> running(CellState state, Map<VmId, AgentRecord> agents) {
+        List<RunningTask> result = new ArrayList<>();
+        for (TaskState task : state.getTasks()) {
+            if (!task.isAssigned()) {
+                continue;
+            }
+            AgentRecord agent = agents.get(task.worker());
+            TaskReport report = agent == null ? null : agent.getReport(task.task());
+            result.add(running(task, report));
+        }
+        return result;
+    }
+
+    private RunningTask running(TaskState task, TaskReport report) {
+        Optional<JobSpecification> job = bundle.findJob(task.task().getJob());
+        boolean queued =
+                report != null
+                        && report.attempt().equals(task.attempt())
+                        && report.state() == TaskReport.State.QUEUED;
+        return new RunningTask(
+                task.task(),
+                job.map(JobSpecification::team).orElse(null),
+                job.map(JobSpecification::batchClass).orElse(""),
+                task.worker(),
+                task.resources(),
+                job.filter(j -> j.urgency() == Urgency.URGENT).isPresent(),
+                job.map(JobSpecification::checkpointable).orElse(false),
+                orders.getThrottle(task.task()),
+                queued,
+                orders.isStopping(task) || job.isEmpty());
+    }
+
+    /**
+     * Lists the tasks that an agent reports.
+     *
+     * @param heartbeat the agent's heartbeat
+     * @param state the folded state of the cell
+     * @return the tasks
+     */
+    List<RunningTask> runningOn(Heartbeat heartbeat, CellState state) {
+        Map<TaskId, TaskReport> reports = new HashMap<>();
+        heartbeat.tasks().forEach(report -> reports.put(report.task(), report));
+        List<RunningTask> result = new ArrayList<>();
+        for (TaskState task : state.getTasks()) {
+            TaskReport report = reports.get(task.task());
+            if (task.isAssigned() && task.worker().equals(heartbeat.vm()) && report != null) {
+                result.add(running(task, report));
+            }
+        }
+        return result;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/lease/MonotonicClock.java
@@ -0,0 +1,37 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.lease;
+
+/** A clock that only goes forward; its zero means nothing. */
+@FunctionalInterface
+public interface MonotonicClock {
+
+    /**
+     * Gets the time.
+     *
+     * @return the time, in milliseconds from an arbitrary zero
+     */
+    long nowMillis();
+
+    /**
+     * Makes a clock of the JDK's monotonic time.
+     *
+     * @return the clock
+     */
+    static MonotonicClock ofSystem() {
+        return () -> System.nanoTime() / 1_000_000;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/lease/package-info.java
@@ -0,0 +1,2 @@
+/** Clocks and leases: who may act until when. */
+package org.standlink.lease;
--- /dev/null
+++ b/src/main/java/org/standlink/platform/TaskStart.java
@@ -0,0 +1,34 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.platform;
+
+import org.standlink.Attempt;
+import org.standlink.Resources;
+import org.standlink.TaskId;
+
+/**
+ * What a worker is asked to start.
+ *
+ * <p>{@code TaskStart} is thread-safe and immutable.
+ *
+ * @param task the task
+ * @param attempt the attempt
+ * @param resources what it may use
+ * @param runSeconds the declared run time, in seconds
+ * @param checkpoint where to resume from, null to start afresh
+ */
+public record TaskStart(
+        TaskId task, Attempt attempt, Resources resources, long runSeconds, String checkpoint) {}
--- /dev/null
+++ b/src/main/java/org/standlink/policy/InterferenceModel.java
@@ -0,0 +1,74 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.policy;
+
+import java.util.Collection;
+
+/** Estimates how much batch tasks slow the services beside them. */
+public interface InterferenceModel {
+
+    /**
+     * Learns from a measurement.
+     *
+     * @param load the service and its load when measured
+     * @param classes the classes of the tasks beside it then, one entry for each task
+     * @param latencyPercent its tail latency, in percent of its target
+     */
+    void observe(ServiceLoad load, Collection<String> classes, double latencyPercent);
+
+    /**
+     * Estimates the tail latency of a service.
+     *
+     * @param load the service and its load
+     * @param classes the classes of the tasks beside it, one entry for each task
+     * @return the tail latency, in percent of the target
+     */
+    double estimate(ServiceLoad load, Collection<String> classes);
+
+    /**
+     * Estimates what one task adds.
+     *
+     * @param load the service and its load
+     * @param batchClass the class of the task
+     * @return what it adds to the tail latency, in percent of the target
+     */
+    double estimateShare(ServiceLoad load, String batchClass);
+
+    /**
+     * Makes the baseline, which knows of no interference.
+     *
+     * @return the model
+     */
+    static InterferenceModel ofNone() {
+        return new InterferenceModel() {
+            @Override
+            public void observe(
+                    ServiceLoad load, Collection<String> classes, double latencyPercent) {
+                // Nothing is learned.
+            }
+
+            @Override
+            public double estimate(ServiceLoad load, Collection<String> classes) {
+                return 0;
+            }
+
+            @Override
+            public double estimateShare(ServiceLoad load, String batchClass) {
+                return 0;
+            }
+        };
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/policy/ServiceMeasure.java
@@ -0,0 +1,29 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.policy;
+
+import org.standlink.VmId;
+
+/**
+ * A measurement of a service on one VM, which may be late.
+ *
+ * <p>{@code ServiceMeasure} is thread-safe and immutable.
+ *
+ * @param worker the VM
+ * @param load the service and its load then
+ * @param latencyPercent its tail latency, in percent of its target
+ */
+public record ServiceMeasure(VmId worker, ServiceLoad load, double latencyPercent) {}
--- /dev/null
+++ b/src/main/java/org/standlink/standin/LoadReport.java
@@ -0,0 +1,57 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.standin;
+
+/**
+ * What became of the requests of a load.
+ *
+ * <p>{@code LoadReport} is thread-safe and immutable.
+ *
+ * @param sent requests sent
+ * @param right requests with the whole answer to themselves
+ * @param notRun requests told as not run
+ * @param unknown requests told as unknown
+ * @param wrong requests with another answer, or none
+ * @param medianMicros the median latency of the right ones, in microseconds
+ * @param tailMicros the 99th percentile of the latency of the right ones, in microseconds
+ * @param perSecond right answers a second
+ */
+public record LoadReport(
+        int sent,
+        int right,
+        int notRun,
+        int unknown,
+        int wrong,
+        long medianMicros,
+        long tailMicros,
+        double perSecond) {
+
+    /**
+     * Checks whether each request got its answer.
+     *
+     * @return true if so
+     */
+    public boolean isEveryAnswerRight() {
+        return right == sent;
+    }
+
+    @Override
+    public String toString() {
+        return String.format(
+                "requests %d of %d (not run %d, unknown %d, wrong %d), p50 %d us, p99 %d us, %.0f/s",
+                right, sent, notRun, unknown, wrong, medianMicros, tailMicros, perSecond);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/standin/StandInHttp.java
@@ -0,0 +1,189 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.standin;
+
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Executor;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+import org.standlink.platform.LogPort;
+import org.standlink.platform.PlatformRefusal;
+import org.standlink.platform.VmEntry;
+import org.standlink.platform.WorkerCall;
+import org.standlink.platform.WorkerLease;
+import org.standlink.platform.WorkerPort;
+import org.standlink.process.HttpService;
+
+/**
+ * Serves the in-memory stand-ins over the protocol of the HTTP adapters.
+ *
+ * <p>{@code StandInHttp} is thread-safe and immutable.
+ */
+public final class StandInHttp {
+
+    /** The serializer. */
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** The most records in one answer. */
+    private static final String MOST_RECORDS = "500";
+
+    /** No instances. */
+    private StandInHttp() {}
+
+    /** Does what a call asks for. */
+    @FunctionalInterface
+    private interface Call {
+
+        /**
+         * Does it.
+         *
+         * @return the value to answer
+         * @throws IOException if the body is not what is expected
+         */
+        Object run() throws IOException;
+    }
+
+    /**
+     * Serves a platform.
+     *
+     * @param address where to listen
+     * @param executor where threads come from
+     * @param log the log
+     * @param vms the VM list
+     * @return the running service
+     */
+    public static HttpService servePlatform(
+            InetSocketAddress address, Executor executor, MemoryLog log, MemoryVmList vms) {
+        HttpService service = new HttpService(address, executor);
+        serveLog(service, log);
+        service.on("GET", "/vms", request -> answer(vms::list));
+        service.on(
+                "POST",
+                "/control/vms",
+                request ->
+                        answer(
+                                () -> {
+                                    vms.put(MAPPER.readValue(request.body(), VmEntry.class));
+                                    return true;
+                                }));
+        service.on(
+                "POST",
+                "/control/log",
+                request ->
+                        answer(
+                                () -> {
+                                    control(request, log);
+                                    return log.getEnd();
+                                }));
+        return service;
+    }
+
+    /**
+     * Adds the paths of a log to a service.
+     *
+     * @param service the service
+     * @param log the log
+     */
+    public static void serveLog(HttpService service, LogPort log) {
+        service.on("POST", "/log", request -> answer(() -> log.append(request.body())));
+        service.on(
+                "GET",
+                "/log",
+                request ->
+                        answer(
+                                () ->
+                                        log.read(
+                                                number(request, "from", "0"),
+                                                (int) number(request, "most", MOST_RECORDS))));
+    }
+
+    /**
+     * Adds the paths of a worker to a service.
+     *
+     * @param service the service
+     * @param worker the worker
+     */
+    public static void serveWorker(HttpService service, WorkerPort worker) {
+        service.on(
+                "POST",
+                "/lease/acquire",
+                request ->
+                        answer(
+                                () ->
+                                        worker.acquire(
+                                                MAPPER.readValue(request.body(), String.class))));
+        service.on(
+                "POST",
+                "/lease/renew",
+                request ->
+                        answer(
+                                () ->
+                                        worker.renew(
+                                                MAPPER.readValue(
+                                                        request.body(), WorkerLease.class))));
+        service.on("POST", "/tasks/start", request -> answer(() -> start(worker, request)));
+        service.on("POST", "/tasks/stop", request -> answer(() -> stop(worker, request)));
+        service.on("POST", "/tasks/throttle", request -> answer(() -> throttle(worker, request)));
+        service.on("GET", "/tasks", request -> answer(worker::list));
+    }
+
+    // -----------------------------------------------------------------------
+    private static boolean start(WorkerPort worker, HttpService.Request request)
+            throws IOException {
+        WorkerCall call = MAPPER.readValue(request.body(), WorkerCall.class);
+        worker.start(call.lease(), call.start());
+        return true;
+    }
+
+    private static Object stop(WorkerPort worker, HttpService.Request request) throws IOException {
+        WorkerCall call = MAPPER.readValue(request.body(), WorkerCall.class);
+        return worker.stop(call.lease(), call.task(), call.attempt());
+    }
+
+    private static boolean throttle(WorkerPort worker, HttpService.Request request)
+            throws IOException {
+        WorkerCall call = MAPPER.readValue(request.body(), WorkerCall.class);
+        worker.throttle(call.lease(), call.task(), call.percent());
+        return true;
+    }
+
+    private static void control(HttpService.Request request, MemoryLog log) {
+        log.setDown(Boolean.parseBoolean(request.getParameter("down", "false")));
+        log.loseAnswers((int) number(request, "loseAnswers", "0"));
+        log.dropBefore(number(request, "dropBefore", "0"));
+    }
+
+    private static long number(HttpService.Request request, String name, String otherwise) {
+        return Long.parseLong(request.getParameter(name, otherwise));
+    }
+
+    private static HttpService.Answer answer(Call call) throws IOException {
+        try {
+            return HttpService.Answer.ofJson(200, call.run());
+        } catch (StandlinkException failure) {
+            if (failure.getCode() == ErrorCode.PLATFORM_UNAVAILABLE) {
+                return HttpService.Answer.ofText(503, failure.getMessage());
+            }
+            if (failure.getCode() == ErrorCode.PLATFORM_OUTCOME_UNKNOWN) {
+                return HttpService.Answer.ofText(504, failure.getMessage());
+            }
+            return HttpService.Answer.ofJson(
+                    409, new PlatformRefusal(failure.getCode(), failure.getMessage()));
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/wire/Connection.java
@@ -0,0 +1,225 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.wire;
+
+import java.io.BufferedInputStream;
+import java.io.BufferedOutputStream;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import java.net.Socket;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+
+/**
+ * One TCP connection that carries frames both ways.
+ *
+ * <p>Answers are matched by the number of their call, never by order. When the connection is lost,
+ * every call without an answer fails with CONNECTION_LOST: what became of it is not known here.
+ *
+ * <p>{@code Connection} is thread-safe.
+ */
+public final class Connection implements AutoCloseable {
+
+    /** The socket. */
+    private final Socket socket;
+
+    /** Where frames are written; guarded by itself. */
+    private final DataOutputStream output;
+
+    /** What answers messages that are not answers. */
+    private final MessageHandler handler;
+
+    /** What is told when the connection is gone. */
+    private final Runnable whenClosed;
+
+    /** The calls without an answer yet. */
+    private final Map<Long, CompletableFuture<Message>> calls = new ConcurrentHashMap<>();
+
+    /** The number of the last call. */
+    private final AtomicLong lastCall = new AtomicLong();
+
+    /** Whether the connection is gone. */
+    private volatile boolean closed;
+
+    /** What the other side said it is, null until then. */
+    private volatile Hello hello;
+
+    /**
+     * Constructor.
+     *
+     * @param socket the connected socket
+     * @param handler what answers messages
+     * @param whenClosed what is told when the connection is gone
+     * @throws IOException if the socket fails
+     */
+    Connection(Socket socket, MessageHandler handler, Runnable whenClosed) throws IOException {
+        this.socket = socket;
+        this.handler = handler;
+        this.whenClosed = whenClosed;
+        socket.setTcpNoDelay(true);
+        this.output = new DataOutputStream(new BufferedOutputStream(socket.getOutputStream()));
+    }
+
+    /**
+     * Starts reading.
+     *
+     * @param executor where the reading thread comes from
+     */
+    void start(Executor executor) {
+        executor.execute(this::readAll);
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Sends a message without waiting for an answer.
+     *
+     * @param message the message
+     * @throws StandlinkException with code CONNECTION_LOST if the connection is gone
+     */
+    public void send(Message message) {
+        write(new Frame(0, false, message));
+    }
+
+    /**
+     * Answers a call.
+     *
+     * @param call the number of the call
+     * @param message the answer
+     */
+    public void answer(long call, Message message) {
+        if (call == 0) {
+            return;
+        }
+        try {
+            write(new Frame(call, true, message));
+        } catch (StandlinkException lost) {
+            // The caller learns of the lost connection on its own side.
+            close();
+        }
+    }
+
+    /**
+     * Sends a message and waits for its answer.
+     *
+     * @param message the message
+     * @param timeoutMillis how long to wait, in milliseconds
+     * @return the answer; fails with CONNECTION_LOST or a {@code TimeoutException}
+     */
+    public CompletableFuture<Message> call(Message message, long timeoutMillis) {
+        long number = lastCall.incrementAndGet();
+        CompletableFuture<Message> answer = new CompletableFuture<>();
+        calls.put(number, answer);
+        answer.whenComplete((value, failure) -> calls.remove(number));
+        try {
+            write(new Frame(number, false, message));
+        } catch (StandlinkException lost) {
+            answer.completeExceptionally(lost);
+        }
+        if (closed) {
+            answer.completeExceptionally(lost(null));
+        }
+        return answer.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Gets what the other side said it is.
+     *
+     * @return the greeting, null if it has not come yet
+     */
+    public Hello getHello() {
+        return hello;
+    }
+
+    /**
+     * Checks whether the connection is gone.
+     *
+     * @return true if gone
+     */
+    public boolean isClosed() {
+        return closed;
+    }
+
+    @Override
+    public void close() {
+        synchronized (calls) {
+            if (closed) {
+                return;
+            }
+            closed = true;
+        }
+        try {
+            socket.close();
+        } catch (IOException ignored) {
+            // Nothing is left to close.
+        }
+        calls.values().forEach(answer -> answer.completeExceptionally(lost(null)));
+        whenClosed.run();
+    }
+
+    // -----------------------------------------------------------------------
+    private void write(Frame frame) {
+        byte[] bytes = FrameCodec.encode(frame);
+        try {
+            synchronized (output) {
+                FrameCodec.write(output, bytes);
+            }
+        } catch (IOException failure) {
+            close();
+            throw lost(failure);
+        }
+    }
+
+    private void readAll() {
+        try (DataInputStream input =
+                new DataInputStream(new BufferedInputStream(socket.getInputStream()))) {
+            while (!closed) {
+                receive(FrameCodec.read(input));
+            }
+        } catch (IOException | StandlinkException ended) {
+            // The end of the stream and a broken frame both end the connection.
+            close();
+        }
+    }
+
+    private void receive(Frame frame) {
+        if (frame.answer()) {
+            CompletableFuture<Message> waiting = calls.get(frame.call());
+            if (waiting != null) {
+                waiting.complete(frame.message());
+            }
+        } else if (frame.message() instanceof Hello greeting) {
+            hello = greeting;
+            handler.handle(this, frame.call(), greeting);
+        } else {
+            handler.handle(this, frame.call(), frame.message());
+        }
+    }
+
+    private static StandlinkException lost(Throwable cause) {
+        return new StandlinkException(
+                ErrorCode.CONNECTION_LOST,
+                "the connection was lost",
+                "ask the peer for the outcome before trying again",
+                cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/wire/FrameCodec.java
@@ -0,0 +1,115 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.wire;
+
+import com.fasterxml.jackson.annotation.JsonInclude;
+import com.fasterxml.jackson.databind.DeserializationFeature;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import java.io.DataInputStream;
+import java.io.DataOutputStream;
+import java.io.IOException;
+import org.msgpack.jackson.dataformat.MessagePackFactory;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+
+/**
+ * Writes and reads frames.
+ *
+ * <p>{@code FrameCodec} is thread-safe and immutable; the streams given to it are not.
+ */
+public final class FrameCodec {
+
+    /** The longest frame taken, in bytes. */
+    public static final int MAXIMUM_FRAME_BYTES = 16 * 1024 * 1024;
+
+    /** The serializer; fields that a newer version added are passed over. */
+    private static final ObjectMapper MAPPER =
+            new ObjectMapper(new MessagePackFactory())
+                    .setSerializationInclusion(JsonInclude.Include.NON_NULL)
+                    .disable(DeserializationFeature.FAIL_ON_UNKNOWN_PROPERTIES);
+
+    /** No instances. */
+    private FrameCodec() {}
+
+    /**
+     * Encodes a frame.
+     *
+     * @param frame the frame
+     * @return its bytes, without the length
+     */
+    public static byte[] encode(Frame frame) {
+        try {
+            return MAPPER.writeValueAsBytes(frame);
+        } catch (IOException impossible) {
+            throw new StandlinkException(
+                    ErrorCode.INTERNAL, "frame not encoded", "report a defect", impossible);
+        }
+    }
+
+    /**
+     * Decodes a frame.
+     *
+     * @param bytes its bytes, without the length
+     * @return the frame
+     * @throws StandlinkException with code INVALID_MESSAGE if the bytes are not a frame
+     */
+    public static Frame decode(byte[] bytes) {
+        try {
+            return MAPPER.readValue(bytes, Frame.class);
+        } catch (IOException | IllegalArgumentException malformed) {
+            throw invalid("a frame of " + bytes.length + " bytes was not decoded", malformed);
+        }
+    }
+
+    /**
+     * Writes encoded bytes with their length.
+     *
+     * @param output the stream
+     * @param bytes the encoded frame
+     * @throws IOException if the stream fails
+     */
+    public static void write(DataOutputStream output, byte[] bytes) throws IOException {
+        output.writeInt(bytes.length);
+        output.write(bytes);
+        output.flush();
+    }
+
+    /**
+     * Reads one frame.
+     *
+     * @param input the stream
+     * @return the frame
+     * @throws IOException if the stream fails or ends
+     * @throws StandlinkException with code INVALID_MESSAGE if the bytes are not a frame
+     */
+    public static Frame read(DataInputStream input) throws IOException {
+        int length = input.readInt();
+        if (length <= 0 || length > MAXIMUM_FRAME_BYTES) {
+            throw invalid("a frame says it has " + length + " bytes", null);
+        }
+        byte[] bytes = new byte[length];
+        input.readFully(bytes);
+        return decode(bytes);
+    }
+
+    private static StandlinkException invalid(String problem, Throwable cause) {
+        return new StandlinkException(
+                ErrorCode.INVALID_MESSAGE,
+                problem,
+                "check that both processes are standlink of near versions",
+                cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/wire/Message.java
@@ -0,0 +1,55 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.wire;
+
+import com.fasterxml.jackson.annotation.JsonSubTypes;
+import com.fasterxml.jackson.annotation.JsonTypeInfo;
+
+/**
+ * A message between two processes of standlink.
+ *
+ * <p>Implementations are immutable records. The number of a type on the wire never changes meaning.
+ */
+@JsonTypeInfo(use = JsonTypeInfo.Id.NAME, include = JsonTypeInfo.As.PROPERTY, property = "@")
+@JsonSubTypes({
+    @JsonSubTypes.Type(value = Hello.class, name = "1"),
+    @JsonSubTypes.Type(value = Load.class, name = "2"),
+    @JsonSubTypes.Type(value = Forward.class, name = "3"),
+    @JsonSubTypes.Type(value = ForwardAnswer.class, name = "4"),
+    @JsonSubTypes.Type(value = OutcomeQuery.class, name = "5"),
+    @JsonSubTypes.Type(value = Heartbeat.class, name = "6"),
+    @JsonSubTypes.Type(value = HeartbeatAnswer.class, name = "7"),
+    @JsonSubTypes.Type(value = LeaderAnnouncement.class, name = "8"),
+    @JsonSubTypes.Type(value = StatusQuery.class, name = "9"),
+    @JsonSubTypes.Type(value = StatusAnswer.class, name = "10"),
+    @JsonSubTypes.Type(value = BundleQuery.class, name = "11"),
+    @JsonSubTypes.Type(value = BundleAnswer.class, name = "12"),
+    @JsonSubTypes.Type(value = Refusal.class, name = "13")
+})
+public sealed interface Message
+        permits Hello,
+                Load,
+                Forward,
+                ForwardAnswer,
+                OutcomeQuery,
+                Heartbeat,
+                HeartbeatAnswer,
+                LeaderAnnouncement,
+                StatusQuery,
+                StatusAnswer,
+                BundleQuery,
+                BundleAnswer,
+                Refusal {}
--- /dev/null
+++ b/src/main/java/org/standlink/wire/MessageHandler.java
@@ -0,0 +1,32 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.wire;
+
+/** Answers the messages that arrive on connections. */
+@FunctionalInterface
+public interface MessageHandler {
+
+    /**
+     * Handles one message.
+     *
+     * <p>Called on the connection's reading thread; long work is handed on and answered later.
+     *
+     * @param connection where the message came from
+     * @param call the number to answer under, 0 if no answer is wanted
+     * @param message the message
+     */
+    void handle(Connection connection, long call, Message message);
+}
--- /dev/null
+++ b/src/main/java/org/standlink/wire/OutcomeQuery.java
@@ -0,0 +1,29 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.wire;
+
+import org.standlink.Incarnation;
+import org.standlink.RequestId;
+
+/**
+ * Asks what became of a request after its connection was lost; an id not yet seen is barred.
+ *
+ * <p>{@code OutcomeQuery} is thread-safe and immutable.
+ *
+ * @param id the id of the try
+ * @param agent the incarnation of the agent that the try was sent to
+ */
+public record OutcomeQuery(RequestId id, Incarnation agent) implements Message {}
--- /dev/null
+++ b/src/main/java/org/standlink/wire/WireServer.java
@@ -0,0 +1,135 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.wire;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.util.Set;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.ExecutorService;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+
+/**
+ * Accepts connections from other processes of standlink and greets each of them.
+ *
+ * <p>{@code WireServer} is thread-safe.
+ */
+public final class WireServer implements AutoCloseable {
+
+    /** The listening socket. */
+    private final ServerSocket listener;
+
+    /** Where threads come from. */
+    private final ExecutorService executor;
+
+    /** The greeting. */
+    private final Hello hello;
+
+    /** What answers messages. */
+    private final MessageHandler handler;
+
+    /** The open connections. */
+    private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
+
+    /**
+     * Constructor, which starts to listen.
+     *
+     * @param address where to listen; port 0 takes a free port
+     * @param executor where threads come from
+     * @param hello the greeting
+     * @param handler what answers messages
+     * @throws StandlinkException with code PEER_UNREACHABLE if the address cannot be taken
+     */
+    public WireServer(
+            InetSocketAddress address,
+            ExecutorService executor,
+            Hello hello,
+            MessageHandler handler) {
+        this.executor = executor;
+        this.hello = hello;
+        this.handler = handler;
+        try {
+            listener = new ServerSocket();
+            listener.setReuseAddress(true);
+            listener.bind(address);
+        } catch (IOException taken) {
+            throw new StandlinkException(
+                    ErrorCode.PEER_UNREACHABLE,
+                    "cannot listen on " + address,
+                    "free the address or change it in the settings",
+                    taken);
+        }
+        executor.execute(this::acceptAll);
+    }
+
+    /**
+     * Gets the port listened on.
+     *
+     * @return the port
+     */
+    public int getPort() {
+        return listener.getLocalPort();
+    }
+
+    /**
+     * Sends a message on every open connection.
+     *
+     * @param message the message
+     */
+    public void broadcast(Message message) {
+        for (Connection connection : connections) {
+            try {
+                connection.send(message);
+            } catch (StandlinkException lost) {
+                connections.remove(connection);
+            }
+        }
+    }
+
+    @Override
+    public void close() {
+        try {
+            listener.close();
+        } catch (IOException ignored) {
+            // Nothing is left to close.
+        }
+        connections.forEach(Connection::close);
+    }
+
+    // -----------------------------------------------------------------------
+    private void acceptAll() {
+        while (!listener.isClosed()) {
+            try {
+                accept(listener.accept());
+            } catch (IOException | StandlinkException ended) {
+                // A peer that left at once is passed over; a closed listener ends the loop.
+                continue;
+            }
+        }
+    }
+
+    private void accept(Socket socket) throws IOException {
+        Connection[] self = new Connection[1];
+        Connection connection = new Connection(socket, handler, () -> connections.remove(self[0]));
+        self[0] = connection;
+        connections.add(connection);
+        connection.send(hello);
+        connection.start(executor);
+    }
+}
