Prove the leases: model found a leader that released too early; fences and tests

Cause: the specification (two leaders, no pauses) gave a trace in which an agent sends one heartbeat to a new leader, loses the answer, and goes on with leases of the old leader; the new leader counted its silence from that heartbeat and released the task while it ran. The code did the same. Ruled out: the wait for an agent never heard (it holds in the same model). Change: until an agent has acknowledged the epoch, the old leader's authority is waited out. Urgent tasks are assigned to the worker that makes room for them at once. What services reserve no longer counts as room for large tasks.

--- a/src/main/java/org/standlink/leader/AgentRecord.java
+++ b/src/main/java/org/standlink/leader/AgentRecord.java
@@ -18,6 +18,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import org.standlink.Epoch;
 import org.standlink.Incarnation;
 import org.standlink.LeaseGeneration;
 import org.standlink.TaskId;
@@ -44,6 +45,9 @@
     /** The last heartbeat, null until heard. */
     private Heartbeat last;
 
+    /** Whether it has acknowledged the epoch of this leader, so that it refuses older ones. */
+    private boolean acknowledged;
+
     /** Whether it has been silent past its leases. */
     private boolean lost;
 
@@ -60,13 +64,15 @@
      * Notes a heartbeat that will be answered with a lease.
      *
      * @param heartbeat the heartbeat
+     * @param epoch the epoch of this leader
      * @param nowMillis the time, in milliseconds
      */
-    void heard(Heartbeat heartbeat, long nowMillis) {
+    void heard(Heartbeat heartbeat, Epoch epoch, long nowMillis) {
         if (!heartbeat.incarnation().equals(incarnation)) {
             incarnation = heartbeat.incarnation();
             generation = generation.next();
         }
+        acknowledged |= heartbeat.epoch().equals(epoch);
         last = heartbeat;
         grantedMillis = nowMillis;
         lost = false;
@@ -101,6 +107,10 @@
         return last != null;
     }
 
+    boolean isAcknowledged() {
+        return acknowledged;
+    }
+
     boolean isLost() {
         return lost;
     }
--- a/src/main/java/org/standlink/leader/CellLeader.java
+++ b/src/main/java/org/standlink/leader/CellLeader.java
@@ -144,7 +144,7 @@
             throw notLeading();
         }
         AgentRecord agent = agents.computeIfAbsent(heartbeat.vm(), key -> new AgentRecord());
-        agent.heard(heartbeat, nowMillis);
+        agent.heard(heartbeat, epoch, nowMillis);
         if (bundle != null) {
             planner.learn(heartbeat, state, bundle, nowMillis);
         }
@@ -287,7 +287,9 @@
 
     private boolean isSilent(AgentRecord agent, long nowMillis) {
         long end = agent.getGrantedMillis() + times.nodeMillis() + times.silentAgentMillis();
-        return nowMillis >= end;
+        // Until it has acknowledged this epoch it may still take leases of the old leader.
+        long unheard = agent.isAcknowledged() ? 0 : claimedMillis + times.unheardAgentMillis();
+        return nowMillis >= Math.max(end, unheard);
     }
 
     private List<Assignment> assignments(VmId vm, CellState state, Bundle bundle) {
--- a/src/main/java/org/standlink/policy/AbstractPlacement.java
+++ b/src/main/java/org/standlink/policy/AbstractPlacement.java
@@ -105,7 +105,7 @@
         boolean room = false;
         for (WorkerView worker : workers) {
             boolean here = isPermitted(demand, worker);
-            boolean fits = size.fitsIn(worker.getCapacity());
+            boolean fits = size.fitsIn(worker.getRoom());
             permitted |= here;
             large &= !(here && fits);
             usable |= here && fits && worker.isUsable();
--- a/src/main/java/org/standlink/policy/TaskPlanner.java
+++ b/src/main/java/org/standlink/policy/TaskPlanner.java
@@ -15,6 +15,7 @@
  */
 package org.standlink.policy;
 
+import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.HashSet;
@@ -45,6 +46,12 @@
     /** The most waiting tasks looked at in one round, which bounds its time. */
     public static final int MOST_CONSIDERED = 2000;
 
+    /** What goes first: what is being stopped anyway, what loses nothing, what is large. */
+    private static final Comparator<RunningTask> ORDER_OF_EVICTION =
+            Comparator.comparing((RunningTask task) -> !task.stopping())
+                    .thenComparing(task -> !task.checkpointable())
+                    .thenComparing(task -> -task.granted().milliCores());
+
     /** Chooses workers. */
     private final PlacementPolicy placement;
 
@@ -116,9 +123,6 @@
         /** Tasks to stop for urgent ones. */
         private final Set<TaskId> evictions = new HashSet<>();
 
-        /** Room that evictions of this round will give, less what urgent tasks will take of it. */
-        private final Map<VmId, Resources> promised = new HashMap<>();
-
         /** Why a task of a class and size found no room in this round. */
         private final Map<Object, String> refused = new HashMap<>();
 
@@ -126,11 +130,6 @@
             this.workers = workers;
             this.running = running;
             this.quotas = quotas;
-            for (RunningTask task : running) {
-                if (task.stopping()) {
-                    promised.merge(task.worker(), task.granted(), Resources::plus);
-                }
-            }
         }
 
         private void consider(TaskDemand demand) {
@@ -167,9 +166,7 @@
         }
 
         private void makeRoom(TaskDemand demand, String reason, Resources size) {
-            if (demand.urgent()) {
-                evictFor(demand, size);
-                waiting.put(demand.task(), reason);
+            if (demand.urgent() && evictFor(demand, size)) {
                 return;
             }
             if (!reason.equals(WaitingReason.NO_ROOM.toString()) || !queue(demand, size)) {
@@ -181,10 +178,7 @@
             WorkerView shortest = null;
             for (WorkerView worker : workers) {
                 boolean possible =
-                        worker.isUsable()
-                                && worker.getBacklog() < backlogPerWorker
-                                && AbstractPlacement.isPermitted(demand, worker)
-                                && size.fitsIn(worker.getCapacity());
+                        isPossible(demand, worker, size) && worker.getBacklog() < backlogPerWorker;
                 if (possible && (shortest == null || worker.getBacklog() < shortest.getBacklog())) {
                     shortest = worker;
                 }
@@ -198,51 +192,53 @@
             return true;
         }
 
-        private void evictFor(TaskDemand demand, Resources size) {
+        /** Assigns an urgent task where the fewest ordinary ones must make room for it. */
+        private boolean evictFor(TaskDemand demand, Resources size) {
+            WorkerView best = null;
+            List<RunningTask> fewest = null;
             for (WorkerView worker : workers) {
-                Resources free = worker.getFree().plus(promisedOn(worker));
-                if (isPossible(demand, worker, size) && size.fitsIn(free)) {
-                    promised.put(worker.getVm(), promisedOn(worker).minus(size));
-                    return;
+                if (!isPossible(demand, worker, size)) {
+                    continue;
                 }
-            }
-            for (WorkerView worker : workers) {
-                if (isPossible(demand, worker, size) && evictOn(worker, size)) {
-                    return;
+                List<RunningTask> victims = victims(worker, size);
+                if (victims != null && (fewest == null || victims.size() < fewest.size())) {
+                    best = worker;
+                    fewest = victims;
                 }
             }
+            if (best == null) {
+                return false;
+            }
+            fewest.forEach(victim -> evictions.add(victim.task()));
+            accept(demand, PlacementDecision.ofPlaced(best.getVm(), size));
+            return true;
         }
 
         private boolean isPossible(TaskDemand demand, WorkerView worker, Resources size) {
             return worker.isUsable()
                     && AbstractPlacement.isPermitted(demand, worker)
-                    && size.fitsIn(worker.getCapacity());
+                    && size.fitsIn(worker.getRoom());
         }
 
-        private boolean evictOn(WorkerView worker, Resources size) {
-            Resources free = worker.getFree().plus(promisedOn(worker));
-            Set<TaskId> chosen = new HashSet<>();
-            List<RunningTask> victims =
+        /** Chooses the tasks that must go so that a size fits; null if that is not enough. */
+        private List<RunningTask> victims(WorkerView worker, Resources size) {
+            List<RunningTask> candidates =
                     running.stream()
                             .filter(task -> task.worker().equals(worker.getVm()))
-                            .filter(task -> !task.urgent() && !task.stopping() && !task.queued())
+                            .filter(task -> !task.urgent() && !task.queued())
                             .filter(task -> !evictions.contains(task.task()))
-                            .sorted(Comparator.comparing(task -> !task.checkpointable()))
+                            .sorted(ORDER_OF_EVICTION)
                             .toList();
-            for (RunningTask victim : victims) {
-                free = free.plus(victim.granted());
-                chosen.add(victim.task());
+            List<RunningTask> chosen = new ArrayList<>();
+            Resources free = worker.getFree();
+            for (RunningTask victim : candidates) {
                 if (size.fitsIn(free)) {
-                    evictions.addAll(chosen);
-                    promised.put(worker.getVm(), free.minus(worker.getFree()).minus(size));
-                    return true;
+                    break;
                 }
+                free = free.plus(victim.granted());
+                chosen.add(victim);
             }
-            return false;
-        }
-
-        private Resources promisedOn(WorkerView worker) {
-            return promised.getOrDefault(worker.getVm(), Resources.NONE);
+            return size.fitsIn(free) ? chosen : null;
         }
 
         private WorkerView workerOf(VmId vm) {
--- a/src/main/java/org/standlink/policy/WorkerView.java
+++ b/src/main/java/org/standlink/policy/WorkerView.java
@@ -50,6 +50,9 @@
     /** The classes of the tasks there. */
     private final List<String> classes = new ArrayList<>();
 
+    /** What services leave for tasks. */
+    private final Resources room;
+
     /** What is not granted yet. */
     private Resources free;
 
@@ -79,7 +82,8 @@
         this.hall = hall;
         this.rack = rack;
         this.capacity = capacity;
-        this.free = capacity.minus(reserved);
+        this.room = capacity.minus(reserved);
+        this.free = room;
         this.services = List.copyOf(services);
         this.usable = usable;
     }
@@ -138,6 +142,15 @@
         return capacity;
     }
 
+    /**
+     * Gets what services leave for tasks.
+     *
+     * @return the room when no task is there
+     */
+    public Resources getRoom() {
+        return room;
+    }
+
     /**
      * Gets what is not granted yet.
      *
--- /dev/null
+++ b/src/test/java/org/standlink/FakeClock.java
@@ -0,0 +1,34 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink;
+
+import org.standlink.lease.MonotonicClock;
+
+/** A clock that goes only when told to. */
+public final class FakeClock implements MonotonicClock {
+
+    private long now = 1_000_000;
+
+    @Override
+    public synchronized long nowMillis() {
+        return now;
+    }
+
+    /** Lets time pass. */
+    public synchronized void advance(long millis) {
+        now += millis;
+    }
+}
--- /dev/null
+++ b/src/test/java/org/standlink/specification/TestSpecifications.java
@@ -0,0 +1,334 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.specification;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import java.util.stream.Stream;
+import org.junit.jupiter.api.DynamicTest;
+import org.junit.jupiter.api.TestFactory;
+
+/**
+ * Checks the specifications with TLC: the design holds, and each variant without one of its fences
+ * is found to be broken.
+ */
+public class TestSpecifications {
+
+    private static final int VIOLATION = 12;
+
+    private static final Pattern STATES =
+            Pattern.compile("(\\d+) states generated, (\\d+) distinct states found");
+
+    private record Check(
+            String module,
+            String name,
+            String invariants,
+            Map<String, String> constants,
+            String broken) {}
+
+    @TestFactory
+    Stream<DynamicTest> leases() {
+        Map<String, String> one =
+                with(
+                        "MaxAttempt",
+                        "2",
+                        "Node",
+                        "1",
+                        "Worker",
+                        "2",
+                        "Authority",
+                        "2",
+                        "Claims",
+                        "FALSE",
+                        "Restarts",
+                        "FALSE",
+                        "Pauses",
+                        "TRUE",
+                        "LateAppends",
+                        "TRUE",
+                        "WorkerWaits",
+                        "2",
+                        "Sticky",
+                        "TRUE",
+                        "LatestOnly",
+                        "TRUE",
+                        "RestartReads",
+                        "TRUE",
+                        "UnheardWaits",
+                        "TRUE",
+                        "NeedsAck",
+                        "TRUE");
+        Map<String, String> two =
+                with(
+                        one,
+                        "Claims",
+                        "TRUE",
+                        "Worker",
+                        "1",
+                        "WorkerWaits",
+                        "1",
+                        "Authority",
+                        "3",
+                        "Pauses",
+                        "FALSE",
+                        "LateAppends",
+                        "FALSE");
+        Map<String, String> three = with(two, "Restarts", "TRUE", "Authority", "2");
+        return checks(
+                new Check("Leases", "one-leader", "OnePlace", one, null),
+                new Check("Leases", "two-leaders", "OnePlace", two, null),
+                new Check("Leases", "restarts", "OnePlace", three, null),
+                new Check(
+                        "Leases",
+                        "waits-one-worker-lease",
+                        "OnePlace",
+                        with(one, "WorkerWaits", "1", "Worker", "3"),
+                        "OnePlace"),
+                new Check(
+                        "Leases",
+                        "takes-release-back",
+                        "OnePlace",
+                        with(one, "Sticky", "FALSE"),
+                        "OnePlace"),
+                new Check(
+                        "Leases",
+                        "takes-old-answers",
+                        "OnePlace",
+                        with(one, "LatestOnly", "FALSE", "Pauses", "FALSE", "LateAppends", "FALSE"),
+                        "OnePlace"),
+                new Check(
+                        "Leases",
+                        "forgets-authority",
+                        "OnePlace",
+                        with(two, "UnheardWaits", "FALSE"),
+                        "OnePlace"),
+                new Check(
+                        "Leases",
+                        "counts-unacknowledged",
+                        "OnePlace",
+                        with(two, "NeedsAck", "FALSE"),
+                        "OnePlace"),
+                new Check(
+                        "Leases",
+                        "restart-without-read",
+                        "OnePlace",
+                        with(three, "RestartReads", "FALSE"),
+                        "OnePlace"));
+    }
+
+    @TestFactory
+    Stream<DynamicTest> requests() {
+        Map<String, String> once =
+                with(
+                        "Repeatable",
+                        "FALSE",
+                        "Bars",
+                        "TRUE",
+                        "ChecksIncarnation",
+                        "TRUE",
+                        "RetriesUnknown",
+                        "FALSE",
+                        "RemembersUnknown",
+                        "TRUE");
+        Map<String, String> repeatable = with(once, "Repeatable", "TRUE");
+        String both = "AtMostOnce NotRunIsTrue";
+        return checks(
+                new Check("Requests", "once", both, once, null),
+                new Check("Requests", "repeatable", both, repeatable, null),
+                new Check("Requests", "no-bar", both, with(once, "Bars", "FALSE"), "AtMostOnce"),
+                new Check(
+                        "Requests",
+                        "no-incarnation",
+                        both,
+                        with(once, "ChecksIncarnation", "FALSE"),
+                        "AtMostOnce"),
+                new Check(
+                        "Requests",
+                        "retries-unknown",
+                        both,
+                        with(once, "RetriesUnknown", "TRUE"),
+                        "AtMostOnce"),
+                new Check(
+                        "Requests",
+                        "forgets-unknown",
+                        both,
+                        with(repeatable, "RemembersUnknown", "FALSE"),
+                        "NotRunIsTrue"));
+    }
+
+    @TestFactory
+    Stream<DynamicTest> keys() {
+        Map<String, String> all =
+                with(
+                        "WaitsAfterStart",
+                        "TRUE",
+                        "WaitsAfterMove",
+                        "TRUE",
+                        "ComparesRosters",
+                        "TRUE");
+        return checks(
+                new Check("Keys", "window", "AtMostOnce", all, null),
+                new Check(
+                        "Keys",
+                        "no-wait-after-start",
+                        "AtMostOnce",
+                        with(all, "WaitsAfterStart", "FALSE"),
+                        "AtMostOnce"),
+                new Check(
+                        "Keys",
+                        "no-wait-after-move",
+                        "AtMostOnce",
+                        with(all, "WaitsAfterMove", "FALSE"),
+                        "AtMostOnce"),
+                new Check(
+                        "Keys",
+                        "compares-no-rosters",
+                        "AtMostOnce",
+                        with(all, "ComparesRosters", "FALSE"),
+                        "AtMostOnce"));
+    }
+
+    @TestFactory
+    Stream<DynamicTest> bundles() {
+        Map<String, String> all =
+                with(
+                        "MaxLog",
+                        "4",
+                        "ChecksBase",
+                        "TRUE",
+                        "SnapshotHasOffset",
+                        "TRUE",
+                        "NeedsSnapshot",
+                        "TRUE");
+        return checks(
+                new Check("Bundles", "agreement", "Agreement", all, null),
+                new Check(
+                        "Bundles",
+                        "no-base",
+                        "Agreement",
+                        with(all, "ChecksBase", "FALSE"),
+                        "Agreement"),
+                new Check(
+                        "Bundles",
+                        "snapshot-where-it-landed",
+                        "Agreement",
+                        with(all, "SnapshotHasOffset", "FALSE"),
+                        "Agreement"),
+                new Check(
+                        "Bundles",
+                        "no-snapshot",
+                        "Agreement",
+                        with(all, "NeedsSnapshot", "FALSE"),
+                        "Agreement"));
+    }
+
+    // -----------------------------------------------------------------------
+    private static Stream<DynamicTest> checks(Check... checks) {
+        return Stream.of(checks)
+                .map(
+                        check ->
+                                DynamicTest.dynamicTest(
+                                        check.module() + " " + check.name(), () -> run(check)));
+    }
+
+    private static void run(Check check) throws IOException, InterruptedException {
+        String output = check(check);
+        Matcher states = STATES.matcher(output);
+        assertTrue(states.find(), output);
+        String verdict =
+                check.broken() == null ? "holds" : "is broken, as it must be: " + check.broken();
+        System.out.printf(
+                "%s %s %s; %s states, %s distinct%n",
+                check.module(), check.name(), verdict, states.group(1), states.group(2));
+        if (check.broken() == null) {
+            assertTrue(output.contains("No error has been found"), output);
+        } else {
+            assertTrue(output.contains("Invariant " + check.broken() + " is violated"), output);
+        }
+    }
+
+    private static String check(Check check) throws IOException, InterruptedException {
+        Path folder =
+                Files.createDirectories(
+                        Path.of("target", "specs", check.module() + "-" + check.name()));
+        Files.copy(
+                Path.of("specs", check.module() + ".tla"),
+                folder.resolve(check.module() + ".tla"),
+                java.nio.file.StandardCopyOption.REPLACE_EXISTING);
+        StringBuilder configuration = new StringBuilder("SPECIFICATION Spec\n");
+        for (String invariant : check.invariants().split(" ")) {
+            configuration.append("INVARIANT ").append(invariant).append('\n');
+        }
+        check.constants()
+                .forEach(
+                        (name, value) ->
+                                configuration
+                                        .append("CONSTANT ")
+                                        .append(name)
+                                        .append(" = ")
+                                        .append(value)
+                                        .append('\n'));
+        Files.writeString(folder.resolve(check.module() + ".cfg"), configuration);
+        Process process =
+                new ProcessBuilder(
+                                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                                "-Xmx2g",
+                                "-XX:+UseParallelGC",
+                                "-cp",
+                                System.getProperty("java.class.path"),
+                                "tlc2.TLC",
+                                "-deadlock",
+                                "-workers",
+                                "4",
+                                "-fpmem",
+                                "0.3",
+                                check.module())
+                        .directory(folder.toFile())
+                        .redirectErrorStream(true)
+                        .start();
+        String output = new String(process.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        assertEquals(check.broken() == null ? 0 : VIOLATION, process.waitFor(), output);
+        return output;
+    }
+
+    private static Map<String, String> with(String... pairs) {
+        return with(Map.of(), pairs);
+    }
+
+    private static Map<String, String> with(Map<String, String> base, String... pairs) {
+        Map<String, String> result = new TreeMap<>(base);
+        for (String[] pair : pairsOf(List.of(pairs))) {
+            result.put(pair[0], pair[1]);
+        }
+        return result;
+    }
+
+    private static List<String[]> pairsOf(List<String> flat) {
+        return java.util.stream.IntStream.range(0, flat.size() / 2)
+                .mapToObj(i -> new String[] {flat.get(2 * i), flat.get(2 * i + 1)})
+                .toList();
+    }
+}
