Never repeat an attempt number when a job is removed and added again

Cause: the fold dropped the tasks of removed jobs, so a job added again began at attempt 1 while an agent still remembered a later attempt of its first life; the task then stayed assigned and was never started. Ruled out: void sequence numbers and refused grants (traced: both as designed). Conclusion: attempts now rise for good within a cell.

--- a/src/main/java/org/standlink/log/CellState.java
+++ b/src/main/java/org/standlink/log/CellState.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import java.util.TreeMap;
 import java.util.function.Predicate;
+import org.standlink.Attempt;
 import org.standlink.CellId;
 import org.standlink.Epoch;
 import org.standlink.Incarnation;
@@ -40,6 +41,12 @@
     /** The tasks that were ever assigned or cancelled. */
     private final Map<TaskId, TaskState> tasks = new TreeMap<>();
 
+    /**
+     * The highest attempt of all tasks that were dropped; new tasks go on from there, so that a job
+     * that is removed and added again never repeats an attempt.
+     */
+    private Attempt floor = Attempt.NONE;
+
     /** The epoch in force. */
     private Epoch epoch = Epoch.NONE;
 
@@ -108,6 +115,7 @@
         sequence = snapshot.sequence();
         leader = snapshot.leader();
         incarnation = snapshot.incarnation();
+        floor = snapshot.floor();
         tasks.clear();
         snapshot.tasks().forEach(state -> tasks.put(state.task(), state));
     }
@@ -118,8 +126,12 @@
      * @param isPresent tells whether a job is in the bundle in force
      */
     public void prune(Predicate<JobId> isPresent) {
-        tasks.values()
-                .removeIf(state -> !state.isAssigned() && !isPresent.test(state.task().getJob()));
+        for (TaskState state : List.copyOf(tasks.values())) {
+            if (!state.isAssigned() && !isPresent.test(state.task().getJob())) {
+                tasks.remove(state.task());
+                floor = state.attempt().isAfter(floor) ? state.attempt() : floor;
+            }
+        }
     }
 
     /**
@@ -139,6 +151,7 @@
                 sequence,
                 leader,
                 incarnation,
+                floor,
                 List.copyOf(tasks.values()));
     }
 
@@ -151,7 +164,7 @@
      */
     public TaskState get(TaskId task) {
         TaskState state = tasks.get(task);
-        return state == null ? TaskState.ofNew(task) : state;
+        return state == null ? TaskState.ofNew(task, floor) : state;
     }
 
     /**
--- a/src/main/java/org/standlink/log/SnapshotRecord.java
+++ b/src/main/java/org/standlink/log/SnapshotRecord.java
@@ -16,6 +16,7 @@
 package org.standlink.log;
 
 import java.util.List;
+import org.standlink.Attempt;
 import org.standlink.CellId;
 import org.standlink.Epoch;
 import org.standlink.Incarnation;
@@ -37,6 +38,7 @@
  * @param sequence the sequence of the last valid append of the epoch
  * @param leader the leader of the cell, null if none
  * @param incarnation the run of the leader, null if none
+ * @param floor the attempt after which the first one of a new task comes
  * @param tasks the tasks of the cell
  */
 public record SnapshotRecord(
@@ -48,5 +50,6 @@
         long sequence,
         VmId leader,
         Incarnation incarnation,
+        Attempt floor,
         List<TaskState> tasks)
         implements LogRecord {}
--- a/src/main/java/org/standlink/log/TaskState.java
+++ b/src/main/java/org/standlink/log/TaskState.java
@@ -57,10 +57,11 @@
      * Makes the state of a task that was never assigned.
      *
      * @param task the task
+     * @param floor the attempt after which its first one comes
      * @return the state
      */
-    public static TaskState ofNew(TaskId task) {
-        return new TaskState(task, Phase.WAITING, Attempt.NONE, null, null, null, 0);
+    public static TaskState ofNew(TaskId task, Attempt floor) {
+        return new TaskState(task, Phase.WAITING, floor, null, null, null, 0);
     }
 
     /**
--- a/src/test/java/org/standlink/leader/TestCell.java
+++ b/src/test/java/org/standlink/leader/TestCell.java
@@ -103,11 +103,13 @@
 
     private final MemoryLog log = new MemoryLog(clock, 100, Long.MAX_VALUE / 4);
 
+    private final LogFollower watcher = new LogFollower(log, (id, refusal) -> {});
+
     private final Map<String, Node> nodes = new TreeMap<>();
 
     private long lastIncarnation;
 
-    private long version;
+    private boolean logDown;
 
     private Node leader;
 
@@ -127,16 +129,22 @@
     }
 
     void publish(String jobs, String upstreams) {
-        version++;
+        long version = follow().read(fold -> fold.getBundles().getVersion()).getValue() + 1;
         String signed = Fixtures.signed(Fixtures.bundle(version, jobs, upstreams, ""));
         log.append(RecordCodec.encode(new BundleRecord(RecordCodec.newId(), signed)));
         clock.advance(20);
     }
 
     void claim(String vm) {
-        oldLeader = leader;
-        leader = nodes.get(vm);
-        leader.service.claim();
+        Node claimant = nodes.get(vm);
+        try {
+            claimant.service.claim();
+        } finally {
+            if (claimant.service.isLeading() && claimant != leader) {
+                oldLeader = leader;
+                leader = claimant;
+            }
+        }
     }
 
     /** Lets time pass, one second a step. */
@@ -155,7 +163,7 @@
         }
         for (Node node : nodes.values()) {
             if (node.reachable) {
-                beat(node, node.followsOld ? oldLeader : leader);
+                beat(node, node.followsOld && oldLeader != null ? oldLeader : leader);
             }
             tick(node);
             check();
@@ -221,7 +229,7 @@
                 List.of());
     }
 
-    private void check() {
+    void check() {
         Map<TaskId, Integer> places = new HashMap<>();
         for (Node node : nodes.values()) {
             Resources sum = Resources.NONE;
@@ -268,6 +276,35 @@
         return nodes.get(vm).worker;
     }
 
+    void setLogDown(boolean down) {
+        logDown = down;
+        log.setDown(down);
+    }
+
+    boolean isLogUp() {
+        return !logDown;
+    }
+
+    void healRouting() {
+        nodes.values().forEach(node -> node.followsOld = false);
+    }
+
+    Map<TaskId, org.standlink.Attempt> attempts() {
+        Map<TaskId, org.standlink.Attempt> result = new HashMap<>();
+        follow().read(
+                        fold -> {
+                            fold.getCell(CELL)
+                                    .getTasks()
+                                    .forEach(t -> result.put(t.task(), t.attempt()));
+                            return null;
+                        });
+        return result;
+    }
+
+    String getStatus() {
+        return leader.service.getStatus();
+    }
+
     MemoryLog getLog() {
         return log;
     }
@@ -339,18 +376,9 @@
     }
 
     private LogFollower follow() {
-        boolean down = false;
-        LogFollower follower = new LogFollower(log, (id, refusal) -> {});
-        try {
-            follower.poll();
-        } catch (StandlinkException unavailable) {
-            down = true;
-        }
-        if (down) {
-            log.setDown(false);
-            follower.poll();
-            log.setDown(true);
-        }
-        return follower;
+        log.setDown(false);
+        watcher.poll();
+        log.setDown(logDown);
+        return watcher;
     }
 }
--- a/src/test/java/org/standlink/leader/TestCellLeader.java
+++ b/src/test/java/org/standlink/leader/TestCellLeader.java
@@ -81,13 +81,13 @@
         String lost = before.worker().toString();
         cell.setReachable(lost, false);
         cell.run(20);
-        cell.getLog().setDown(true);
+        cell.setLogDown(true);
         cell.run(5);
         cell.setReachable(lost, true);
         cell.run(5);
         assertTrue(cell.task(before.task()).isAssigned(), "the release is not in the log yet");
         assertEquals(0, cell.countRunning(lost), "the silent agent does not get it back");
-        cell.getLog().setDown(false);
+        cell.setLogDown(false);
         cell.run(10);
         assertEquals(before.attempt().next(), cell.task(before.task()).attempt());
         assertEquals(0, cell.getViolations());
@@ -97,13 +97,13 @@
     void goesOnThroughAnOutageOfTheLog() {
         start(FILL);
         int running = cell.countRunning();
-        cell.getLog().setDown(true);
+        cell.setLogDown(true);
         cell.run(50);
         assertEquals(running, cell.countRunning(), "running work goes on");
         cell.run(30);
         assertTrue(cell.countRunning() > 0, "the backlog fills the workers");
         assertEquals(0, cell.getViolations());
-        cell.getLog().setDown(false);
+        cell.setLogDown(false);
         cell.run(150);
         assertEquals(20, cell.count(TaskState.Phase.FINISHED));
         assertEquals(0, cell.getViolations());
@@ -112,7 +112,7 @@
     @Test
     void stopsEverythingWhenTheAuthorityEnds() {
         start(Fixtures.SCAN.replace("'runSeconds':60", "'runSeconds':5000"));
-        cell.getLog().setDown(true);
+        cell.setLogDown(true);
         cell.run(650);
         assertEquals(0, cell.countRunning());
         assertThrows(StandlinkException.class, () -> cell.heartbeatOrThrow("vm-2"));
--- /dev/null
+++ b/src/test/java/org/standlink/leader/TestCellProperties.java
@@ -0,0 +1,181 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.leader;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import net.jqwik.api.Arbitraries;
+import net.jqwik.api.Arbitrary;
+import net.jqwik.api.Combinators;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.Provide;
+import org.standlink.Attempt;
+import org.standlink.Fixtures;
+import org.standlink.StandlinkException;
+import org.standlink.TaskId;
+import org.standlink.log.TaskState;
+
+/**
+ * Drives leaders, agents and workers through random faults: a task never runs in two places, no VM
+ * grants more than it has, attempts only rise, and after the faults everything is done.
+ */
+public class TestCellProperties {
+
+    private static final String JOBS = Fixtures.SCAN.replace("'tasks':4", "'tasks':12");
+
+    /** What may happen. */
+    enum Kind {
+        STEP,
+        LONG_PAUSE,
+        CUT_AGENT,
+        JOIN_AGENT,
+        RESTART_AGENT,
+        RESTART_WORKER,
+        WORKER_DOWN,
+        WORKER_UP,
+        LOG_DOWN,
+        LOG_UP,
+        LOSE_ANSWER,
+        DELAY_APPEND,
+        LAND_LATE,
+        CLAIM,
+        FOLLOW_OLD,
+        LOSE_HEARTBEAT,
+        CANCEL,
+        ADD_AGAIN
+    }
+
+    /** One thing that happens to one VM. */
+    record Action(Kind kind, int vm) {}
+
+    @Provide
+    Arbitrary<List<Action>> actions() {
+        Arbitrary<Kind> kinds =
+                Arbitraries.frequencyOf(
+                        net.jqwik.api.Tuple.of(6, Arbitraries.just(Kind.STEP)),
+                        net.jqwik.api.Tuple.of(10, Arbitraries.of(Kind.values())));
+        return Combinators.combine(kinds, Arbitraries.integers().between(1, 3))
+                .as(Action::new)
+                .list()
+                .ofSize(120);
+    }
+
+    @Property(
+            tries = 40,
+            seed = "20261202",
+            shrinking = net.jqwik.api.ShrinkingMode.OFF,
+            edgeCases = net.jqwik.api.EdgeCasesMode.NONE)
+    void neverRunsATaskTwiceNorGrantsTooMuch(@ForAll("actions") List<Action> actions) {
+        TestCell cell = new TestCell();
+        cell.publish(JOBS);
+        cell.claim("vm-1");
+        cell.run(3);
+        Map<TaskId, Attempt> attempts = new HashMap<>();
+        for (Action action : actions) {
+            apply(cell, action);
+            cell.check();
+            assertEquals(0, cell.getViolations(), () -> "after " + action + " in " + actions);
+            if (cell.isLogUp()) {
+                noteAttempts(cell, attempts);
+            }
+        }
+        heal(cell);
+        cell.run(1200);
+        assertEquals(0, cell.getViolations(), () -> "while healing after " + actions);
+        assertEquals(
+                12,
+                cell.count(TaskState.Phase.FINISHED),
+                () -> "not done: " + cell.getStatus() + " after " + actions);
+    }
+
+    private static void noteAttempts(TestCell cell, Map<TaskId, Attempt> attempts) {
+        // A job that was cancelled and added again begins anew, so only present tasks count.
+        Map<TaskId, Attempt> now = cell.attempts();
+        attempts.keySet().retainAll(now.keySet());
+        now.forEach(
+                (task, attempt) -> {
+                    Attempt before = attempts.put(task, attempt);
+                    assertEquals(false, before != null && before.isAfter(attempt), task.toString());
+                });
+    }
+
+    private static void apply(TestCell cell, Action action) {
+        String vm = "vm-" + action.vm();
+        switch (action.kind()) {
+            case STEP -> cell.step();
+            case LONG_PAUSE -> cell.getClock().advance(7_000L * action.vm());
+            case CUT_AGENT -> cell.setReachable(vm, false);
+            case JOIN_AGENT -> cell.setReachable(vm, true);
+            case RESTART_AGENT -> cell.restartAgent(vm);
+            case RESTART_WORKER -> cell.worker(vm).restart();
+            case WORKER_DOWN -> cell.worker(vm).setDown(true);
+            case WORKER_UP -> cell.worker(vm).setDown(false);
+            case LOG_DOWN -> cell.setLogDown(true);
+            case LOG_UP -> cell.setLogDown(false);
+            case LOSE_ANSWER -> cell.getLog().loseAnswers(1);
+            case DELAY_APPEND -> cell.getLog().delayAppends(1);
+            case LAND_LATE -> cell.getLog().landLate();
+            case CLAIM -> tryClaim(cell, vm);
+            case FOLLOW_OLD -> cell.setFollowsOldLeader(vm);
+            case LOSE_HEARTBEAT -> tryLose(cell, vm);
+            case CANCEL -> tryPublish(cell, "");
+            default -> tryPublish(cell, JOBS);
+        }
+    }
+
+    private static void tryClaim(TestCell cell, String vm) {
+        try {
+            cell.claim(vm);
+        } catch (StandlinkException unavailable) {
+            // The claim may hold all the same; the log says.
+        }
+    }
+
+    private static void tryLose(TestCell cell, String vm) {
+        try {
+            cell.loseAnswer(vm);
+        } catch (StandlinkException refused) {
+            // The leader may not act.
+        }
+    }
+
+    private static void tryPublish(TestCell cell, String jobs) {
+        try {
+            cell.publish(jobs);
+        } catch (StandlinkException unavailable) {
+            // The log is down or the answer was lost; the next version is based on what holds.
+        }
+    }
+
+    private static void heal(TestCell cell) {
+        cell.setLogDown(false);
+        cell.getLog().loseAnswers(0);
+        cell.getLog().delayAppends(0);
+        cell.getLog().landLate();
+        for (int i = 1; i <= 3; i++) {
+            cell.worker("vm-" + i).setDown(false);
+            cell.setReachable("vm-" + i, true);
+        }
+        cell.healRouting();
+        cell.getClock().advance(2000);
+        cell.publish(JOBS);
+        cell.claim("vm-1");
+    }
+}
--- a/src/test/java/org/standlink/log/TestLogFollower.java
+++ b/src/test/java/org/standlink/log/TestLogFollower.java
@@ -132,6 +132,8 @@
         tasks(1, 3, release(1));
         publish(3, Fixtures.SCAN);
         tasks(1, 4, assign(1, "vm-2"));
+        assertFalse(task(follow()).isAssigned(), "an attempt is never repeated");
+        tasks(1, 5, assign(2, "vm-2"));
         log.landLate();
         assertTrue(
                 task(follow()).isAssigned(),
