Measure the decisions and routing; stop a removed upstream's late answers from doubling its time out

Cause: no figure stood behind the policies. A test of ejection showed that each late answer of a removed upstream doubled its time out again.

--- /dev/null
+++ b/src/main/java/org/standlink/benchmark/PlacementCost.java
@@ -0,0 +1,121 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.benchmark;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import org.standlink.HallId;
+import org.standlink.RackId;
+import org.standlink.Resources;
+import org.standlink.ServiceId;
+import org.standlink.TaskId;
+import org.standlink.TeamId;
+import org.standlink.VmId;
+import org.standlink.policy.FirstFitPlacement;
+import org.standlink.policy.InterferenceAwarePlacement;
+import org.standlink.policy.LearnedInterference;
+import org.standlink.policy.LearnedSizes;
+import org.standlink.policy.PlacementPolicy;
+import org.standlink.policy.ServiceLoad;
+import org.standlink.policy.SizeEstimator;
+import org.standlink.policy.TaskDemand;
+import org.standlink.policy.WorkerView;
+
+/**
+ * Measures placement decisions a second on one core, in a plain warm loop.
+ *
+ * <p>{@code PlacementCost} is thread-safe and immutable.
+ */
+public final class PlacementCost {
+
+    /** How long each loop runs, in nanoseconds. */
+    private static final long LOOP_NANOS = 700_000_000L;
+
+    /** Tasks beside each service. */
+    private static final int BESIDE = 20;
+
+    /** No instances. */
+    private PlacementCost() {}
+
+    /**
+     * Measures one size of a cell.
+     *
+     * @param count the number of workers
+     * @return the result in one line
+     */
+    public static String measure(int count) {
+        LearnedInterference model = new LearnedInterference();
+        ServiceLoad load = new ServiceLoad(ServiceId.parse("service"), 2);
+        for (int i = 0; i < 8; i++) {
+            model.observe(load, List.of("class-" + i), 50 + i);
+        }
+        PlacementPolicy aware = new InterferenceAwarePlacement(new LearnedSizes(), model, 1, 1);
+        PlacementPolicy first = new FirstFitPlacement(SizeEstimator.ofDeclared());
+        List<WorkerView> workers = workers(count, load);
+        loop(aware, workers);
+        loop(first, workers);
+        double awareRate = loop(aware, workers);
+        double firstRate = loop(first, workers);
+        return String.format(
+                "%5d workers: %9.0f decisions/s, first fit %9.0f, ratio %.2f",
+                count, awareRate, firstRate, awareRate / firstRate);
+    }
+
+    private static List<WorkerView> workers(int count, ServiceLoad load) {
+        List<WorkerView> workers = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            WorkerView worker =
+                    new WorkerView(
+                            VmId.parse("vm-" + i),
+                            HallId.parse("hall-" + i % 15),
+                            RackId.parse("rack-" + i / 3),
+                            Resources.ofCores(32, 125_000, 0),
+                            Resources.ofCores(8, 16_000, 0),
+                            List.of(load),
+                            true);
+            for (int n = 0; n < BESIDE; n++) {
+                worker.add("class-" + n % 8, Resources.ofCores(0.5, 1000, 0));
+            }
+            workers.add(worker);
+        }
+        return workers;
+    }
+
+    private static double loop(PlacementPolicy policy, List<WorkerView> workers) {
+        TaskDemand demand =
+                new TaskDemand(
+                        TaskId.parse("job#0"),
+                        TeamId.parse("team"),
+                        "class-1",
+                        Resources.ofCores(1, 1000, 0),
+                        false,
+                        0,
+                        -1,
+                        Set.of(),
+                        Set.of(),
+                        Set.of());
+        long start = System.nanoTime();
+        long decisions = 0;
+        while (System.nanoTime() - start < LOOP_NANOS) {
+            for (int i = 0; i < 8; i++) {
+                policy.place(demand, workers);
+                decisions++;
+            }
+        }
+        return decisions * 1e9 / (System.nanoTime() - start);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/benchmark/Scenario.java
@@ -0,0 +1,51 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.benchmark;
+
+/**
+ * A seeded trace to decide on: workers, services, batch classes and hidden interference.
+ *
+ * <p>{@code Scenario} is thread-safe and immutable.
+ *
+ * @param name the name
+ * @param workers the number of workers
+ * @param cores processors of each worker
+ * @param memoryMegabytes memory of each worker, in megabytes
+ * @param serviceCores processors that the service takes of each worker
+ * @param latencyWeight the operators' weight of tail latency
+ * @param throughputWeight the operators' weight of batch throughput
+ * @param noisy whether one class disturbs three times as much in waves
+ */
+public record Scenario(
+        String name,
+        int workers,
+        double cores,
+        long memoryMegabytes,
+        double serviceCores,
+        double latencyWeight,
+        double throughputWeight,
+        boolean noisy) {
+
+    /** Jadran: batch throughput weighs more. */
+    public static final Scenario JADRAN = new Scenario("jadran", 11, 32, 125_000, 8, 1, 2, false);
+
+    /** Samenrit: tail latency weighs more. */
+    public static final Scenario SAMENRIT =
+            new Scenario("samenrit", 11, 16, 60_000, 4, 3, 1, false);
+
+    /** A wave of noisy tasks at Jadran. */
+    public static final Scenario NOISY = new Scenario("noisy-wave", 11, 32, 125_000, 8, 1, 2, true);
+}
--- /dev/null
+++ b/src/main/java/org/standlink/command/BenchCommand.java
@@ -0,0 +1,101 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.command;
+
+import java.util.List;
+import java.util.Random;
+import org.kohsuke.args4j.Argument;
+import org.kohsuke.args4j.Option;
+import org.standlink.benchmark.DecisionBenchmark;
+import org.standlink.benchmark.PathBenchmark;
+import org.standlink.benchmark.PlacementCost;
+import org.standlink.benchmark.RoutingBenchmark;
+import org.standlink.benchmark.Scenario;
+import org.standlink.benchmark.Slopes;
+import org.standlink.benchmark.Strategy;
+import org.standlink.policy.OutlierDetector;
+import org.standlink.policy.RoundRobinRouting;
+import org.standlink.policy.TwoChoicesRouting;
+
+/** {@code standlink bench}: repeats a measurement that the docs quote. */
+final class BenchCommand implements Command {
+
+    /** The measurements. */
+    enum Kind {
+        /** Services, batch work and evictions under each strategy. */
+        DECISIONS,
+        /** Routing with a slow and a failing upstream. */
+        ROUTING,
+        /** Placement decisions a second. */
+        PLACEMENT,
+        /** Bytes, processor time and memory of one more of each thing. */
+        SLOPES,
+        /** The path of a request against direct calls. */
+        PATH
+    }
+
+    /** The measurement. */
+    @Argument(required = true, metaVar = "KIND", usage = "what to measure")
+    private Kind kind;
+
+    /** The seed. */
+    @Option(name = "--seed", metaVar = "N", usage = "seed of the traces (default: 1)")
+    private long seed = 1;
+
+    @Override
+    public int run() throws Exception {
+        switch (kind) {
+            case DECISIONS -> decisions();
+            case ROUTING -> routing();
+            case PLACEMENT ->
+                    List.of(11, 32, 3100)
+                            .forEach(workers -> System.out.println(PlacementCost.measure(workers)));
+            case SLOPES -> slopes();
+            default -> new PathBenchmark().run().forEach(System.out::println);
+        }
+        return 0;
+    }
+
+    private void decisions() {
+        for (Scenario scenario : List.of(Scenario.JADRAN, Scenario.SAMENRIT, Scenario.NOISY)) {
+            System.out.println(scenario.name() + ", seed " + seed);
+            for (Strategy.Kind strategy : Strategy.Kind.values()) {
+                DecisionBenchmark benchmark =
+                        new DecisionBenchmark(scenario, Strategy.of(strategy, scenario), seed);
+                System.out.println("  " + benchmark.run());
+            }
+        }
+    }
+
+    private void routing() {
+        System.out.println(new RoutingBenchmark(new RoundRobinRouting(), null).run("round robin"));
+        System.out.println(
+                new RoutingBenchmark(new RoundRobinRouting(), new OutlierDetector())
+                        .run("round robin, ejection"));
+        System.out.println(
+                new RoutingBenchmark(new TwoChoicesRouting(new Random(seed)), null)
+                        .run("two choices"));
+        System.out.println(
+                new RoutingBenchmark(new TwoChoicesRouting(new Random(seed)), new OutlierDetector())
+                        .run("two choices, ejection"));
+    }
+
+    private static void slopes() {
+        Slopes.measure().forEach(System.out::println);
+        System.out.println(Slopes.leader(11, 24));
+        System.out.println(Slopes.leader(32, 24));
+    }
+}
--- a/src/main/java/org/standlink/command/Main.java
+++ b/src/main/java/org/standlink/command/Main.java
@@ -152,6 +152,7 @@
                 new Entry("run a stand-in of an upstream", StandInUpstreamCommand::new));
         all.put("stand-in load", new Entry("send and check requests", LoadCommand::new));
         all.put("stand-in ports", new Entry("print free ports", PortsCommand::new));
+        all.put("bench", new Entry("repeat a measurement of the docs", BenchCommand::new));
         return all;
     }
 }
--- a/src/main/java/org/standlink/policy/OutlierDetector.java
+++ b/src/main/java/org/standlink/policy/OutlierDetector.java
@@ -63,6 +63,9 @@
         /** When it may be probed, in milliseconds; 0 while it is in routing. */
         private long outUntil;
 
+        /** Whether a probe is under way. */
+        private boolean probing;
+
         /** The next time out, in milliseconds. */
         private long nextOut = FIRST_OUT_MILLIS;
     }
@@ -87,6 +90,7 @@
             remove(record, nowMillis);
         } else if (record.outUntil != 0) {
             record.outUntil = 0;
+            record.probing = false;
         } else {
             record.nextOut = Math.max(FIRST_OUT_MILLIS, record.nextOut - 1);
         }
@@ -126,8 +130,9 @@
      */
     public synchronized void sent(VmId vm, long nowMillis) {
         Record record = records.get(vm);
-        if (record != null && record.outUntil != 0) {
+        if (record != null && record.outUntil != 0 && nowMillis >= record.outUntil) {
             record.outUntil = nowMillis + record.nextOut;
+            record.probing = true;
         }
     }
 
@@ -153,6 +158,11 @@
 
     // -----------------------------------------------------------------------
     private void remove(Record record, long nowMillis) {
+        if (record.outUntil != 0 && !record.probing) {
+            // What was sent before the removal says nothing new.
+            return;
+        }
+        record.probing = false;
         long out = records.values().stream().filter(other -> other.outUntil != 0).count();
         if (record.outUntil == 0 && (out + 1) * 2 > records.size()) {
             return;
