Grant one deviation above the mean of learned sizes, not two

Cause: the margin of learned sizes kept room that no task used. Ruled out: the interference limit (placement blind to it does less work). The trace's tasks use a steady amount, so this says nothing of tasks whose use jumps.

--- a/src/main/java/org/standlink/policy/LearnedSizes.java
+++ b/src/main/java/org/standlink/policy/LearnedSizes.java
@@ -37,7 +37,7 @@
     private static final double PRIOR_COUNT = 4;
 
     /** How many deviations are added to the mean. */
-    private static final double DEVIATIONS = 2;
+    private static final double DEVIATIONS = 1;
 
     /** The least that a task is granted, in thousandths of a core and in megabytes. */
     private static final long LEAST = 50;
