Give processors back sooner after a throttle

Cause: throttled tasks kept their grant while they ran at half speed, and got it back only after 30 s well below 70% of the target.

--- a/src/main/java/org/standlink/policy/GradualRelief.java
+++ b/src/main/java/org/standlink/policy/GradualRelief.java
@@ -38,13 +38,13 @@
     private static final double HIGH = 95;
 
     /** Below this a measurement speaks for giving back, in percent of the target. */
-    private static final double LOW = 70;
+    private static final double LOW = 80;
 
     /** How many measurements in a row bring relief. */
     private static final int HIGH_IN_ROW = 2;
 
     /** How many measurements in a row give back. */
-    private static final int LOW_IN_ROW = 6;
+    private static final int LOW_IN_ROW = 2;
 
     /** How many measurements are passed over after an act, because they are late. */
     private static final int SETTLE = 3;
