--- a/src/main/java/org/standlink/Resources.java
+++ b/src/main/java/org/standlink/Resources.java
@@ -15,17 +15,22 @@
  */
 package org.standlink;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
+
 /**
  * An amount of processors, memory and accelerators.
  *
  * <p>Processors are counted in thousandths of a core, so that sums are exact.
  *
+ * <p>It is written as an array, so new parts may only be added at its end.
+ *
  * <p>{@code Resources} is thread-safe and immutable.
  *
  * @param milliCores processors, in thousandths of a core
  * @param memoryMegabytes memory, in megabytes
  * @param accelerators whole accelerators
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record Resources(long milliCores, long memoryMegabytes, long accelerators) {
 
     /** Nothing at all. */
--- a/src/main/java/org/standlink/wire/Assignment.java
+++ b/src/main/java/org/standlink/wire/Assignment.java
@@ -15,6 +15,7 @@
  */
 package org.standlink.wire;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import org.standlink.Attempt;
 import org.standlink.Resources;
 import org.standlink.TaskId;
@@ -22,6 +23,8 @@
 /**
  * One task that an agent may run.
  *
+ * <p>It is written as an array, so new parts may only be added at its end.
+ *
  * <p>{@code Assignment} is thread-safe and immutable.
  *
  * @param task the task
@@ -33,6 +36,7 @@
  * @param stop whether to checkpoint and stop it
  * @param throttlePercent the share of its processors it may use, in percent
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record Assignment(
         TaskId task,
         Attempt attempt,
--- a/src/main/java/org/standlink/wire/ServiceReport.java
+++ b/src/main/java/org/standlink/wire/ServiceReport.java
@@ -15,15 +15,19 @@
  */
 package org.standlink.wire;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import org.standlink.ServiceId;
 
 /**
  * How a service stands on one VM, measured by the agent beside its upstream.
  *
+ * <p>It is written as an array, so new parts may only be added at its end.
+ *
  * <p>{@code ServiceReport} is thread-safe and immutable.
  *
  * @param service the service
  * @param level the load level, 0 for idle to 3 for full
  * @param latencyPercent the tail latency of the last seconds, in percent of the target
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record ServiceReport(ServiceId service, int level, int latencyPercent) {}
--- a/src/main/java/org/standlink/wire/TaskReport.java
+++ b/src/main/java/org/standlink/wire/TaskReport.java
@@ -15,6 +15,7 @@
  */
 package org.standlink.wire;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import org.standlink.Attempt;
 import org.standlink.Resources;
 import org.standlink.TaskId;
@@ -22,6 +23,8 @@
 /**
  * What an agent says about one task that was assigned to it.
  *
+ * <p>It is written as an array, so new parts may only be added at its end.
+ *
  * <p>{@code TaskReport} is thread-safe and immutable.
  *
  * @param task the task
@@ -30,6 +33,7 @@
  * @param checkpoint the last checkpoint, null if none
  * @param usage the measured usage, null if none yet
  */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record TaskReport(
         TaskId task, Attempt attempt, State state, String checkpoint, Resources usage) {
 
