--- a/src/main/java/org/standlink/policy/InterferenceAwarePlacement.java
+++ b/src/main/java/org/standlink/policy/InterferenceAwarePlacement.java
@@ -65,9 +65,10 @@
     @Override
     protected double score(TaskDemand demand, WorkerView worker, Resources size) {
         double added = 0;
-        for (ServiceLoad load : worker.getServices()) {
+        for (int i = 0; i < worker.getServices().size(); i++) {
+            ServiceLoad load = worker.getServices().get(i);
             double share = model.estimateShare(load, demand.batchClass());
-            double expected = model.estimate(load, worker.getClasses()) + share;
+            double expected = worker.getExpected(i, model) + share;
             if (expected > limit && !demand.urgent()) {
                 return REFUSED;
             }
--- a/src/main/java/org/standlink/policy/WorkerView.java
+++ b/src/main/java/org/standlink/policy/WorkerView.java
@@ -59,6 +59,9 @@
     /** Tasks that wait there for room. */
     private int backlog;
 
+    /** The latencies expected of the services, null if not known. */
+    private double[] expected;
+
     /**
      * Constructor.
      *
@@ -98,6 +101,24 @@
     public void add(String batchClass, Resources granted) {
         free = free.minus(granted);
         classes.add(batchClass);
+        expected = null;
+    }
+
+    /**
+     * Gets the latency expected of a service with the tasks there, computed once until they change.
+     *
+     * @param index the index of the service
+     * @param model estimates it; the same model must be used during a round of planning
+     * @return the tail latency, in percent of the target
+     */
+    double getExpected(int index, InterferenceModel model) {
+        if (expected == null) {
+            expected = new double[services.size()];
+            for (int i = 0; i < expected.length; i++) {
+                expected[i] = model.estimate(services.get(i), classes);
+            }
+        }
+        return expected[index];
     }
 
     /** Notes a task that waits there for room. */
