--- a/src/main/java/org/standlink/entry/CallerServer.java
+++ b/src/main/java/org/standlink/entry/CallerServer.java
@@ -30,7 +30,6 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
-import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
 import org.standlink.TeamId;
 import org.standlink.bundle.Bundle;
@@ -38,6 +37,7 @@
 import org.standlink.bundle.TeamSpecification;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.policy.ConcurrencyLimiter;
+import org.standlink.process.HttpService;
 
 /**
  * Takes callers' requests over HTTP, limits them per class and team, and answers each at once when
@@ -122,16 +122,7 @@
         this.holder = holder;
         this.clock = clock;
         this.registry = registry;
-        try {
-            server = HttpServer.create(address, 0);
-        } catch (IOException taken) {
-            throw new StandlinkException(
-                    ErrorCode.PEER_UNREACHABLE,
-                    "cannot listen on " + address,
-                    "free the address or change it in the settings",
-                    taken);
-        }
-        server.setExecutor(executor);
+        server = HttpService.newServer(address, executor);
         server.createContext("/", this::handle);
         server.start();
     }
--- a/src/main/java/org/standlink/process/HttpService.java
+++ b/src/main/java/org/standlink/process/HttpService.java
@@ -129,8 +129,24 @@
      * @throws StandlinkException with code PEER_UNREACHABLE if the address cannot be taken
      */
     public HttpService(InetSocketAddress address, Executor executor) {
+        server = newServer(address, executor);
+        server.createContext("/", this::handle);
+        server.start();
+    }
+
+    /**
+     * Makes a server of the JDK that has not been started.
+     *
+     * @param address where to listen
+     * @param executor where threads come from
+     * @return the server
+     * @throws StandlinkException with code PEER_UNREACHABLE if the address cannot be taken
+     */
+    public static HttpServer newServer(InetSocketAddress address, Executor executor) {
         try {
-            server = HttpServer.create(address, 0);
+            HttpServer made = HttpServer.create(address, 0);
+            made.setExecutor(executor);
+            return made;
         } catch (IOException taken) {
             throw new StandlinkException(
                     ErrorCode.PEER_UNREACHABLE,
@@ -138,9 +154,6 @@
                     "free the address or change it in the settings",
                     taken);
         }
-        server.setExecutor(executor);
-        server.createContext("/", this::handle);
-        server.start();
     }
 
     /**
--- a/src/main/java/org/standlink/standin/UpstreamServer.java
+++ b/src/main/java/org/standlink/standin/UpstreamServer.java
@@ -18,7 +18,6 @@
 import com.sun.net.httpserver.HttpExchange;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
-import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.Map;
@@ -26,6 +25,7 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.standlink.process.HttpService;
 
 /**
  * An upstream that answers each request with what it asked, after a service time.
@@ -72,12 +72,7 @@
      */
     public UpstreamServer(InetSocketAddress address, Executor executor, long serviceMillis) {
         this.serviceMillis = serviceMillis;
-        try {
-            server = HttpServer.create(address, 0);
-        } catch (IOException taken) {
-            throw new UncheckedIOException(taken);
-        }
-        server.setExecutor(executor);
+        server = HttpService.newServer(address, executor);
         server.createContext("/", this::handle);
         server.createContext(COUNTS_PATH, this::count);
         server.start();
--- a/src/test/java/org/standlink/specification/TestSpecifications.java
+++ b/src/test/java/org/standlink/specification/TestSpecifications.java
@@ -49,94 +49,85 @@
             Map<String, String> constants,
             String broken) {}
 
+    private static final Map<String, String> ONE_LEADER =
+            with(
+                    "MaxAttempt",
+                    "2",
+                    "Node",
+                    "1",
+                    "Worker",
+                    "2",
+                    "Authority",
+                    "2",
+                    "Claims",
+                    "FALSE",
+                    "Restarts",
+                    "FALSE",
+                    "Pauses",
+                    "TRUE",
+                    "LateAppends",
+                    "TRUE",
+                    "WorkerWaits",
+                    "2",
+                    "Sticky",
+                    "TRUE",
+                    "LatestOnly",
+                    "TRUE",
+                    "RestartReads",
+                    "TRUE",
+                    "UnheardWaits",
+                    "TRUE",
+                    "NeedsAck",
+                    "TRUE");
+
+    private static final Map<String, String> TWO_LEADERS =
+            with(
+                    ONE_LEADER,
+                    "Claims",
+                    "TRUE",
+                    "Worker",
+                    "1",
+                    "WorkerWaits",
+                    "1",
+                    "Authority",
+                    "3",
+                    "Pauses",
+                    "FALSE",
+                    "LateAppends",
+                    "FALSE");
+
+    private static final Map<String, String> WITH_RESTARTS =
+            with(TWO_LEADERS, "Restarts", "TRUE", "Authority", "2");
+
     @TestFactory
     Stream<DynamicTest> leases() {
-        Map<String, String> one =
-                with(
-                        "MaxAttempt",
-                        "2",
-                        "Node",
-                        "1",
-                        "Worker",
-                        "2",
-                        "Authority",
-                        "2",
-                        "Claims",
-                        "FALSE",
-                        "Restarts",
-                        "FALSE",
-                        "Pauses",
-                        "TRUE",
-                        "LateAppends",
-                        "TRUE",
-                        "WorkerWaits",
-                        "2",
-                        "Sticky",
-                        "TRUE",
-                        "LatestOnly",
-                        "TRUE",
-                        "RestartReads",
-                        "TRUE",
-                        "UnheardWaits",
-                        "TRUE",
-                        "NeedsAck",
-                        "TRUE");
-        Map<String, String> two =
-                with(
-                        one,
-                        "Claims",
-                        "TRUE",
-                        "Worker",
-                        "1",
-                        "WorkerWaits",
-                        "1",
-                        "Authority",
-                        "3",
-                        "Pauses",
-                        "FALSE",
-                        "LateAppends",
-                        "FALSE");
-        Map<String, String> three = with(two, "Restarts", "TRUE", "Authority", "2");
         return checks(
-                new Check("Leases", "one-leader", "OnePlace", one, null),
-                new Check("Leases", "two-leaders", "OnePlace", two, null),
-                new Check("Leases", "restarts", "OnePlace", three, null),
-                new Check(
-                        "Leases",
+                lease("one-leader", ONE_LEADER, null),
+                lease("two-leaders", TWO_LEADERS, null),
+                lease("restarts", WITH_RESTARTS, null));
+    }
+
+    @TestFactory
+    Stream<DynamicTest> leasesWithoutAFence() {
+        String broken = "OnePlace";
+        Map<String, String> quick = with(ONE_LEADER, "Pauses", "FALSE", "LateAppends", "FALSE");
+        return checks(
+                lease(
                         "waits-one-worker-lease",
-                        "OnePlace",
-                        with(one, "WorkerWaits", "1", "Worker", "3"),
-                        "OnePlace"),
-                new Check(
-                        "Leases",
-                        "takes-release-back",
-                        "OnePlace",
-                        with(one, "Sticky", "FALSE"),
-                        "OnePlace"),
-                new Check(
-                        "Leases",
-                        "takes-old-answers",
-                        "OnePlace",
-                        with(one, "LatestOnly", "FALSE", "Pauses", "FALSE", "LateAppends", "FALSE"),
-                        "OnePlace"),
-                new Check(
-                        "Leases",
-                        "forgets-authority",
-                        "OnePlace",
-                        with(two, "UnheardWaits", "FALSE"),
-                        "OnePlace"),
-                new Check(
-                        "Leases",
-                        "counts-unacknowledged",
-                        "OnePlace",
-                        with(two, "NeedsAck", "FALSE"),
-                        "OnePlace"),
-                new Check(
-                        "Leases",
+                        with(ONE_LEADER, "WorkerWaits", "1", "Worker", "3"),
+                        broken),
+                lease("takes-release-back", with(ONE_LEADER, "Sticky", "FALSE"), broken),
+                lease("takes-old-answers", with(quick, "LatestOnly", "FALSE"), broken),
+                lease("forgets-authority", with(TWO_LEADERS, "UnheardWaits", "FALSE"), broken),
+                lease("counts-unacknowledged", with(TWO_LEADERS, "NeedsAck", "FALSE"), broken),
+                lease(
                         "restart-without-read",
-                        "OnePlace",
-                        with(three, "RestartReads", "FALSE"),
-                        "OnePlace"));
+                        with(WITH_RESTARTS, "RestartReads", "FALSE"),
+                        broken));
+    }
+
+    private static Check lease(String name, Map<String, String> constants, String broken) {
+        return new Check("Leases", name, "OnePlace", constants, broken);
     }
 
     @TestFactory
@@ -302,7 +293,7 @@
                                 "tlc2.TLC",
                                 "-deadlock",
                                 "-workers",
-                                "4",
+                                "auto",
                                 "-fpmem",
                                 "0.3",
                                 check.module())
