--- a/src/main/java/org/standlink/agent/AgentProcess.java
+++ b/src/main/java/org/standlink/agent/AgentProcess.java
@@ -57,7 +57,7 @@
     private static final System.Logger LOGGER = System.getLogger(AgentProcess.class.getName());
 
     /** The time between two ticks of the tasks, and of the leader, in milliseconds. */
-    private static final long TICK_MILLIS = 250;
+    private static final long TICK_MILLIS = 500;
 
     /** The time between two broadcasts of the load, in milliseconds. */
     private static final long LOAD_MILLIS = 250;
