--- a/src/main/java/org/standlink/admin/AdminApi.java
+++ b/src/main/java/org/standlink/admin/AdminApi.java
@@ -23,6 +23,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.nio.charset.StandardCharsets;
+import java.util.Locale;
 import java.util.Map;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
@@ -32,6 +33,7 @@
 import org.standlink.VmId;
 import org.standlink.bundle.Bundle;
 import org.standlink.bundle.CellSpecification;
+import org.standlink.bundle.JobSpecification;
 import org.standlink.bundle.ServiceSpecification;
 import org.standlink.entry.EntryProcess;
 import org.standlink.log.BundlePublisher;
@@ -83,6 +85,7 @@
         service.on("GET", "/v1/status", request -> json(status()));
         service.on("GET", "/v1/bundle", request -> bundle());
         service.on("GET", "/v1/services", request -> json(services()));
+        service.on("GET", "/v1/jobs", request -> json(jobs()));
         service.on("GET", "/v1/histograms", request -> json(histograms()));
         service.on("POST", "/v1/bundle", request -> submit(request.body()));
     }
@@ -150,7 +153,7 @@
     private ObjectNode service(ServiceSpecification service) {
         ObjectNode node = MAPPER.createObjectNode();
         node.put("service", service.id().toString());
-        node.put("mode", service.mode().name().toLowerCase(java.util.Locale.ROOT));
+        node.put("mode", lower(service.mode()));
         ArrayNode upstreams = node.putArray("upstreams");
         for (VmId vm : service.upstreams()) {
             ObjectNode upstream = upstreams.addObject();
@@ -161,6 +164,30 @@
         return node;
     }
 
+    private ArrayNode jobs() {
+        ArrayNode all = MAPPER.createArrayNode();
+        Bundle bundle = entry.getHolder().getBundle();
+        if (bundle != null) {
+            bundle.jobs().forEach(job -> all.add(job(job)));
+        }
+        return all;
+    }
+
+    private static ObjectNode job(JobSpecification job) {
+        ObjectNode node = MAPPER.createObjectNode();
+        node.put("job", job.id().toString());
+        node.put("mode", lower(job.mode()));
+        node.put("urgency", lower(job.urgency()));
+        node.put("team", job.team().toString());
+        node.put("cell", job.cell().toString());
+        node.put("tasks", job.tasks());
+        return node;
+    }
+
+    private static String lower(Enum<?> constant) {
+        return constant.name().toLowerCase(Locale.ROOT);
+    }
+
     private ArrayNode histograms() {
         ArrayNode all = MAPPER.createArrayNode();
         for (Timer timer : registry.find("standlink.entry.requests").timers()) {
--- a/src/main/java/org/standlink/agent/AgentProcess.java
+++ b/src/main/java/org/standlink/agent/AgentProcess.java
@@ -77,9 +77,6 @@
     /** The clock. */
     private final MonotonicClock clock = MonotonicClock.ofSystem();
 
-    /** Where threads come from. */
-    private final ExecutorService executor;
-
     /** The timers. */
     private final Timers timers;
 
@@ -127,7 +124,6 @@
             ScheduledExecutorService scheduler,
             MeterRegistry registry) {
         this.settings = settings;
-        this.executor = executor;
         this.timers = new Timers(scheduler, registry, "standlink.agent.failures");
         this.registry = registry;
         HttpClient client = PlatformHttp.newClient(executor);
--- a/src/main/java/org/standlink/platform/PlatformHttp.java
+++ b/src/main/java/org/standlink/platform/PlatformHttp.java
@@ -40,7 +40,7 @@
  */
 public final class PlatformHttp {
 
-    /** How long a call may take. */
+    /** How long a call may take if nothing else is said. */
     private static final Duration TIMEOUT = Duration.ofSeconds(3);
 
     /** The first HTTP status that means failure. */
@@ -62,6 +62,9 @@
     /** The start of every address. */
     private final URI base;
 
+    /** How long a call may take. */
+    private final Duration timeout;
+
     /**
      * Constructor.
      *
@@ -69,8 +72,20 @@
      * @param client the client, shared by all adapters of a process
      */
     public PlatformHttp(URI base, HttpClient client) {
+        this(base, client, TIMEOUT);
+    }
+
+    /**
+     * Constructor with the time that a call may take.
+     *
+     * @param base the start of every address
+     * @param client the client, shared by all adapters of a process
+     * @param timeout how long a call may take
+     */
+    public PlatformHttp(URI base, HttpClient client, Duration timeout) {
         this.base = base;
         this.client = client;
+        this.timeout = timeout;
     }
 
     /**
@@ -117,7 +132,7 @@
 
     // -----------------------------------------------------------------------
     private HttpRequest.Builder request(String path) {
-        return HttpRequest.newBuilder(base.resolve(path)).timeout(TIMEOUT);
+        return HttpRequest.newBuilder(base.resolve(path)).timeout(timeout);
     }
 
     private <T> T send(HttpRequest.Builder request, TypeReference<T> type) {
--- a/src/test/java/org/standlink/specification/TestSpecifications.java
+++ b/src/test/java/org/standlink/specification/TestSpecifications.java
@@ -25,11 +25,14 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
 import java.util.regex.Matcher;
 import java.util.regex.Pattern;
 import java.util.stream.Stream;
 import org.junit.jupiter.api.DynamicTest;
 import org.junit.jupiter.api.TestFactory;
+import org.standlink.process.ProcessThreads;
 
 /**
  * Checks the specifications with TLC: the design holds, and each variant without one of its fences
@@ -39,6 +42,8 @@
 
     private static final int VIOLATION = 12;
 
+    private static final ExecutorService POOL = ProcessThreads.newBounded("tlc", 3);
+
     private static final Pattern STATES =
             Pattern.compile("(\\d+) states generated, (\\d+) distinct states found");
 
@@ -238,15 +243,31 @@
 
     // -----------------------------------------------------------------------
     private static Stream<DynamicTest> checks(Check... checks) {
+        // All are started at once and some run side by side; each test waits for its own.
         return Stream.of(checks)
                 .map(
                         check ->
+                                Map.entry(
+                                        check,
+                                        CompletableFuture.supplyAsync(() -> output(check), POOL)))
+                .toList()
+                .stream()
+                .map(
+                        entry ->
                                 DynamicTest.dynamicTest(
-                                        check.module() + " " + check.name(), () -> run(check)));
+                                        entry.getKey().module() + " " + entry.getKey().name(),
+                                        () -> judge(entry.getKey(), entry.getValue().join())));
+    }
+
+    private static String output(Check check) {
+        try {
+            return check(check);
+        } catch (IOException | InterruptedException failure) {
+            throw new IllegalStateException(failure);
+        }
     }
 
-    private static void run(Check check) throws IOException, InterruptedException {
-        String output = check(check);
+    private static void judge(Check check, String output) {
         Matcher states = STATES.matcher(output);
         assertTrue(states.find(), output);
         String verdict =
@@ -288,12 +309,13 @@
                                 Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                                 "-Xmx2g",
                                 "-XX:+UseParallelGC",
+                                "-Djava.io.tmpdir=" + folder.toAbsolutePath(),
                                 "-cp",
                                 System.getProperty("java.class.path"),
                                 "tlc2.TLC",
                                 "-deadlock",
                                 "-workers",
-                                "auto",
+                                "3",
                                 "-fpmem",
                                 "0.3",
                                 check.module())
