Stop an agent, an upstream and an entry under load in the first command

Cause: only the planned stop of an agent was shown with real processes. Change: try-standlink stops all three by SIGTERM during one load, which must outlast them; the load passes over an entry that refuses connections; the stand-in upstream gives notice, closes its listener and ends what runs.

--- a/src/main/java/org/standlink/command/StandInUpstreamCommand.java
+++ b/src/main/java/org/standlink/command/StandInUpstreamCommand.java
@@ -27,7 +27,7 @@
     private static final int THREADS = 32;
 
     /** How long an ordered stop may take, in milliseconds. */
-    private static final long DRAIN_MILLIS = 10_000;
+    private static final long DRAIN_MILLIS = 1_000;
 
     /** Where to listen. */
     @Option(name = "--listen", required = true, metaVar = "HOST:PORT", usage = "where to listen")
--- a/src/main/java/org/standlink/standin/RequestLoad.java
+++ b/src/main/java/org/standlink/standin/RequestLoad.java
@@ -16,6 +16,7 @@
 package org.standlink.standin;
 
 import java.io.IOException;
+import java.net.ConnectException;
 import java.net.URI;
 import java.net.http.HttpClient;
 import java.net.http.HttpRequest;
@@ -46,7 +47,10 @@
     /** Microseconds in a second. */
     private static final double SECOND_MICROS = 1_000_000;
 
-    /** The entries, taken in turn. */
+    /**
+     * The entries, taken in turn; one that refuses the connection is passed over, as a balancer
+     * does.
+     */
     private final List<URI> entries;
 
     /** The HTTP method. */
@@ -168,7 +172,18 @@
     private void send(int number) throws InterruptedException {
         String name = run + "/" + number;
         String body = "body of " + name;
-        URI uri = entries.get(number % entries.size()).resolve(path);
+        for (int i = 0; i < entries.size(); i++) {
+            URI uri = entries.get((number + i) % entries.size()).resolve(path);
+            if (sendTo(uri, number, name, body)) {
+                return;
+            }
+        }
+        wrong.incrementAndGet();
+    }
+
+    /** Sends a request; false if the entry refused the connection, so that the next is tried. */
+    private boolean sendTo(URI uri, int number, String name, String body)
+            throws InterruptedException {
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(uri)
                         .timeout(TIMEOUT)
@@ -188,9 +203,12 @@
             }
             long micros = (System.nanoTime() - start) / 1000;
             judge(number, response, method + " " + uri.getPath() + "\n" + body, micros);
+        } catch (ConnectException refused) {
+            return false;
         } catch (IOException cut) {
             wrong.incrementAndGet();
         }
+        return true;
     }
 
     private void judge(int number, HttpResponse<String> response, String expected, long micros) {
