--- a/src/main/java/org/standlink/benchmark/LeaderBundles.java
+++ b/src/main/java/org/standlink/benchmark/BenchmarkBundles.java
@@ -27,12 +27,12 @@
 /**
  * Makes signed bundles for measurements.
  *
- * <p>{@code LeaderBundles} is thread-safe and immutable.
+ * <p>{@code BenchmarkBundles} is thread-safe and immutable.
  */
-final class LeaderBundles {
+final class BenchmarkBundles {
 
     /** No instances. */
-    private LeaderBundles() {}
+    private BenchmarkBundles() {}
 
     /**
      * Makes a bundle of one cell that is filled by one job of one-core tasks.
--- a/src/main/java/org/standlink/benchmark/LeaderCost.java
+++ b/src/main/java/org/standlink/benchmark/LeaderCost.java
@@ -70,7 +70,8 @@
         long[] now = {1_000_000};
         MemoryLog log = new MemoryLog(() -> now[0], 1000, Long.MAX_VALUE / 4);
         log.append(
-                RecordCodec.encode(new BundleRecord("b", LeaderBundles.fullCell(workers, tasks))));
+                RecordCodec.encode(
+                        new BundleRecord("b", BenchmarkBundles.fullCell(workers, tasks))));
         BundleHolder holder = new BundleHolder();
         LeaderService service =
                 new LeaderService(
--- a/src/main/java/org/standlink/benchmark/PathBenchmark.java
+++ b/src/main/java/org/standlink/benchmark/PathBenchmark.java
@@ -87,7 +87,7 @@
                                 executor,
                                 ProcessThreads.newScheduled("agent", 5),
                                 registry));
-        String bundle = LeaderBundles.oneService(HOST + ":" + agent.getPort());
+        String bundle = BenchmarkBundles.oneService(HOST + ":" + agent.getPort());
         log.append(RecordCodec.encode(new BundleRecord("b", bundle)));
         EntryProcess entry =
                 keep(
--- a/src/main/java/org/standlink/command/AgentCommand.java
+++ b/src/main/java/org/standlink/command/AgentCommand.java
@@ -41,7 +41,7 @@
 
     @Override
     public int run() throws InterruptedException {
-        AgentSettings settings = AgentSettings.read(Files.read(settingsFile));
+        AgentSettings settings = AgentSettings.read(TextFiles.read(settingsFile));
         setUpLog("agent " + settings.vm());
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         ExecutorService executor = ProcessThreads.newCached("agent");
--- a/src/main/java/org/standlink/command/BundleCheckCommand.java
+++ b/src/main/java/org/standlink/command/BundleCheckCommand.java
@@ -29,7 +29,7 @@
 
     @Override
     public int run() {
-        Bundle bundle = BundleReader.read(Files.read(file));
+        Bundle bundle = BundleReader.read(TextFiles.read(file));
         System.out.printf(
                 "bundle %s on base %s is valid: %d services, %d jobs, %d cells%n",
                 bundle.version(),
--- a/src/main/java/org/standlink/command/BundleDiffCommand.java
+++ b/src/main/java/org/standlink/command/BundleDiffCommand.java
@@ -41,8 +41,8 @@
 
     @Override
     public int run() throws JsonProcessingException {
-        Map<String, String> before = flatten(Files.read(oldFile));
-        Map<String, String> after = flatten(Files.read(newFile));
+        Map<String, String> before = flatten(TextFiles.read(oldFile));
+        Map<String, String> after = flatten(TextFiles.read(newFile));
         TreeSet<String> paths = new TreeSet<>(before.keySet());
         paths.addAll(after.keySet());
         int differences = 0;
--- a/src/main/java/org/standlink/command/BundlePublishCommand.java
+++ b/src/main/java/org/standlink/command/BundlePublishCommand.java
@@ -35,7 +35,7 @@
     @Override
     public int run() {
         BundlePublisher publisher = new BundlePublisher(PlatformAccess.log(platform));
-        BundleVersion version = publisher.publish(Files.read(file));
+        BundleVersion version = publisher.publish(TextFiles.read(file));
         System.out.println("bundle " + version + " is accepted");
         return 0;
     }
--- a/src/main/java/org/standlink/command/BundleSignCommand.java
+++ b/src/main/java/org/standlink/command/BundleSignCommand.java
@@ -50,14 +50,15 @@
 
     @Override
     public int run() throws JsonProcessingException {
-        String text = Files.read(file);
+        String text = TextFiles.read(file);
         OperatorId id = OperatorId.parse(operator);
         SignedBundle signed = isSigned(text) ? SignedBundle.read(text) : null;
         String bundle = signed == null ? text : signed.bundle();
         BundleReader.read(bundle);
         SignedBundle before = signed == null ? new SignedBundle(bundle, id, List.of()) : signed;
-        SignedBundle after = before.withSignature(BundleSigner.sign(bundle, id, Files.read(key)));
-        Files.write(out, new ObjectMapper().writeValueAsString(after));
+        SignedBundle after =
+                before.withSignature(BundleSigner.sign(bundle, id, TextFiles.read(key)));
+        TextFiles.write(out, new ObjectMapper().writeValueAsString(after));
         System.out.printf("signed by %s; %d signatures%n", id, after.signatures().size());
         return 0;
     }
--- a/src/main/java/org/standlink/command/BundleStatusCommand.java
+++ b/src/main/java/org/standlink/command/BundleStatusCommand.java
@@ -48,7 +48,7 @@
                 "bundle " + follower.read(fold -> fold.getBundles().getVersion()) + " is in force");
         String signed = follower.read(fold -> fold.getBundles().getSignedText());
         if (out != null && signed != null) {
-            Files.write(out, SignedBundle.read(signed).bundle());
+            TextFiles.write(out, SignedBundle.read(signed).bundle());
         }
         return 0;
     }
--- a/src/main/java/org/standlink/command/EntryCommand.java
+++ b/src/main/java/org/standlink/command/EntryCommand.java
@@ -42,7 +42,7 @@
 
     @Override
     public int run() throws InterruptedException {
-        EntrySettings settings = EntrySettings.read(Files.read(settingsFile));
+        EntrySettings settings = EntrySettings.read(TextFiles.read(settingsFile));
         setUpLog("entry " + settings.name());
         PrometheusMeterRegistry registry = new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
         ExecutorService executor = ProcessThreads.newCached("entry");
--- a/src/main/java/org/standlink/command/KeysCommand.java
+++ b/src/main/java/org/standlink/command/KeysCommand.java
@@ -40,8 +40,8 @@
         Base64.Encoder base64 = Base64.getEncoder();
         String publicKey = base64.encodeToString(keys.getPublic().getEncoded());
         String privateKey = base64.encodeToString(keys.getPrivate().getEncoded());
-        Files.write(folder.resolve(id + ".key"), privateKey + "\n");
-        Files.write(folder.resolve(id + ".pub"), publicKey + "\n");
+        TextFiles.write(folder.resolve(id + ".key"), privateKey + "\n");
+        TextFiles.write(folder.resolve(id + ".pub"), publicKey + "\n");
         System.out.println(publicKey);
         return 0;
     }
--- a/src/main/java/org/standlink/command/Files.java
+++ b/src/main/java/org/standlink/command/TextFiles.java
@@ -23,12 +23,12 @@
 /**
  * Reads and writes small text files with typed errors.
  *
- * <p>{@code Files} is thread-safe and immutable.
+ * <p>{@code TextFiles} is thread-safe and immutable.
  */
-final class Files {
+final class TextFiles {
 
     /** No instances. */
-    private Files() {}
+    private TextFiles() {}
 
     /**
      * Reads a file.
