Rename the package of ports to the stand-in services

Cause: 'platform' is to be the one folder that speaks to the users' platform; what stood there are the ports of the bundle-driven path (log, VM list, worker) and their adapters to our stand-ins. Ruled out: keeping both in one package, since the new folder may hold nothing that decides and no second dialect. No behaviour changes; the tests move along.

--- a/src/main/java/org/standlink/agent/LeaderRole.java
+++ b/src/main/java/org/standlink/agent/LeaderRole.java
@@ -35,7 +35,7 @@
 import org.standlink.lease.MonotonicClock;
 import org.standlink.log.CellState;
 import org.standlink.log.LogFollower;
-import org.standlink.platform.LogPort;
+import org.standlink.port.LogPort;
 import org.standlink.wire.Heartbeat;
 import org.standlink.wire.HeartbeatAnswer;
 import org.standlink.wire.LeaderAnnouncement;
--- a/src/main/java/org/standlink/agent/WorkerLeaseKeeper.java
+++ b/src/main/java/org/standlink/agent/WorkerLeaseKeeper.java
@@ -18,8 +18,8 @@
 import org.standlink.VmId;
 import org.standlink.lease.Lease;
 import org.standlink.lease.MonotonicClock;
-import org.standlink.platform.WorkerLease;
-import org.standlink.platform.WorkerPort;
+import org.standlink.port.WorkerLease;
+import org.standlink.port.WorkerPort;
 
 /**
  * Takes and renews the lease of the local worker.
--- a/src/main/java/org/standlink/command/PlatformAccess.java
+++ b/src/main/java/org/standlink/command/PlatformAccess.java
@@ -16,9 +16,9 @@
 package org.standlink.command;
 
 import org.standlink.json.Addresses;
-import org.standlink.platform.HttpLog;
-import org.standlink.platform.LogPort;
-import org.standlink.platform.PlatformHttp;
+import org.standlink.port.HttpLog;
+import org.standlink.port.LogPort;
+import org.standlink.port.PlatformHttp;
 import org.standlink.process.ProcessThreads;
 
 /**
--- a/src/main/java/org/standlink/entry/UpstreamDirectory.java
+++ b/src/main/java/org/standlink/entry/UpstreamDirectory.java
@@ -28,7 +28,7 @@
 import org.standlink.bundle.Bundle;
 import org.standlink.bundle.BundleHolder;
 import org.standlink.json.Addresses;
-import org.standlink.platform.VmEntry;
+import org.standlink.port.VmEntry;
 import org.standlink.wire.BundleAnswer;
 import org.standlink.wire.BundleQuery;
 import org.standlink.wire.Connection;
--- a/src/main/java/org/standlink/leader/LeaderService.java
+++ b/src/main/java/org/standlink/leader/LeaderService.java
@@ -38,7 +38,7 @@
 import org.standlink.log.RecordCodec;
 import org.standlink.log.TaskEvent;
 import org.standlink.log.TaskRecord;
-import org.standlink.platform.LogPort;
+import org.standlink.port.LogPort;
 import org.standlink.wire.Heartbeat;
 import org.standlink.wire.HeartbeatAnswer;
 
--- a/src/main/java/org/standlink/log/BundlePublisher.java
+++ b/src/main/java/org/standlink/log/BundlePublisher.java
@@ -25,7 +25,7 @@
 import org.standlink.bundle.Bundle;
 import org.standlink.bundle.BundleReader;
 import org.standlink.bundle.SignedBundle;
-import org.standlink.platform.LogPort;
+import org.standlink.port.LogPort;
 
 /**
  * Publishes bundles and finds out whether they were accepted, also when answers are lost.
--- a/src/main/java/org/standlink/log/LogFold.java
+++ b/src/main/java/org/standlink/log/LogFold.java
@@ -26,7 +26,7 @@
 import org.standlink.bundle.Bundle;
 import org.standlink.bundle.BundleFold;
 import org.standlink.bundle.JobSpecification;
-import org.standlink.platform.LogEntry;
+import org.standlink.port.LogEntry;
 
 /**
  * Folds the log, in order, into the bundle in force and the state of each cell.
--- a/src/main/java/org/standlink/log/LogFollower.java
+++ b/src/main/java/org/standlink/log/LogFollower.java
@@ -18,9 +18,9 @@
 import java.util.Optional;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Function;
-import org.standlink.platform.LogBatch;
-import org.standlink.platform.LogEntry;
-import org.standlink.platform.LogPort;
+import org.standlink.port.LogBatch;
+import org.standlink.port.LogEntry;
+import org.standlink.port.LogPort;
 
 /**
  * Reads the log and keeps the fold of it, also across what the log has dropped.
--- a/src/main/java/org/standlink/platform/HttpLog.java
+++ b/src/main/java/org/standlink/port/HttpLog.java
@@ -13,7 +13,7 @@
  *  See the License for the specific language governing permissions and
  *  limitations under the License.
  */
-package org.standlink.platform;
+package org.standlink.port;
 
 import com.fasterxml.jackson.core.type.TypeReference;
 
--- a/src/main/java/org/standlink/platform/package-info.java
+++ b/src/main/java/org/standlink/port/package-info.java
@@ -3,4 +3,4 @@
  *
  * <p>The core knows only the interfaces. Another platform is met by another set of adapters.
  */
-package org.standlink.platform;
+package org.standlink.port;
--- a/src/main/java/org/standlink/standin/MemoryLog.java
+++ b/src/main/java/org/standlink/standin/MemoryLog.java
@@ -22,9 +22,9 @@
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
 import org.standlink.lease.MonotonicClock;
-import org.standlink.platform.LogBatch;
-import org.standlink.platform.LogEntry;
-import org.standlink.platform.LogPort;
+import org.standlink.port.LogBatch;
+import org.standlink.port.LogEntry;
+import org.standlink.port.LogPort;
 
 /**
  * A log in memory, with the platform's limits and faults.
--- a/src/main/java/org/standlink/standin/MemoryVmList.java
+++ b/src/main/java/org/standlink/standin/MemoryVmList.java
@@ -23,8 +23,8 @@
 import org.standlink.StandlinkException;
 import org.standlink.VmId;
 import org.standlink.lease.MonotonicClock;
-import org.standlink.platform.VmEntry;
-import org.standlink.platform.VmListPort;
+import org.standlink.port.VmEntry;
+import org.standlink.port.VmListPort;
 
 /**
  * A VM list in memory that tells of changes only after a while.
--- a/src/main/java/org/standlink/standin/MemoryWorker.java
+++ b/src/main/java/org/standlink/standin/MemoryWorker.java
@@ -25,10 +25,10 @@
 import org.standlink.StandlinkException;
 import org.standlink.TaskId;
 import org.standlink.lease.MonotonicClock;
-import org.standlink.platform.TaskStart;
-import org.standlink.platform.TaskUsage;
-import org.standlink.platform.WorkerLease;
-import org.standlink.platform.WorkerPort;
+import org.standlink.port.TaskStart;
+import org.standlink.port.TaskUsage;
+import org.standlink.port.WorkerLease;
+import org.standlink.port.WorkerPort;
 
 /**
  * A worker in memory: tasks make progress with the clock and stop when the lease lapses.
--- a/src/main/java/org/standlink/standin/StandInHttp.java
+++ b/src/main/java/org/standlink/standin/StandInHttp.java
@@ -21,12 +21,12 @@
 import java.util.concurrent.Executor;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
-import org.standlink.platform.LogPort;
-import org.standlink.platform.PlatformRefusal;
-import org.standlink.platform.VmEntry;
-import org.standlink.platform.WorkerCall;
-import org.standlink.platform.WorkerLease;
-import org.standlink.platform.WorkerPort;
+import org.standlink.port.LogPort;
+import org.standlink.port.PlatformRefusal;
+import org.standlink.port.VmEntry;
+import org.standlink.port.WorkerCall;
+import org.standlink.port.WorkerLease;
+import org.standlink.port.WorkerPort;
 import org.standlink.process.HttpService;
 
 /**
--- a/src/test/java/org/standlink/leader/TestCell.java
+++ b/src/test/java/org/standlink/leader/TestCell.java
@@ -39,7 +39,7 @@
 import org.standlink.log.LogFollower;
 import org.standlink.log.RecordCodec;
 import org.standlink.log.TaskState;
-import org.standlink.platform.TaskStart;
+import org.standlink.port.TaskStart;
 import org.standlink.standin.MemoryLog;
 import org.standlink.standin.MemoryWorker;
 import org.standlink.wire.Heartbeat;
