End a leaving entry only when the balancer and every caller have gone elsewhere

The load report now says what the caller saw: entry 2, the one being stopped, closed the connection 97 ms after the request was sent, before a byte of an answer ('header parser received no bytes'). Cause: while it leaves, the entry answers with 'Connection: close', so each request comes on a fresh connection; it closed its listener at the first moment without a request in progress, and a connection that the kernel had accepted by then was reset. A caller's idle connection could be cut in the same way. Ruled out: the agent's and the upstream's stop (the request named entry 2); an answer lost at exit (no byte had come). Change: ConnectionDrain. A leaving entry ends only when the balancer has had time for two misses (2.5 s), nothing has come for 0.5 s, nothing is in progress and each connection used in the last 5 s has been told. The load behaves as the platform's balancer does: it asks for readiness once a second and sends new connections elsewhere after two misses; open connections stay with their entry until told. It retries no more than before. Test: TestConnectionDrain, four interleavings on a fake clock; against the old rule ('in progress is 0 after a notice') the second and the third cannot hold.

--- a/src/main/java/org/standlink/benchmark/PathBenchmark.java
+++ b/src/main/java/org/standlink/benchmark/PathBenchmark.java
@@ -130,7 +130,7 @@
     }
 
     private static LoadReport load(int port) throws InterruptedException {
-        return new RequestLoad(List.of(URI.create(url(port))), "POST", "/x", false, 0, 0)
+        return new RequestLoad(List.of(URI.create(url(port))), List.of(), "POST", "/x", false, 0, 0)
                 .run(REQUESTS, CONCURRENCY);
     }
 
--- a/src/main/java/org/standlink/command/LoadCommand.java
+++ b/src/main/java/org/standlink/command/LoadCommand.java
@@ -15,8 +15,12 @@
  */
 package org.standlink.command;
 
+import java.net.URI;
+import java.util.ArrayList;
 import java.util.List;
 import org.kohsuke.args4j.Option;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
 import org.standlink.json.Addresses;
 import org.standlink.standin.LoadReport;
 import org.standlink.standin.RequestLoad;
@@ -31,6 +35,13 @@
     @Option(name = "--entry", required = true, metaVar = "URL", usage = "an entry; may be repeated")
     private List<String> entries;
 
+    /** Where the entries tell whether they are ready. */
+    @Option(
+            name = "--ready",
+            metaVar = "URL",
+            usage = "where each entry tells that it is ready, in order (default: not asked)")
+    private List<String> ready = new ArrayList<>();
+
     /** How many. */
     @Option(name = "--requests", metaVar = "N", usage = "how many requests (default: 200)")
     private int requests = 200;
@@ -61,9 +72,16 @@
 
     @Override
     public int run() throws InterruptedException {
+        if (!ready.isEmpty() && ready.size() != entries.size()) {
+            throw new StandlinkException(
+                    ErrorCode.USAGE,
+                    "--ready is given " + ready.size() + " times",
+                    "give it once for each --entry, in the same order");
+        }
         RequestLoad load =
                 new RequestLoad(
                         entries.stream().map(Addresses::parseHttp).toList(),
+                        ready.stream().map(URI::create).toList(),
                         method,
                         path,
                         keys,
--- a/src/main/java/org/standlink/entry/CallerServer.java
+++ b/src/main/java/org/standlink/entry/CallerServer.java
@@ -29,7 +29,6 @@
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicInteger;
 import org.standlink.StandlinkException;
 import org.standlink.TeamId;
 import org.standlink.bundle.Bundle;
@@ -37,6 +36,7 @@
 import org.standlink.bundle.TeamSpecification;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.policy.ConcurrencyLimiter;
+import org.standlink.process.ConnectionDrain;
 import org.standlink.process.HttpService;
 
 /**
@@ -95,11 +95,8 @@
     /** Where histograms go. */
     private final MeterRegistry registry;
 
-    /** Requests in progress. */
-    private final AtomicInteger inProgress = new AtomicInteger();
-
-    /** Whether callers are asked to connect elsewhere. */
-    private volatile boolean leaving;
+    /** Tells when a planned stop cuts nobody. */
+    private final ConnectionDrain drain;
 
     /**
      * Constructor, which starts to listen.
@@ -122,6 +119,7 @@
         this.holder = holder;
         this.clock = clock;
         this.registry = registry;
+        this.drain = new ConnectionDrain(clock);
         server = HttpService.newServer(address, executor);
         server.createContext("/", this::handle);
         server.start();
@@ -138,7 +136,16 @@
 
     /** Asks callers to connect elsewhere from now on. */
     public void leave() {
-        leaving = true;
+        drain.leave();
+    }
+
+    /**
+     * Checks whether the server may be closed without cutting a request.
+     *
+     * @return true if so
+     */
+    public boolean isQuiet() {
+        return drain.isQuiet();
     }
 
     /**
@@ -147,7 +154,7 @@
      * @return the number
      */
     public int getInProgress() {
-        return inProgress.get();
+        return drain.getInProgress();
     }
 
     @Override
@@ -157,14 +164,15 @@
 
     // -----------------------------------------------------------------------
     private void handle(HttpExchange exchange) throws IOException {
-        inProgress.incrementAndGet();
+        Object connection = exchange.getRemoteAddress();
+        drain.begin(connection);
         try (exchange) {
             long start = System.nanoTime();
             byte[] body = exchange.getRequestBody().readNBytes(MOST_BODY_BYTES + 1);
             RoutedAnswer answer = answer(exchange, body, start);
             write(exchange, answer);
         } finally {
-            inProgress.decrementAndGet();
+            drain.end(connection);
         }
     }
 
@@ -276,7 +284,7 @@
             long seconds = (answer.retryAfterMillis() + 999) / 1000;
             headers.set("Retry-After", Long.toString(seconds));
         }
-        if (leaving) {
+        if (drain.tell(exchange.getRemoteAddress())) {
             headers.set("Connection", "close");
         }
         byte[] body = answer.body();
--- a/src/main/java/org/standlink/entry/EntryProcess.java
+++ b/src/main/java/org/standlink/entry/EntryProcess.java
@@ -64,9 +64,6 @@
     /** How long to wait for a bundle from a peer, in milliseconds. */
     private static final long BUNDLE_MILLIS = 2000;
 
-    /** How long callers are asked to connect elsewhere before the entry stops, in milliseconds. */
-    private static final long NOTICE_MILLIS = 1000;
-
     /** The settings. */
     private final EntrySettings settings;
 
@@ -208,10 +205,8 @@
         LOGGER.log(System.Logger.Level.INFO, "leaving: callers are asked to connect elsewhere");
         leaving = true;
         server.leave();
-        long notice = clock.nowMillis() + NOTICE_MILLIS;
         long until = clock.nowMillis() + settings.drainMillis();
-        while (clock.nowMillis() < notice
-                || clock.nowMillis() < until && server.getInProgress() > 0) {
+        while (clock.nowMillis() < until && !server.isQuiet()) {
             TimeUnit.MILLISECONDS.sleep(CONNECT_MILLIS / 10);
         }
         close();
--- a/src/main/java/org/standlink/standin/LoadReport.java
+++ b/src/main/java/org/standlink/standin/LoadReport.java
@@ -15,6 +15,8 @@
  */
 package org.standlink.standin;
 
+import java.util.List;
+
 /**
  * What became of the requests of a load.
  *
@@ -25,6 +27,7 @@
  * @param notRun requests told as not run
  * @param unknown requests told as unknown
  * @param wrong requests with another answer, or none
+ * @param seen what the caller saw of the first wrong ones
  * @param medianMicros the median latency of the right ones, in microseconds
  * @param tailMicros the 99th percentile of the latency of the right ones, in microseconds
  * @param perSecond right answers a second
@@ -35,6 +38,7 @@
         int notRun,
         int unknown,
         int wrong,
+        List<String> seen,
         long medianMicros,
         long tailMicros,
         double perSecond) {
@@ -50,8 +54,10 @@
 
     @Override
     public String toString() {
-        return String.format(
-                "requests %d of %d (not run %d, unknown %d, wrong %d), p50 %d us, p99 %d us, %.0f/s",
-                right, sent, notRun, unknown, wrong, medianMicros, tailMicros, perSecond);
+        String line =
+                String.format(
+                        "requests %d of %d (not run %d, unknown %d, wrong %d), p50 %d us, p99 %d us, %.0f/s",
+                        right, sent, notRun, unknown, wrong, medianMicros, tailMicros, perSecond);
+        return seen.isEmpty() ? line : line + "\n  " + String.join("\n  ", seen);
     }
 }
--- a/src/main/java/org/standlink/standin/RequestLoad.java
+++ b/src/main/java/org/standlink/standin/RequestLoad.java
@@ -24,11 +24,14 @@
 import java.time.Duration;
 import java.util.Arrays;
 import java.util.List;
+import java.util.Queue;
 import java.util.UUID;
+import java.util.concurrent.ConcurrentLinkedQueue;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicIntegerArray;
 import org.standlink.process.ProcessThreads;
 
 /**
@@ -41,6 +44,9 @@
     /** How long a request may take. */
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
+    /** The most wrong answers that are described, so that the report stays short. */
+    private static final int MOST_SEEN = 5;
+
     /** The outcome of a request that did not run. */
     private static final String NOT_RUN = "not-run";
 
@@ -48,11 +54,20 @@
     private static final double SECOND_MICROS = 1_000_000;
 
     /**
-     * The entries, taken in turn; one that refuses the connection is passed over, as a balancer
-     * does.
+     * The entries, taken in turn; one that is not ready or refuses the connection is passed over,
+     * as a balancer does.
      */
     private final List<URI> entries;
 
+    /** Where each entry tells whether it takes new connections; empty to use all. */
+    private final List<URI> ready;
+
+    /** How many connections to each entry are open and not in use. */
+    private final AtomicIntegerArray open;
+
+    /** Chooses entries for new connections. */
+    private volatile Balancer balancer;
+
     /** The HTTP method. */
     private final String method;
 
@@ -90,6 +105,9 @@
     /** Requests with another answer, or none. */
     private final AtomicInteger wrong = new AtomicInteger();
 
+    /** What the caller saw of the first wrong ones. */
+    private final Queue<String> seen = new ConcurrentLinkedQueue<>();
+
     /** Latencies of the right ones, in microseconds; -1 for the others. */
     private long[] latencies;
 
@@ -97,6 +115,7 @@
      * Constructor.
      *
      * @param entries the entries, taken in turn
+     * @param ready where each entry tells whether it takes new connections; empty to use all
      * @param method the HTTP method
      * @param path the path
      * @param keys whether each request has a key
@@ -105,12 +124,15 @@
      */
     public RequestLoad(
             List<URI> entries,
+            List<URI> ready,
             String method,
             String path,
             boolean keys,
             long pauseMillis,
             int retries) {
         this.entries = List.copyOf(entries);
+        this.ready = List.copyOf(ready);
+        this.open = new AtomicIntegerArray(entries.size());
         this.method = method;
         this.path = path;
         this.keys = keys;
@@ -131,6 +153,7 @@
         Arrays.fill(latencies, -1);
         CountDownLatch done = new CountDownLatch(concurrency);
         ExecutorService threads = ProcessThreads.newCached("load");
+        balancer = new Balancer(ready);
         long start = System.nanoTime();
         for (int i = 0; i < concurrency; i++) {
             threads.execute(() -> sendAll(requests, done));
@@ -138,6 +161,7 @@
         done.await();
         double micros = (System.nanoTime() - start) / 1000.0;
         threads.shutdown();
+        balancer.close();
         long[] right = Arrays.stream(latencies).filter(one -> one >= 0).sorted().toArray();
         return new LoadReport(
                 requests,
@@ -145,6 +169,7 @@
                 notRun.get(),
                 unknown.get(),
                 wrong.get(),
+                List.copyOf(seen),
                 percentile(right, 0.5),
                 percentile(right, 0.99),
                 right.length * SECOND_MICROS / micros);
@@ -173,17 +198,32 @@
         String name = run + "/" + number;
         String body = "body of " + name;
         for (int i = 0; i < entries.size(); i++) {
-            URI uri = entries.get((number + i) % entries.size()).resolve(path);
-            if (sendTo(uri, number, name, body)) {
+            int entry = (number + i) % entries.size();
+            boolean used = takeOpen(entry) || balancer.isIn(entry);
+            if (used && sendTo(entry, number, name, body)) {
                 return;
             }
         }
-        wrong.incrementAndGet();
+        countWrong(number, "no entry takes connections");
+    }
+
+    /** Takes an open connection to an entry, if there is one; it stays with its entry. */
+    private boolean takeOpen(int entry) {
+        int before = open.getAndUpdate(entry, count -> Math.max(0, count - 1));
+        return before > 0;
+    }
+
+    private void countWrong(int number, String reason) {
+        int count = wrong.incrementAndGet();
+        if (count <= MOST_SEEN) {
+            seen.add("request " + number + ": " + reason);
+        }
     }
 
     /** Sends a request; false if the entry refused the connection, so that the next is tried. */
-    private boolean sendTo(URI uri, int number, String name, String body)
+    private boolean sendTo(int entry, int number, String name, String body)
             throws InterruptedException {
+        URI uri = entries.get(entry).resolve(path);
         HttpRequest.Builder request =
                 HttpRequest.newBuilder(uri)
                         .timeout(TIMEOUT)
@@ -201,12 +241,16 @@
                 TimeUnit.SECONDS.sleep(seconds);
                 response = client.send(request.build(), HttpResponse.BodyHandlers.ofString());
             }
+            if (!response.headers().firstValue("Connection").orElse("").equals("close")) {
+                open.incrementAndGet(entry);
+            }
             long micros = (System.nanoTime() - start) / 1000;
             judge(number, response, method + " " + uri.getPath() + "\n" + body, micros);
         } catch (ConnectException refused) {
             return false;
         } catch (IOException cut) {
-            wrong.incrementAndGet();
+            long millis = (System.nanoTime() - start) / 1_000_000;
+            countWrong(number, uri + " after " + millis + " ms: " + cut);
         }
         return true;
     }
@@ -220,7 +264,7 @@
         } else if (response.body().equals(expected)) {
             latencies[number] = micros;
         } else {
-            wrong.incrementAndGet();
+            countWrong(number, "status " + response.statusCode() + ", body " + response.body());
         }
     }
 
--- /dev/null
+++ b/src/test/java/org/standlink/process/TestConnectionDrain.java
@@ -0,0 +1,82 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.process;
+
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.standlink.FakeClock;
+
+/** Tests when a leaving server may end. */
+public class TestConnectionDrain {
+
+    /** The clock. */
+    private final FakeClock clock = new FakeClock();
+
+    /** What is tested. */
+    private final ConnectionDrain drain = new ConnectionDrain(clock);
+
+    @Test
+    public void staysForConnectionsThatTheBalancerStillSends() {
+        drain.leave();
+        clock.advance(ConnectionDrain.NOTICE_MILLIS - 1);
+        assertFalse(drain.isQuiet());
+        clock.advance(1);
+        assertTrue(drain.isQuiet());
+    }
+
+    @Test
+    public void staysForAnOpenConnectionThatHasNotBeenTold() {
+        serve("one");
+        clock.advance(ConnectionDrain.OPEN_MILLIS - ConnectionDrain.NOTICE_MILLIS - 1);
+        drain.leave();
+        clock.advance(ConnectionDrain.NOTICE_MILLIS);
+        assertFalse(drain.isQuiet());
+        assertTrue(serve("one"));
+        assertFalse(drain.isQuiet());
+        clock.advance(ConnectionDrain.QUIET_MILLIS);
+        assertTrue(drain.isQuiet());
+    }
+
+    @Test
+    public void staysForARequestInProgress() {
+        drain.leave();
+        drain.begin("one");
+        clock.advance(ConnectionDrain.NOTICE_MILLIS);
+        assertFalse(drain.isQuiet());
+        drain.tell("one");
+        drain.end("one");
+        assertFalse(drain.isQuiet());
+        clock.advance(ConnectionDrain.QUIET_MILLIS);
+        assertTrue(drain.isQuiet());
+    }
+
+    @Test
+    public void forgetsAConnectionThatWasNotUsedForLong() {
+        serve("one");
+        drain.leave();
+        clock.advance(ConnectionDrain.OPEN_MILLIS);
+        assertTrue(drain.isQuiet());
+    }
+
+    private boolean serve(String connection) {
+        drain.begin(connection);
+        boolean told = drain.tell(connection);
+        drain.end(connection);
+        return told;
+    }
+}
