--- a/src/main/java/org/standlink/ErrorCode.java
+++ b/src/main/java/org/standlink/ErrorCode.java
@@ -46,6 +46,10 @@
     LOG_GAP(4),
     /** A file could not be read or written. */
     FILE(5),
+    /** A conditional write found another state than expected. */
+    CONDITION_FAILED(4),
+    /** A newer leader has written; this one may not write any more. */
+    EPOCH_FENCED(4),
     /** The platform did not take the call; it had no effect. */
     PLATFORM_UNAVAILABLE(5),
     /** A peer could not be reached; nothing was sent. */
--- /dev/null
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -0,0 +1,390 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.ScheduledFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
+import java.util.function.Supplier;
+import org.standlink.Epoch;
+import org.standlink.ErrorCode;
+import org.standlink.JobId;
+import org.standlink.StandlinkException;
+import org.standlink.job.JobDefinition;
+import org.standlink.job.JobState;
+import org.standlink.job.Manifest;
+import org.standlink.job.QueueDefinition;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.process.EventLog;
+import org.standlink.store.KeyedStore;
+import org.standlink.store.ReadResult;
+import org.standlink.store.Topic;
+import org.standlink.wire.AgentGrant;
+import org.standlink.wire.AgentReport;
+import org.standlink.wire.CancelJob;
+import org.standlink.wire.Connection;
+import org.standlink.wire.JobAnswer;
+import org.standlink.wire.JobQuery;
+import org.standlink.wire.Message;
+import org.standlink.wire.QueueQuery;
+import org.standlink.wire.SubmitJob;
+
+/**
+ * Leads a cell for one epoch: takes jobs, assigns their tasks and grants leases to agents.
+ *
+ * <p>It first raises the writer's epoch in the store, so that nothing of an older leader can be
+ * kept any more, and then reads the state, which is complete.
+ *
+ * <p>{@code CellLeader} is thread-safe: every call is handed to the loop.
+ */
+public final class CellLeader implements AutoCloseable {
+
+    /** The time between two looks at leases and at jobs that have become due, in milliseconds. */
+    private static final long TICK_MILLIS = 100;
+
+    /** The pause before a failed step of taking over is repeated, in milliseconds. */
+    private static final long PAUSE_MILLIS = 150;
+
+    /** The most runs of a task that may fail if the queue is no longer configured. */
+    private static final int OTHERWISE_ATTEMPTS = 1;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(CellLeader.class);
+
+    /** The epoch. */
+    private final Epoch epoch;
+
+    /** The store. */
+    private final KeyedStore store;
+
+    /** The lengths of time agreed on. */
+    private final CellTimes times;
+
+    /** The clock. */
+    private final MonotonicClock clock;
+
+    /** The time of day, in milliseconds since 1970. */
+    private final LongSupplier wallClock;
+
+    /** The configuration in force. */
+    private final Supplier<Manifest> manifest;
+
+    /** The loop. */
+    private final ScheduledExecutorService loop;
+
+    /** What is told when another process leads. */
+    private final Runnable whenDeposed;
+
+    /** The jobs. */
+    private final JobBoard board = new JobBoard();
+
+    /** The workers. */
+    private final WorkerBoard workers = new WorkerBoard();
+
+    /** Assigns tasks. */
+    private final Scheduler scheduler;
+
+    /** Keeps changes. */
+    private final CommitQueue commits;
+
+    /** Tells agents what to do. */
+    private final OrderDesk orders;
+
+    /** Handles reports of agents. */
+    private final ReportDesk reports;
+
+    /** Whether the state has been read. */
+    private boolean active;
+
+    /** Whether another process leads, or this one has stopped. */
+    private volatile boolean closed;
+
+    /** The timer of the loop. */
+    private ScheduledFuture<?> ticks;
+
+    /**
+     * Constructor.
+     *
+     * @param epoch the epoch
+     * @param store the store
+     * @param times the lengths of time agreed on
+     * @param clock the clock
+     * @param wallClock the time of day, in milliseconds since 1970
+     * @param manifest the configuration in force
+     * @param loop the loop, of one thread
+     * @param whenDeposed what is told when another process leads
+     */
+    public CellLeader(
+            Epoch epoch,
+            KeyedStore store,
+            CellTimes times,
+            MonotonicClock clock,
+            LongSupplier wallClock,
+            Supplier<Manifest> manifest,
+            ScheduledExecutorService loop,
+            Runnable whenDeposed) {
+        this.epoch = epoch;
+        this.store = store;
+        this.times = times;
+        this.clock = clock;
+        this.wallClock = wallClock;
+        this.manifest = manifest;
+        this.loop = loop;
+        this.whenDeposed = whenDeposed;
+        this.scheduler = new Scheduler(board, workers, new LeastAskedPlacement());
+        this.commits = new CommitQueue(store, epoch, board, clock, loop, loop, this::depose);
+        this.orders = new OrderDesk(epoch, board, workers, commits);
+        this.reports = new ReportDesk(board, workers, orders, this::mostAttempts, clock);
+    }
+
+    /** Begins to take over. */
+    public void start() {
+        LOG.info("taking-over").with("epoch", epoch).write();
+        loop.execute(this::fence);
+    }
+
+    /**
+     * Handles a message of another process.
+     *
+     * @param connection where it came from
+     * @param call the number to answer under
+     * @param message the message
+     */
+    public void handle(Connection connection, long call, Message message) {
+        loop.execute(() -> handleOnLoop(connection, call, message));
+    }
+
+    @Override
+    public void close() {
+        loop.execute(this::stop);
+    }
+
+    // -----------------------------------------------------------------------
+    private void stop() {
+        closed = true;
+        commits.close();
+        if (ticks != null) {
+            ticks.cancel(false);
+        }
+    }
+
+    private void depose() {
+        if (!closed) {
+            LOG.info("deposed").with("epoch", epoch).write();
+            stop();
+            whenDeposed.run();
+        }
+    }
+
+    private void fence() {
+        if (!closed) {
+            store.fence(Topic.CELL, epoch)
+                    .thenCompose(end -> store.readNewest(Topic.CELL))
+                    .whenCompleteAsync(this::load, loop);
+        }
+    }
+
+    private void load(ReadResult state, Throwable failure) {
+        if (closed) {
+            return;
+        }
+        if (failure != null) {
+            Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+            if (cause instanceof StandlinkException known
+                    && known.getCode() == ErrorCode.EPOCH_FENCED) {
+                depose();
+                return;
+            }
+            LOG.warning("take-over-failed").with("epoch", epoch).with("cause", cause).write();
+            loop.schedule(this::fence, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        long now = clock.nowMillis();
+        board.restore(state.records());
+        for (JobEntry job : board.getJobs()) {
+            noteFinal(job);
+            job.allTasks()
+                    .filter(task -> task.getWorker() != null)
+                    .forEach(task -> workers.place(task, now + times.waitAfterFenceMillis()));
+        }
+        active = true;
+        LOG.info("leading").with("epoch", epoch).with("jobs", board.getJobs().size()).write();
+        ticks = loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+    }
+
+    private void tick() {
+        try {
+            expire();
+            decide();
+        } catch (RuntimeException defect) {
+            LOG.error("defect-in-tick").with("cause", defect).write();
+        }
+    }
+
+    /** Releases what ran on workers whose lease has surely run out, and forgets old jobs. */
+    private void expire() {
+        long now = clock.nowMillis();
+        for (WorkerEntry worker : List.copyOf(workers.getWorkers())) {
+            if (now > worker.getMayRunUntil() + CellTimes.MARGIN_MILLIS) {
+                reports.releaseAll(worker, "lease-expired");
+                workers.remove(worker);
+            }
+        }
+        for (JobEntry job : List.copyOf(board.getJobs())) {
+            boolean old = job.getFinalAt() >= 0 && now - job.getFinalAt() > times.statusMillis();
+            if (old && job.allTasks().allMatch(task -> task.getWorker() == null)) {
+                board.remove(job);
+            }
+        }
+    }
+
+    /** Assigns what can be assigned, and keeps what has changed. */
+    private void decide() {
+        if (!commits.isStalled()) {
+            List<TaskEntry> assigned =
+                    scheduler.schedule(manifest.get(), clock.nowMillis(), wallClock.getAsLong());
+            assigned.forEach(task -> board.find(task.getName().job()).refresh(Integer.MAX_VALUE));
+            orders.startAfterCommit(assigned);
+        }
+        commits.pump();
+    }
+
+    // -----------------------------------------------------------------------
+    private void handleOnLoop(Connection connection, long call, Message message) {
+        if (closed) {
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, "no longer leading"));
+            return;
+        }
+        try {
+            if (message instanceof AgentReport report) {
+                report(connection, call, report);
+            } else if (!active) {
+                String reason = "the leader is reading its state";
+                connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, reason));
+                return;
+            } else if (message instanceof SubmitJob submit) {
+                submit(connection, call, submit.job());
+            } else if (message instanceof CancelJob cancel) {
+                cancel(connection, call, cancel);
+            } else if (message instanceof JobQuery query) {
+                connection.answer(call, stateOf(query.job(), query.queue()));
+            } else if (message instanceof QueueQuery query) {
+                connection.answer(call, waitingIn(query.queue()));
+            }
+            if (active) {
+                decide();
+            }
+        } catch (RuntimeException defect) {
+            LOG.error("defect-in-message").with("message", message).with("cause", defect).write();
+        }
+    }
+
+    private void report(Connection connection, long call, AgentReport report) {
+        if (report.epoch().compareTo(epoch) > 0) {
+            LOG.info("newer-leader-known").with("node", report.node()).write();
+            depose();
+            return;
+        }
+        long silent = commits.getSilentMillis();
+        if (!active) {
+            connection.answer(call, new AgentGrant(epoch, 0, silent));
+            return;
+        }
+        boolean entitled = silent < CellTimes.AUTHORITY_MILLIS;
+        long until = entitled ? clock.nowMillis() + times.leaseMillis() : 0;
+        reports.handle(connection, report, until);
+        for (JobEntry job : reports.takeTouched()) {
+            noteFinal(job);
+        }
+        connection.answer(call, new AgentGrant(epoch, entitled ? times.leaseMillis() : 0, silent));
+    }
+
+    private void noteFinal(JobEntry job) {
+        if (job.getState().isFinal() && job.getFinalAt() < 0) {
+            job.setFinalAt(clock.nowMillis());
+            orders.stopAfterCommit(job.allTasks().toList());
+        }
+    }
+
+    private int mostAttempts(JobEntry job) {
+        return manifest.get()
+                .findQueue(job.getDefinition().queue())
+                .map(QueueDefinition::mostAttempts)
+                .orElse(OTHERWISE_ATTEMPTS);
+    }
+
+    private void submit(Connection connection, long call, JobDefinition job) {
+        JobEntry known = board.find(job.id());
+        if (known == null && commits.isStalled()) {
+            String reason = "the store does not answer";
+            LOG.info("refused").with("job", job.id()).with("reason", reason).write();
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, reason));
+            return;
+        }
+        JobEntry entry = known == null ? board.add(job) : known;
+        long start = clock.nowMillis();
+        commits.afterCommit(
+                () -> {
+                    LOG.info("accepted")
+                            .with("job", job.id())
+                            .with("queue", job.queue())
+                            .with("again", known != null)
+                            .with("kept-after-millis", clock.nowMillis() - start)
+                            .write();
+                    connection.answer(call, JobAnswer.ofDone(entry.getState()));
+                });
+    }
+
+    private void cancel(Connection connection, long call, CancelJob cancel) {
+        JobEntry job = findIn(cancel.job(), cancel.queue());
+        if (job == null) {
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, ""));
+            return;
+        }
+        if (!job.getState().isFinal()) {
+            job.cancel();
+            board.markChanged(job);
+            LOG.info("cancelled").with("job", job.getId()).write();
+            noteFinal(job);
+        }
+        commits.afterCommit(() -> connection.answer(call, JobAnswer.ofDone(job.getState())));
+    }
+
+    private JobEntry findIn(JobId id, String queue) {
+        JobEntry job = board.find(id);
+        return job != null && job.getDefinition().queue().equals(queue) ? job : null;
+    }
+
+    /** Tells a job's state; one that is not kept yet counts as it was before. */
+    private JobAnswer stateOf(JobId id, String queue) {
+        JobEntry job = findIn(id, queue);
+        return job == null
+                ? JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, "")
+                : JobAnswer.ofDone(job.getState());
+    }
+
+    private JobAnswer waitingIn(String queue) {
+        long waiting =
+                board.getJobs().stream()
+                        .filter(job -> job.getDefinition().queue().equals(queue))
+                        .filter(job -> job.getState() == JobState.QUEUED)
+                        .count();
+        return new JobAnswer(JobAnswer.Result.DONE, null, waiting, "");
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -0,0 +1,241 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import org.standlink.Epoch;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.process.EventLog;
+import org.standlink.store.KeyedRecord;
+import org.standlink.store.KeyedStore;
+import org.standlink.store.Topic;
+import org.standlink.store.Writer;
+
+/**
+ * Keeps the changes of a leader in the store, in order, one append at a time, and lets what depends
+ * on them happen only then.
+ *
+ * <p>An append without an answer is repeated under the same number until the store has taken it or
+ * says that a newer leader has written.
+ *
+ * <p>{@code CommitQueue} is not thread-safe; the leader's loop owns it.
+ */
+final class CommitQueue {
+
+    /**
+     * The most time between two appends, in milliseconds: four of them fit in the silence after
+     * which a leader is replaced.
+     */
+    static final long HEARTBEAT_MILLIS = 500;
+
+    /** How long an append may take before new work is refused, in milliseconds. */
+    static final long STALLED_MILLIS = 700;
+
+    /** The pause before an append is repeated, in milliseconds. */
+    private static final long PAUSE_MILLIS = 100;
+
+    /** The key of the record that only says that the leader lives. */
+    private static final String HEARTBEAT_KEY = "heartbeat";
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(CommitQueue.class);
+
+    /** The store. */
+    private final KeyedStore store;
+
+    /** The epoch of the leader. */
+    private final Epoch epoch;
+
+    /** The jobs. */
+    private final JobBoard board;
+
+    /** The clock. */
+    private final MonotonicClock clock;
+
+    /** The leader's loop. */
+    private final Executor loop;
+
+    /** The timers. */
+    private final ScheduledExecutorService timers;
+
+    /** What is told when a newer leader has written. */
+    private final Runnable whenFenced;
+
+    /** What happens after the next append. */
+    private List<Runnable> waiting = new ArrayList<>();
+
+    /** The number of the last append. */
+    private long sequence;
+
+    /** When the append under way was begun; negative if there is none. */
+    private long begunAt = -1;
+
+    /** When the last append that was taken had been sent. */
+    private long takenAt;
+
+    /** Whether the last append failed. */
+    private boolean failing;
+
+    /** Whether this queue is closed. */
+    private boolean closed;
+
+    /**
+     * Constructor.
+     *
+     * @param store the store
+     * @param epoch the epoch of the leader
+     * @param board the jobs
+     * @param clock the clock
+     * @param loop the leader's loop
+     * @param timers the timers
+     * @param whenFenced what is told when a newer leader has written
+     */
+    CommitQueue(
+            KeyedStore store,
+            Epoch epoch,
+            JobBoard board,
+            MonotonicClock clock,
+            Executor loop,
+            ScheduledExecutorService timers,
+            Runnable whenFenced) {
+        this.store = store;
+        this.epoch = epoch;
+        this.board = board;
+        this.clock = clock;
+        this.loop = loop;
+        this.timers = timers;
+        this.whenFenced = whenFenced;
+        this.takenAt = clock.nowMillis();
+    }
+
+    /**
+     * Lets something happen once all changes so far have been kept.
+     *
+     * @param effect what happens
+     */
+    void afterCommit(Runnable effect) {
+        waiting.add(effect);
+    }
+
+    /** Begins an append if there is something to keep and none is under way. */
+    void pump() {
+        if (closed || begunAt >= 0) {
+            return;
+        }
+        boolean beat = clock.nowMillis() - takenAt >= HEARTBEAT_MILLIS;
+        if (!board.hasChanges() && !beat) {
+            runEffects(takeWaiting());
+            return;
+        }
+        List<KeyedRecord> records = board.takeChanges();
+        if (records.isEmpty()) {
+            records = List.of(new KeyedRecord(HEARTBEAT_KEY, new byte[] {1}));
+        }
+        sequence++;
+        begunAt = clock.nowMillis();
+        append(records, takeWaiting());
+    }
+
+    /**
+     * Gets how long ago the store took an append.
+     *
+     * @return the time since it was sent, in milliseconds
+     */
+    long getSilentMillis() {
+        return clock.nowMillis() - takenAt;
+    }
+
+    /**
+     * Checks whether the store does not take appends at the moment.
+     *
+     * @return true if the append under way takes too long
+     */
+    boolean isStalled() {
+        return begunAt >= 0 && clock.nowMillis() - begunAt > STALLED_MILLIS;
+    }
+
+    /** Ends this queue; effects that wait never happen. */
+    void close() {
+        closed = true;
+    }
+
+    // -----------------------------------------------------------------------
+    private List<Runnable> takeWaiting() {
+        List<Runnable> taken = waiting;
+        waiting = new ArrayList<>();
+        return taken;
+    }
+
+    private void append(List<KeyedRecord> records, List<Runnable> effects) {
+        if (closed) {
+            return;
+        }
+        long sentAt = clock.nowMillis();
+        store.append(Topic.CELL, records, new Writer(epoch, sequence))
+                .whenCompleteAsync(
+                        (end, failure) -> {
+                            if (failure == null) {
+                                taken(sentAt, effects);
+                            } else {
+                                failed(failure, records, effects);
+                            }
+                        },
+                        loop);
+    }
+
+    private void taken(long sentAt, List<Runnable> effects) {
+        if (failing) {
+            failing = false;
+            LOG.info("store-regained").with("after", clock.nowMillis() - takenAt).write();
+        }
+        takenAt = sentAt;
+        begunAt = -1;
+        runEffects(effects);
+        pump();
+    }
+
+    private void runEffects(List<Runnable> effects) {
+        if (!closed) {
+            effects.forEach(Runnable::run);
+        }
+    }
+
+    private void failed(Throwable failure, List<KeyedRecord> records, List<Runnable> effects) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        ErrorCode code = cause instanceof StandlinkException known ? known.getCode() : null;
+        if (code == ErrorCode.EPOCH_FENCED || code == ErrorCode.INTERNAL) {
+            LOG.info("append-refused").with("epoch", epoch).with("cause", cause).write();
+            close();
+            whenFenced.run();
+            return;
+        }
+        if (!failing) {
+            failing = true;
+            LOG.warning("store-lost").with("sequence", sequence).with("cause", cause).write();
+        }
+        timers.schedule(
+                () -> loop.execute(() -> append(records, effects)),
+                PAUSE_MILLIS,
+                TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/JobBoard.java
@@ -0,0 +1,202 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import org.standlink.JobId;
+import org.standlink.job.JobDefinition;
+import org.standlink.job.TaskName;
+import org.standlink.store.KeyedRecord;
+import org.standlink.store.Packing;
+
+/**
+ * All jobs of a cell, and which of them have changed since they were kept last.
+ *
+ * <p>{@code JobBoard} is mutable and not thread-safe; the leader's loop owns it.
+ */
+final class JobBoard {
+
+    /** The start of the keys of definitions. */
+    private static final String DEFINITION_KEY = "d/";
+
+    /** The start of the keys of states. */
+    private static final String STATE_KEY = "s/";
+
+    /** The jobs by identifier, in the order of acceptance. */
+    private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
+
+    /** Jobs whose definition is to be kept. */
+    private final Set<JobId> added = new HashSet<>();
+
+    /** Jobs whose state is to be kept. */
+    private final Set<JobId> changed = new HashSet<>();
+
+    /** Jobs whose records are to be removed. */
+    private final Set<JobId> removed = new HashSet<>();
+
+    /** The place of the next job. */
+    private long nextOrder = 1;
+
+    // -----------------------------------------------------------------------
+    /**
+     * Takes over what was kept.
+     *
+     * @param records the records, in any order; a later one of the same key counts
+     */
+    void restore(List<KeyedRecord> records) {
+        Map<JobId, JobDefinition> definitions = new LinkedHashMap<>();
+        Map<JobId, JobRecord> states = new LinkedHashMap<>();
+        for (KeyedRecord record : records) {
+            if (record.key().startsWith(DEFINITION_KEY)) {
+                collect(record, DEFINITION_KEY, JobDefinition.class, definitions);
+            } else if (record.key().startsWith(STATE_KEY)) {
+                collect(record, STATE_KEY, JobRecord.class, states);
+            }
+        }
+        definitions.entrySet().stream()
+                .filter(entry -> states.containsKey(entry.getKey()))
+                .sorted((a, b) -> Long.compare(order(states, a), order(states, b)))
+                .forEach(entry -> restore(entry.getValue(), states.get(entry.getKey())));
+    }
+
+    private static long order(
+            Map<JobId, JobRecord> states, Map.Entry<JobId, JobDefinition> definition) {
+        return states.get(definition.getKey()).order();
+    }
+
+    private static <T> void collect(
+            KeyedRecord record, String prefix, Class<T> type, Map<JobId, T> found) {
+        JobId id = JobId.parse(record.key().substring(prefix.length()));
+        if (record.value().length == 0) {
+            found.remove(id);
+        } else {
+            found.put(id, Packing.unpack(record.value(), type));
+        }
+    }
+
+    private void restore(JobDefinition definition, JobRecord record) {
+        JobEntry entry = new JobEntry(definition, record.order());
+        entry.restore(record);
+        jobs.put(entry.getId(), entry);
+        nextOrder = Math.max(nextOrder, record.order() + 1);
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Adds a job.
+     *
+     * @param definition the job
+     * @return its entry
+     */
+    JobEntry add(JobDefinition definition) {
+        JobEntry entry = new JobEntry(definition, nextOrder++);
+        jobs.put(entry.getId(), entry);
+        added.add(entry.getId());
+        changed.add(entry.getId());
+        return entry;
+    }
+
+    /**
+     * Takes note that a job has changed.
+     *
+     * @param job the job
+     */
+    void markChanged(JobEntry job) {
+        changed.add(job.getId());
+    }
+
+    /**
+     * Removes a job.
+     *
+     * @param job the job
+     */
+    void remove(JobEntry job) {
+        jobs.remove(job.getId());
+        added.remove(job.getId());
+        changed.remove(job.getId());
+        removed.add(job.getId());
+    }
+
+    /**
+     * Finds a job.
+     *
+     * @param id the identifier
+     * @return the job, null if there is none
+     */
+    JobEntry find(JobId id) {
+        return jobs.get(id);
+    }
+
+    /**
+     * Finds a task.
+     *
+     * @param name the name
+     * @return the task, null if there is none
+     */
+    TaskEntry findTask(TaskName name) {
+        JobEntry job = jobs.get(name.job());
+        return job == null ? null : job.findTask(name);
+    }
+
+    /**
+     * Lists the jobs.
+     *
+     * @return the jobs, in the order of acceptance
+     */
+    Collection<JobEntry> getJobs() {
+        return jobs.values();
+    }
+
+    /**
+     * Checks whether anything is to be kept.
+     *
+     * @return true if so
+     */
+    boolean hasChanges() {
+        return !changed.isEmpty() || !removed.isEmpty();
+    }
+
+    /**
+     * Takes the records of all that has changed.
+     *
+     * @return the records
+     */
+    List<KeyedRecord> takeChanges() {
+        List<KeyedRecord> records = new ArrayList<>();
+        for (JobId id : added) {
+            byte[] value = Packing.pack(jobs.get(id).getDefinition());
+            records.add(new KeyedRecord(DEFINITION_KEY + id, value));
+        }
+        for (JobId id : changed) {
+            byte[] value = Packing.pack(jobs.get(id).toRecord());
+            records.add(new KeyedRecord(STATE_KEY + id, value));
+        }
+        for (JobId id : removed) {
+            records.add(new KeyedRecord(DEFINITION_KEY + id, new byte[0]));
+            records.add(new KeyedRecord(STATE_KEY + id, new byte[0]));
+        }
+        added.clear();
+        changed.clear();
+        removed.clear();
+        return records;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/JobEntry.java
@@ -0,0 +1,249 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.Stream;
+import org.standlink.JobId;
+import org.standlink.job.JobDefinition;
+import org.standlink.job.JobState;
+import org.standlink.job.StepDefinition;
+import org.standlink.job.TaskName;
+
+/**
+ * The state of one job.
+ *
+ * <p>{@code JobEntry} is mutable and not thread-safe; the leader's loop owns it.
+ */
+final class JobEntry {
+
+    /** The definition. */
+    private final JobDefinition definition;
+
+    /** The place in the order of acceptance. */
+    private final long order;
+
+    /** The tasks of each repetition and step. */
+    private final List<List<List<TaskEntry>>> tasks = new ArrayList<>();
+
+    /** The state. */
+    private JobState state = JobState.QUEUED;
+
+    /** When the job became final, on the leader's clock; negative before. */
+    private long finalAt = -1;
+
+    /**
+     * Constructor.
+     *
+     * @param definition the definition
+     * @param order the place in the order of acceptance
+     */
+    JobEntry(JobDefinition definition, long order) {
+        this.definition = definition;
+        this.order = order;
+        for (int repetition = 0; repetition < definition.times(); repetition++) {
+            List<List<TaskEntry>> steps = new ArrayList<>();
+            for (int step = 0; step < definition.steps().size(); step++) {
+                steps.add(newTasks(repetition, step));
+            }
+            tasks.add(steps);
+        }
+    }
+
+    private List<TaskEntry> newTasks(int repetition, int step) {
+        StepDefinition of = definition.steps().get(step);
+        List<TaskEntry> made = new ArrayList<>();
+        for (int index = 0; index < of.count(); index++) {
+            made.add(new TaskEntry(new TaskName(definition.id(), repetition, step, index), of));
+        }
+        return made;
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Takes over what was kept.
+     *
+     * @param record the record
+     */
+    void restore(JobRecord record) {
+        state = record.state();
+        List<TaskEntry> all = allTasks().toList();
+        for (int i = 0; i < Math.min(all.size(), record.tasks().size()); i++) {
+            all.get(i).restore(record.tasks().get(i));
+        }
+    }
+
+    /**
+     * Makes the record to be kept.
+     *
+     * @return the record
+     */
+    JobRecord toRecord() {
+        return new JobRecord(order, state, allTasks().map(TaskEntry::toRecord).toList());
+    }
+
+    /**
+     * Works out the state from the tasks; a final state stays.
+     *
+     * @param mostAttempts how many runs of a task may fail
+     */
+    void refresh(int mostAttempts) {
+        if (state.isFinal()) {
+            return;
+        }
+        boolean spent =
+                allTasks()
+                        .anyMatch(
+                                task ->
+                                        !task.isDone()
+                                                && !task.getStep().perpetual()
+                                                && task.getFailures() >= mostAttempts);
+        if (spent) {
+            state = JobState.FAILED;
+        } else if (allTasks().allMatch(TaskEntry::isDone)) {
+            state = JobState.COMPLETED;
+        } else if (allTasks().anyMatch(TaskEntry::hasBegun)) {
+            state = JobState.RUNNING;
+        }
+    }
+
+    /** Cancels the job, unless it is final. */
+    void cancel() {
+        if (!state.isFinal()) {
+            state = JobState.CANCELLED;
+        }
+    }
+
+    /**
+     * Lists the tasks whose turn has come and that run nowhere.
+     *
+     * @param wallMillis the time of day, in milliseconds since 1970
+     * @return the tasks
+     */
+    List<TaskEntry> readyTasks(long wallMillis) {
+        List<TaskEntry> ready = new ArrayList<>();
+        if (state.isFinal()) {
+            return ready;
+        }
+        for (int repetition = 0; repetition < tasks.size(); repetition++) {
+            if (definition.isTimed() && wallMillis < dueMillis(repetition)) {
+                break;
+            }
+            addReady(tasks.get(repetition), ready);
+        }
+        return ready;
+    }
+
+    private long dueMillis(int repetition) {
+        return definition.firstStartMillis() + repetition * definition.intervalMillis();
+    }
+
+    private void addReady(List<List<TaskEntry>> steps, List<TaskEntry> ready) {
+        for (int step = 0; step < steps.size(); step++) {
+            boolean turn =
+                    definition.steps().get(step).after().stream()
+                            .allMatch(earlier -> isDone(steps.get(earlier)));
+            if (turn) {
+                steps.get(step).stream()
+                        .filter(task -> !task.isDone() && task.getWorker() == null)
+                        .forEach(ready::add);
+            }
+        }
+    }
+
+    private static boolean isDone(List<TaskEntry> step) {
+        return step.stream().allMatch(TaskEntry::isDone);
+    }
+
+    /**
+     * Finds a task.
+     *
+     * @param name the name
+     * @return the task, null if the job has none of that name
+     */
+    TaskEntry findTask(TaskName name) {
+        boolean there =
+                name.repetition() < tasks.size()
+                        && name.step() < definition.steps().size()
+                        && name.index() < definition.steps().get(name.step()).count();
+        return there ? tasks.get(name.repetition()).get(name.step()).get(name.index()) : null;
+    }
+
+    /**
+     * Lists all tasks, in the order of repetition, step and index.
+     *
+     * @return the tasks
+     */
+    Stream<TaskEntry> allTasks() {
+        return tasks.stream().flatMap(List::stream).flatMap(List::stream);
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Gets the identifier.
+     *
+     * @return the identifier
+     */
+    JobId getId() {
+        return definition.id();
+    }
+
+    /**
+     * Gets the definition.
+     *
+     * @return the definition
+     */
+    JobDefinition getDefinition() {
+        return definition;
+    }
+
+    /**
+     * Gets the place in the order of acceptance.
+     *
+     * @return the place
+     */
+    long getOrder() {
+        return order;
+    }
+
+    /**
+     * Gets the state.
+     *
+     * @return the state
+     */
+    JobState getState() {
+        return state;
+    }
+
+    /**
+     * Gets when the job became final.
+     *
+     * @return the time on the leader's clock, negative before
+     */
+    long getFinalAt() {
+        return finalAt;
+    }
+
+    /**
+     * Sets when the job became final.
+     *
+     * @param millis the time on the leader's clock
+     */
+    void setFinalAt(long millis) {
+        finalAt = millis;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/JobRecord.java
@@ -0,0 +1,34 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+import org.standlink.job.JobState;
+
+/**
+ * What is kept of a job beside its definition.
+ *
+ * <p>It is written as an array, so new parts may only be added at its end.
+ *
+ * <p>{@code JobRecord} is thread-safe and immutable.
+ *
+ * @param order the place in the order of acceptance
+ * @param state the state
+ * @param tasks the tasks, in the order of repetition, step and index
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+record JobRecord(long order, JobState state, List<TaskRecord> tasks) {}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/LeaderSeat.java
@@ -0,0 +1,190 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.atomic.AtomicReference;
+import org.standlink.Incarnation;
+import org.standlink.election.Claim;
+import org.standlink.election.LeaderLink;
+import org.standlink.job.Manifest;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.process.EventLog;
+import org.standlink.store.KeyedStore;
+import org.standlink.store.Topic;
+import org.standlink.wire.Connection;
+import org.standlink.wire.Hello;
+import org.standlink.wire.LeaderNotice;
+import org.standlink.wire.Message;
+
+/**
+ * The place of the leader in a process that may lead: takes it when a claim of this process is the
+ * newest, leaves it when another one's is.
+ *
+ * <p>{@code LeaderSeat} is thread-safe.
+ */
+public final class LeaderSeat {
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(LeaderSeat.class);
+
+    /** The store. */
+    private final KeyedStore store;
+
+    /** The lengths of time agreed on. */
+    private final CellTimes times;
+
+    /** The clock. */
+    private final MonotonicClock clock;
+
+    /** The loop. */
+    private final ScheduledExecutorService loop;
+
+    /** The run of this process. */
+    private final Incarnation self;
+
+    /** The leader, as this process knows it. */
+    private final LeaderLink link;
+
+    /** The configuration in force. */
+    private final AtomicReference<Manifest> manifest = new AtomicReference<>(Manifest.NONE);
+
+    /** The newest claim; guarded by this. */
+    private Claim newest = Claim.NONE;
+
+    /** The leader in this process, null if it does not lead; guarded by this. */
+    private CellLeader leader;
+
+    /**
+     * Constructor.
+     *
+     * @param store the store
+     * @param times the lengths of time agreed on
+     * @param clock the clock
+     * @param loop the loop, of one thread
+     * @param self the run of this process
+     * @param link the leader, as this process knows it
+     */
+    public LeaderSeat(
+            KeyedStore store,
+            CellTimes times,
+            MonotonicClock clock,
+            ScheduledExecutorService loop,
+            Incarnation self,
+            LeaderLink link) {
+        this.store = store;
+        this.times = times;
+        this.clock = clock;
+        this.loop = loop;
+        this.self = self;
+        this.link = link;
+    }
+
+    /**
+     * Takes note of a configuration; an older one than the one in force is passed over.
+     *
+     * @param offered the configuration
+     */
+    public void offer(Manifest offered) {
+        manifest.updateAndGet(present -> offered.version() > present.version() ? offered : present);
+    }
+
+    /**
+     * Takes note of a claim that was read; an older one than the newest is passed over.
+     *
+     * @param claim the claim
+     */
+    public synchronized void claimed(Claim claim) {
+        if (claim.epoch().compareTo(newest.epoch()) < 0 || claim.equals(newest)) {
+            return;
+        }
+        newest = claim;
+        LOG.info("claim-read")
+                .with("epoch", claim.epoch())
+                .with("address", claim.address())
+                .with("mine", claim.holder().equals(self))
+                .write();
+        leave();
+        if (!claim.isHeld()) {
+            link.resigned(claim.epoch());
+            return;
+        }
+        if (claim.holder().equals(self)) {
+            leader =
+                    new CellLeader(
+                            claim.epoch(),
+                            store,
+                            times,
+                            clock,
+                            System::currentTimeMillis,
+                            manifest::get,
+                            loop,
+                            this::leave);
+            leader.start();
+        }
+        link.offer(new LeaderNotice(claim.epoch(), claim.address()), "store");
+    }
+
+    /**
+     * Handles a message for the leader; a process that does not lead says who does.
+     *
+     * @param connection where it came from
+     * @param call the number to answer under
+     * @param message the message
+     */
+    public void handle(Connection connection, long call, Message message) {
+        CellLeader present;
+        synchronized (this) {
+            present = leader;
+        }
+        if (message instanceof Hello) {
+            return;
+        }
+        if (message instanceof LeaderNotice notice) {
+            link.offer(notice, "announcement");
+        } else if (present == null) {
+            connection.answer(call, link.getLeader());
+        } else {
+            present.handle(connection, call, message);
+        }
+    }
+
+    /**
+     * Leaves the place in order, so that another process takes it at once.
+     *
+     * @param timeoutMillis how long it may take, in milliseconds
+     * @return done when the store has taken it; done at once if this process does not lead
+     */
+    public synchronized CompletableFuture<Long> resign(long timeoutMillis) {
+        if (leader == null) {
+            return CompletableFuture.completedFuture(0L);
+        }
+        leave();
+        Claim vacant = new Claim(newest.epoch(), "", self);
+        LOG.info("resigning").with("epoch", newest.epoch()).write();
+        return store.readEnd(Topic.CLAIMS)
+                .thenCompose(end -> store.appendAt(Topic.CLAIMS, List.of(vacant.toRecord()), end));
+    }
+
+    private synchronized void leave() {
+        if (leader != null) {
+            leader.close();
+            leader = null;
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/OrderDesk.java
@@ -0,0 +1,175 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.standlink.Epoch;
+import org.standlink.StandlinkException;
+import org.standlink.job.RunId;
+import org.standlink.job.StepDefinition;
+import org.standlink.job.WorkerId;
+import org.standlink.process.EventLog;
+import org.standlink.wire.RunOrders;
+import org.standlink.wire.StartOrder;
+
+/**
+ * Tells agents which runs to start and to stop, once the decision has been kept.
+ *
+ * <p>What an agent did not hear it is told again when it has connected anew.
+ *
+ * <p>{@code OrderDesk} is not thread-safe; the leader's loop owns it.
+ */
+final class OrderDesk {
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(OrderDesk.class);
+
+    /** The epoch. */
+    private final Epoch epoch;
+
+    /** The jobs. */
+    private final JobBoard board;
+
+    /** The workers. */
+    private final WorkerBoard workers;
+
+    /** Keeps decisions. */
+    private final CommitQueue commits;
+
+    /**
+     * Constructor.
+     *
+     * @param epoch the epoch
+     * @param board the jobs
+     * @param workers the workers
+     * @param commits keeps decisions
+     */
+    OrderDesk(Epoch epoch, JobBoard board, WorkerBoard workers, CommitQueue commits) {
+        this.epoch = epoch;
+        this.board = board;
+        this.workers = workers;
+        this.commits = commits;
+    }
+
+    /**
+     * Has runs started once all changes so far have been kept.
+     *
+     * @param tasks the tasks whose last run is to be started
+     */
+    void startAfterCommit(List<TaskEntry> tasks) {
+        Map<WorkerId, List<TaskEntry>> byWorker = new LinkedHashMap<>();
+        for (TaskEntry task : tasks) {
+            byWorker.computeIfAbsent(task.getWorker(), key -> new ArrayList<>()).add(task);
+        }
+        byWorker.forEach(
+                (id, list) -> {
+                    List<StartOrder> starts = list.stream().map(this::startOrder).toList();
+                    commits.afterCommit(() -> send(id, starts, List.of()));
+                });
+    }
+
+    /**
+     * Has runs stopped once all changes so far have been kept.
+     *
+     * @param tasks the tasks; those that run nowhere are passed over
+     */
+    void stopAfterCommit(List<TaskEntry> tasks) {
+        Map<WorkerId, List<RunId>> byWorker = new LinkedHashMap<>();
+        for (TaskEntry task : tasks) {
+            if (task.getWorker() != null) {
+                byWorker.computeIfAbsent(task.getWorker(), key -> new ArrayList<>())
+                        .add(task.getRun());
+            }
+        }
+        byWorker.forEach((id, runs) -> commits.afterCommit(() -> send(id, List.of(), runs)));
+    }
+
+    /**
+     * Stops runs that should not be there.
+     *
+     * @param id the worker
+     * @param runs the runs
+     */
+    void stopStray(WorkerId id, List<RunId> runs) {
+        if (!runs.isEmpty()) {
+            LOG.info("stray-runs").with("worker", id).with("runs", runs).write();
+            commits.afterCommit(() -> send(id, List.of(), runs));
+        }
+    }
+
+    /**
+     * Tells a worker's agent which ends have been recorded, once they have.
+     *
+     * @param id the worker
+     */
+    void recordedAfterCommit(WorkerId id) {
+        commits.afterCommit(() -> send(id, List.of(), List.of()));
+    }
+
+    /**
+     * Tells an agent that has connected anew all that should run on a worker.
+     *
+     * @param worker the worker
+     * @param present the runs that are there already
+     */
+    void syncAfterCommit(WorkerEntry worker, List<RunId> present) {
+        List<StartOrder> starts = new ArrayList<>();
+        List<RunId> stops = new ArrayList<>();
+        for (TaskEntry task : worker.listTasks()) {
+            boolean wanted =
+                    !task.isDone() && !board.find(task.getName().job()).getState().isFinal();
+            if (!wanted) {
+                stops.add(task.getRun());
+            } else {
+                starts.add(startOrder(task));
+            }
+        }
+        LOG.info("agent-synced")
+                .with("worker", worker.getId())
+                .with("present", present.size())
+                .with("starts", starts.size())
+                .with("stops", stops.size())
+                .write();
+        commits.afterCommit(() -> send(worker.getId(), starts, stops));
+    }
+
+    // -----------------------------------------------------------------------
+    private StartOrder startOrder(TaskEntry task) {
+        StepDefinition step = task.getStep();
+        return new StartOrder(
+                task.getRun(),
+                board.find(task.getName().job()).getDefinition().specification(),
+                task.getCheckpoint(),
+                step.filling(),
+                step.targetMillis());
+    }
+
+    private void send(WorkerId id, List<StartOrder> starts, List<RunId> stops) {
+        WorkerEntry worker = workers.find(id);
+        if (worker == null || worker.getConnection() == null) {
+            return;
+        }
+        try {
+            worker.getConnection()
+                    .send(new RunOrders(epoch, id, starts, stops, worker.getHandledEnd()));
+        } catch (StandlinkException lost) {
+            LOG.info("orders-not-sent").with("worker", id).with("cause", lost).write();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/Placement.java
@@ -0,0 +1,55 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.Collection;
+import org.standlink.job.StepDefinition;
+
+/**
+ * Chooses the worker for a task's next run.
+ *
+ * <p>Implementations are immutable and decide from their arguments only.
+ */
+@FunctionalInterface
+interface Placement {
+
+    /**
+     * Chooses a worker.
+     *
+     * @param task the task
+     * @param workers the workers that may be used
+     * @return the worker, null if the task has to wait
+     */
+    WorkerEntry choose(TaskEntry task, Collection<WorkerEntry> workers);
+
+    /**
+     * Checks what holds for every placement: room, label and the most tasks of the step.
+     *
+     * @param task the task
+     * @param worker the worker
+     * @return true if the task may run there
+     */
+    static boolean isAllowed(TaskEntry task, WorkerEntry worker) {
+        StepDefinition step = task.getStep();
+        boolean labelled =
+                step.requiredLabel().isEmpty()
+                        || worker.getDescription().labels().contains(step.requiredLabel());
+        return labelled
+                && step.room().fitsIn(worker.free())
+                && (step.mostPerWorker() == 0
+                        || worker.countOf(task.getName()) < step.mostPerWorker());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -0,0 +1,251 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.function.ToIntFunction;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
+import org.standlink.job.RunProgress;
+import org.standlink.job.WorkerId;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.process.EventLog;
+import org.standlink.wire.AgentReport;
+import org.standlink.wire.Connection;
+import org.standlink.wire.StartRefusal;
+import org.standlink.wire.WorkerReport;
+
+/**
+ * Handles what agents report of their workers.
+ *
+ * <p>{@code ReportDesk} is not thread-safe; the leader's loop owns it.
+ */
+final class ReportDesk {
+
+    /** For how long a worker that says it is unwell gets nothing new, in milliseconds. */
+    private static final long UNWELL_MILLIS = 1500;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(ReportDesk.class);
+
+    /** The jobs. */
+    private final JobBoard board;
+
+    /** The workers. */
+    private final WorkerBoard workers;
+
+    /** Tells agents what to do. */
+    private final OrderDesk orders;
+
+    /** Tells how many runs of a job's task may fail. */
+    private final ToIntFunction<JobEntry> mostAttempts;
+
+    /** The clock. */
+    private final MonotonicClock clock;
+
+    /** The jobs that have changed since they were taken last. */
+    private Set<JobEntry> touched = new LinkedHashSet<>();
+
+    /**
+     * Constructor.
+     *
+     * @param board the jobs
+     * @param workers the workers
+     * @param orders tells agents what to do
+     * @param mostAttempts tells how many runs of a job's task may fail
+     * @param clock the clock
+     */
+    ReportDesk(
+            JobBoard board,
+            WorkerBoard workers,
+            OrderDesk orders,
+            ToIntFunction<JobEntry> mostAttempts,
+            MonotonicClock clock) {
+        this.board = board;
+        this.workers = workers;
+        this.orders = orders;
+        this.mostAttempts = mostAttempts;
+        this.clock = clock;
+    }
+
+    /**
+     * Handles a report.
+     *
+     * @param connection where it came from
+     * @param report the report
+     * @param leaseUntil until when the agent is granted a lease, on the leader's clock; 0 for none
+     */
+    void handle(Connection connection, AgentReport report, long leaseUntil) {
+        for (WorkerReport part : report.workers()) {
+            WorkerEntry worker = workers.get(part.worker().id(), leaseUntil);
+            worker.prolong(leaseUntil);
+            worker.heard(part.worker(), connection, part.reachable(), clock.nowMillis());
+            handleWorker(worker, part, report);
+        }
+        for (WorkerId dead : report.dead()) {
+            WorkerEntry worker = workers.find(dead);
+            if (worker != null) {
+                releaseAll(worker, "worker-replaced");
+                workers.remove(worker);
+            }
+        }
+    }
+
+    /**
+     * Takes the jobs that have changed since this was called last.
+     *
+     * @return the jobs
+     */
+    Set<JobEntry> takeTouched() {
+        Set<JobEntry> taken = touched;
+        touched = new LinkedHashSet<>();
+        return taken;
+    }
+
+    /**
+     * Takes note that all runs of a worker are over.
+     *
+     * @param worker the worker
+     * @param reason why, for the log
+     */
+    void releaseAll(WorkerEntry worker, String reason) {
+        for (TaskEntry task : List.copyOf(worker.listTasks())) {
+            release(task, worker.getId(), reason);
+        }
+    }
+
+    // -----------------------------------------------------------------------
+    private void handleWorker(WorkerEntry worker, WorkerReport part, AgentReport report) {
+        if (part.lapsed()) {
+            releaseAll(worker, "hold-lapsed");
+        }
+        part.running().forEach(this::saveProgress);
+        handleEnds(worker, part.ended());
+        for (StartRefusal refusal : part.refused()) {
+            refused(worker, refusal);
+        }
+        for (RunId run : part.gone()) {
+            releaseRun(worker, run, "stopped-before-start");
+        }
+        if (part.known()) {
+            compare(worker, part, report);
+        }
+    }
+
+    private void saveProgress(RunProgress progress) {
+        TaskEntry task = board.findTask(progress.run().task());
+        if (task != null && task.getRun().equals(progress.run())) {
+            task.save(progress.checkpoint());
+        }
+    }
+
+    private void handleEnds(WorkerEntry worker, List<RunEnd> ends) {
+        long before = worker.getHandledEnd();
+        for (RunEnd end : ends) {
+            if (end.number() > worker.getHandledEnd()) {
+                worker.setHandledEnd(end.number());
+                handleEnd(worker, end);
+            }
+        }
+        if (!ends.isEmpty() || worker.getHandledEnd() > before) {
+            orders.recordedAfterCommit(worker.getId());
+        }
+    }
+
+    private void handleEnd(WorkerEntry worker, RunEnd end) {
+        TaskEntry task = board.findTask(end.run().task());
+        LOG.info("ended")
+                .with("run", end.run())
+                .with("worker", worker.getId())
+                .with("how", end.kind())
+                .with("number", end.number())
+                .with("known", task != null)
+                .write();
+        if (task == null) {
+            return;
+        }
+        if (end.kind() == RunEndKind.DONE || end.kind() == RunEndKind.FAILED) {
+            workers.judge(worker, end.kind() == RunEndKind.DONE, clock.nowMillis());
+        }
+        WorkerId place = task.getWorker();
+        if (!task.end(worker.getId(), end)) {
+            return;
+        }
+        if (place != null && task.getWorker() == null) {
+            workers.vacate(task, place);
+        } else if (task.isDone() && place != null) {
+            // Another run of a task that is done by now has nothing left to do.
+            orders.stopAfterCommit(List.of(task));
+        }
+        touch(task);
+    }
+
+    private void refused(WorkerEntry worker, StartRefusal refusal) {
+        if (refusal.unwell()) {
+            worker.avoidUntil(clock.nowMillis() + UNWELL_MILLIS);
+        }
+        releaseRun(worker, refusal.run(), refusal.reason());
+    }
+
+    private void releaseRun(WorkerEntry worker, RunId run, String reason) {
+        TaskEntry task = board.findTask(run.task());
+        boolean current =
+                task != null
+                        && task.getRun().equals(run)
+                        && worker.getId().equals(task.getWorker());
+        if (current) {
+            release(task, worker.getId(), reason);
+        }
+    }
+
+    private void release(TaskEntry task, WorkerId place, String reason) {
+        LOG.info("released")
+                .with("run", task.getRun())
+                .with("worker", place)
+                .with("reason", reason)
+                .write();
+        task.release();
+        workers.vacate(task, place);
+        touch(task);
+    }
+
+    private void touch(TaskEntry task) {
+        JobEntry job = board.find(task.getName().job());
+        job.refresh(mostAttempts.applyAsInt(job));
+        board.markChanged(job);
+        touched.add(job);
+    }
+
+    /** Compares what runs with what should: tells a new agent all, and stops what is stray. */
+    private void compare(WorkerEntry worker, WorkerReport part, AgentReport report) {
+        List<RunId> present = new ArrayList<>();
+        List<RunId> stray = new ArrayList<>();
+        for (RunProgress progress : part.running()) {
+            TaskEntry task = worker.getTasks().get(progress.run().task());
+            boolean expected = task != null && task.getRun().equals(progress.run());
+            (expected ? present : stray).add(progress.run());
+        }
+        orders.stopStray(worker.getId(), stray);
+        if (!report.incarnation().equals(worker.getSynced())) {
+            worker.setSynced(report.incarnation());
+            orders.syncAfterCommit(worker, present);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -0,0 +1,117 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.standlink.job.Manifest;
+import org.standlink.job.QueueDefinition;
+import org.standlink.process.EventLog;
+
+/**
+ * Assigns tasks whose turn has come to workers.
+ *
+ * <p>{@code Scheduler} is not thread-safe; the leader's loop owns it.
+ */
+final class Scheduler {
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(Scheduler.class);
+
+    /** The jobs. */
+    private final JobBoard board;
+
+    /** The workers. */
+    private final WorkerBoard workers;
+
+    /** Chooses workers. */
+    private final Placement placement;
+
+    /** A job that may have tasks to start, and its queue. */
+    private record Candidate(JobEntry job, QueueDefinition queue) {}
+
+    /**
+     * Constructor.
+     *
+     * @param board the jobs
+     * @param workers the workers
+     * @param placement chooses workers
+     */
+    Scheduler(JobBoard board, WorkerBoard workers, Placement placement) {
+        this.board = board;
+        this.workers = workers;
+        this.placement = placement;
+    }
+
+    /**
+     * Assigns what can be assigned.
+     *
+     * @param manifest the configuration in force
+     * @param now the time on the leader's clock, in milliseconds
+     * @param wallMillis the time of day, in milliseconds since 1970
+     * @return the tasks that were assigned; the change is marked on the board
+     */
+    List<TaskEntry> schedule(Manifest manifest, long now, long wallMillis) {
+        List<TaskEntry> assigned = new ArrayList<>();
+        Map<String, List<WorkerEntry>> usable = new LinkedHashMap<>();
+        for (Candidate candidate : candidates(manifest)) {
+            String service = candidate.queue().service();
+            List<WorkerEntry> fit =
+                    usable.computeIfAbsent(service, name -> workers.usable(name, now));
+            if (!fit.isEmpty()) {
+                assign(candidate.job(), fit, wallMillis, assigned);
+            }
+        }
+        return assigned;
+    }
+
+    // -----------------------------------------------------------------------
+    private List<Candidate> candidates(Manifest manifest) {
+        List<Candidate> found = new ArrayList<>();
+        for (JobEntry job : board.getJobs()) {
+            if (!job.getState().isFinal()) {
+                manifest.findQueue(job.getDefinition().queue())
+                        .ifPresent(queue -> found.add(new Candidate(job, queue)));
+            }
+        }
+        found.sort(
+                Comparator.comparingInt((Candidate one) -> one.queue().priority())
+                        .thenComparingLong(one -> one.job().getOrder()));
+        return found;
+    }
+
+    private void assign(
+            JobEntry job, List<WorkerEntry> fit, long wallMillis, List<TaskEntry> assigned) {
+        for (TaskEntry task : job.readyTasks(wallMillis)) {
+            WorkerEntry worker = placement.choose(task, fit);
+            if (worker == null) {
+                continue;
+            }
+            task.assign(worker.getId());
+            workers.place(task, worker.getMayRunUntil());
+            board.markChanged(job);
+            assigned.add(task);
+            LOG.info("assigned")
+                    .with("run", task.getRun())
+                    .with("worker", worker.getId())
+                    .with("candidates", fit.size())
+                    .write();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/TaskEntry.java
@@ -0,0 +1,236 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
+import org.standlink.job.StepDefinition;
+import org.standlink.job.TaskName;
+import org.standlink.job.WorkerId;
+
+/**
+ * The state of one task: its runs so far and where it runs now.
+ *
+ * <p>{@code TaskEntry} is mutable and not thread-safe; the leader's loop owns it.
+ */
+final class TaskEntry {
+
+    /** The name. */
+    private final TaskName name;
+
+    /** The step. */
+    private final StepDefinition step;
+
+    /** The number of the last run, 0 before the first. */
+    private int lastRun;
+
+    /** How many runs have failed. */
+    private int failures;
+
+    /** The number of the last run that was counted as failed. */
+    private int lastFailedRun;
+
+    /** Whether a run has ended well. */
+    private boolean done;
+
+    /** Where the last run may still be, null if nowhere. */
+    private WorkerId worker;
+
+    /** The state that was saved last, empty if none. */
+    private String checkpoint = "";
+
+    /** Where the last failed run was, null if none; not kept in the store. */
+    private WorkerId failedOn;
+
+    /**
+     * Constructor.
+     *
+     * @param name the name
+     * @param step the step
+     */
+    TaskEntry(TaskName name, StepDefinition step) {
+        this.name = name;
+        this.step = step;
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Takes over what was kept.
+     *
+     * @param record the record
+     */
+    void restore(TaskRecord record) {
+        lastRun = record.lastRun();
+        failures = record.failures();
+        lastFailedRun = record.lastFailedRun();
+        done = record.done();
+        worker = record.worker().isEmpty() ? null : WorkerId.parse(record.worker());
+        checkpoint = record.checkpoint();
+    }
+
+    /**
+     * Makes the record to be kept.
+     *
+     * @return the record
+     */
+    TaskRecord toRecord() {
+        String place = worker == null ? "" : worker.toString();
+        return new TaskRecord(lastRun, failures, lastFailedRun, done, place, checkpoint);
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Begins the next run.
+     *
+     * @param place where
+     */
+    void assign(WorkerId place) {
+        lastRun++;
+        worker = place;
+    }
+
+    /** Takes note that the last run is over, or never began. */
+    void release() {
+        worker = null;
+    }
+
+    /**
+     * Takes note of an end.
+     *
+     * @param from the worker that listed it
+     * @param end the end
+     * @return true if this changed anything
+     */
+    boolean end(WorkerId from, RunEnd end) {
+        if (done) {
+            return false;
+        }
+        int number = end.run().number();
+        boolean current = number == lastRun && from.equals(worker);
+        if (end.kind() == RunEndKind.DONE) {
+            done = true;
+            if (current) {
+                worker = null;
+            }
+            return true;
+        }
+        boolean counted = end.kind() == RunEndKind.FAILED && number > lastFailedRun;
+        if (counted) {
+            failures++;
+            lastFailedRun = number;
+            failedOn = from;
+        }
+        if (current) {
+            worker = null;
+            save(end.checkpoint());
+        }
+        return counted || current;
+    }
+
+    /**
+     * Takes note of a saved state.
+     *
+     * @param saved the state, empty if none
+     */
+    void save(String saved) {
+        if (!saved.isEmpty()) {
+            checkpoint = saved;
+        }
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Gets the name.
+     *
+     * @return the name
+     */
+    TaskName getName() {
+        return name;
+    }
+
+    /**
+     * Gets the step.
+     *
+     * @return the step
+     */
+    StepDefinition getStep() {
+        return step;
+    }
+
+    /**
+     * Gets the last run.
+     *
+     * @return the run
+     */
+    RunId getRun() {
+        return new RunId(name, lastRun);
+    }
+
+    /**
+     * Checks whether a run was ever ordered.
+     *
+     * @return true if so
+     */
+    boolean hasBegun() {
+        return lastRun > 0;
+    }
+
+    /**
+     * Gets how many runs have failed.
+     *
+     * @return the number
+     */
+    int getFailures() {
+        return failures;
+    }
+
+    /**
+     * Checks whether a run has ended well.
+     *
+     * @return true if so
+     */
+    boolean isDone() {
+        return done;
+    }
+
+    /**
+     * Gets where the last run may still be.
+     *
+     * @return the worker, null if nowhere
+     */
+    WorkerId getWorker() {
+        return worker;
+    }
+
+    /**
+     * Gets the state that was saved last.
+     *
+     * @return the state, empty if none
+     */
+    String getCheckpoint() {
+        return checkpoint;
+    }
+
+    /**
+     * Gets where the last failed run was.
+     *
+     * @return the worker, null if none
+     */
+    WorkerId getFailedOn() {
+        return failedOn;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/TaskRecord.java
@@ -0,0 +1,41 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+/**
+ * What is kept of a task.
+ *
+ * <p>It is written as an array, so new parts may only be added at its end.
+ *
+ * <p>{@code TaskRecord} is thread-safe and immutable.
+ *
+ * @param lastRun the number of the last run, 0 before the first
+ * @param failures how many runs have failed
+ * @param lastFailedRun the number of the last run that was counted as failed
+ * @param done whether a run has ended well
+ * @param worker where the last run may still be, empty if nowhere
+ * @param checkpoint the state that was saved last, empty if none
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+record TaskRecord(
+        int lastRun,
+        int failures,
+        int lastFailedRun,
+        boolean done,
+        String worker,
+        String checkpoint) {}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/WorkerBoard.java
@@ -0,0 +1,152 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.ArrayList;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.standlink.job.WorkerId;
+import org.standlink.process.EventLog;
+
+/**
+ * All workers of a cell, and which tasks may run on each.
+ *
+ * <p>{@code WorkerBoard} is mutable and not thread-safe; the leader's loop owns it.
+ */
+final class WorkerBoard {
+
+    /** After how many failures of different jobs in a row a worker is set aside. */
+    private static final int MOST_FAILURES = 3;
+
+    /** For how long a worker that fails is set aside before it is tried again, in milliseconds. */
+    private static final long ASIDE_MILLIS = 3000;
+
+    /** How long ago an agent may have been heard for its workers to be used, in milliseconds. */
+    private static final long SILENT_MILLIS = 1500;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(WorkerBoard.class);
+
+    /** The workers. */
+    private final Map<WorkerId, WorkerEntry> workers = new LinkedHashMap<>();
+
+    /**
+     * Finds or adds a worker.
+     *
+     * @param id the life of the worker
+     * @param mayRunUntil until when its runs may go on, if it is new
+     * @return the worker
+     */
+    WorkerEntry get(WorkerId id, long mayRunUntil) {
+        return workers.computeIfAbsent(id, key -> new WorkerEntry(key, mayRunUntil));
+    }
+
+    /**
+     * Finds a worker.
+     *
+     * @param id the life of the worker
+     * @return the worker, null if it is not known
+     */
+    WorkerEntry find(WorkerId id) {
+        return workers.get(id);
+    }
+
+    /**
+     * Takes note that a task's last run may be on its worker.
+     *
+     * @param task the task, which has a worker
+     * @param mayRunUntil until when the worker's runs may go on, if it is new
+     */
+    void place(TaskEntry task, long mayRunUntil) {
+        get(task.getWorker(), mayRunUntil).getTasks().put(task.getName(), task);
+    }
+
+    /**
+     * Takes note that a task's last run is over.
+     *
+     * @param task the task
+     * @param id where it was
+     */
+    void vacate(TaskEntry task, WorkerId id) {
+        WorkerEntry worker = workers.get(id);
+        if (worker != null) {
+            worker.getTasks().remove(task.getName());
+        }
+    }
+
+    /**
+     * Takes note of how a run ended, and sets a worker aside that fails too often.
+     *
+     * @param worker the worker
+     * @param well whether the run ended well
+     * @param now the time on the leader's clock
+     */
+    void judge(WorkerEntry worker, boolean well, long now) {
+        worker.judge(well);
+        if (worker.getFailuresInRow() >= MOST_FAILURES) {
+            worker.avoidUntil(now + ASIDE_MILLIS);
+            LOG.info("worker-set-aside")
+                    .with("worker", worker.getId())
+                    .with("failures", worker.getFailuresInRow())
+                    .write();
+        }
+    }
+
+    /**
+     * Lists the workers that may be given new runs.
+     *
+     * @param service the service whose workers run the queue's tasks
+     * @param now the time on the leader's clock
+     * @return the workers
+     */
+    List<WorkerEntry> usable(String service, long now) {
+        List<WorkerEntry> usable = new ArrayList<>();
+        for (WorkerEntry worker : workers.values()) {
+            boolean fit =
+                    worker.getDescription() != null
+                            && worker.getDescription().service().equals(service)
+                            && !worker.getDescription().draining()
+                            && worker.isReachable()
+                            && worker.getSynced() != null
+                            && now - worker.getHeardAt() < SILENT_MILLIS
+                            && now >= worker.getAvoidUntil();
+            if (fit) {
+                usable.add(worker);
+            }
+        }
+        return usable;
+    }
+
+    /**
+     * Lists the workers.
+     *
+     * @return the workers
+     */
+    Collection<WorkerEntry> getWorkers() {
+        return workers.values();
+    }
+
+    /**
+     * Removes a worker whose runs are all over.
+     *
+     * @param worker the worker
+     */
+    void remove(WorkerEntry worker) {
+        workers.remove(worker.getId());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -0,0 +1,291 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.standlink.Incarnation;
+import org.standlink.Resources;
+import org.standlink.job.TaskName;
+import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
+import org.standlink.wire.Connection;
+
+/**
+ * What the leader knows of one life of a worker.
+ *
+ * <p>{@code WorkerEntry} is mutable and not thread-safe; the leader's loop owns it.
+ */
+final class WorkerEntry {
+
+    /** The life of the worker. */
+    private final WorkerId id;
+
+    /** The tasks whose last run may be there. */
+    private final Map<TaskName, TaskEntry> tasks = new LinkedHashMap<>();
+
+    /** What the worker said of itself, null until an agent has told. */
+    private WorkerDescription description;
+
+    /** The connection to its agent, null if there is none. */
+    private Connection connection;
+
+    /** The run of the agent that knows all orders, null if none does. */
+    private Incarnation synced;
+
+    /** Until when its runs may go on without its agent, on the leader's clock. */
+    private long mayRunUntil;
+
+    /** When its agent was heard last, on the leader's clock. */
+    private long heardAt;
+
+    /** Whether the worker answered its agent's last call. */
+    private boolean reachable;
+
+    /** The last end that was handled. */
+    private long handledEnd;
+
+    /** How many runs have failed there without one that ended well. */
+    private int failuresInRow;
+
+    /** Until when nothing is started there, on the leader's clock. */
+    private long avoidUntil;
+
+    /**
+     * Constructor.
+     *
+     * @param id the life of the worker
+     * @param mayRunUntil until when its runs may go on without its agent, on the leader's clock
+     */
+    WorkerEntry(WorkerId id, long mayRunUntil) {
+        this.id = id;
+        this.mayRunUntil = mayRunUntil;
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Takes note of a report of its agent.
+     *
+     * @param told what the worker said of itself
+     * @param from the connection to the agent
+     * @param answers whether the worker answered its agent's last call
+     * @param now the time on the leader's clock
+     */
+    void heard(WorkerDescription told, Connection from, boolean answers, long now) {
+        if (from != connection) {
+            connection = from;
+            synced = null;
+        }
+        description = told;
+        reachable = answers;
+        heardAt = now;
+    }
+
+    /**
+     * Prolongs the time for which its runs may go on.
+     *
+     * @param until the time on the leader's clock
+     */
+    void prolong(long until) {
+        mayRunUntil = Math.max(mayRunUntil, until);
+    }
+
+    /**
+     * Works out what is free.
+     *
+     * @return the free room; may be negative in parts on a worker that does not guard its room
+     */
+    Resources free() {
+        Resources free = description.capacity();
+        for (TaskEntry task : tasks.values()) {
+            free = free.minus(task.getStep().room());
+        }
+        return free;
+    }
+
+    /**
+     * Works out how many processors are asked for, those of filling tasks included.
+     *
+     * @return the sum, in thousandths of a core
+     */
+    long askedMilliCores() {
+        return tasks.values().stream()
+                .mapToLong(task -> task.getStep().demand().milliCores())
+                .sum();
+    }
+
+    /**
+     * Counts the tasks of a step and repetition.
+     *
+     * @param name names a task of the step
+     * @return how many of them may be here
+     */
+    long countOf(TaskName name) {
+        return tasks.keySet().stream()
+                .filter(
+                        other ->
+                                other.job().equals(name.job())
+                                        && other.step() == name.step()
+                                        && other.repetition() == name.repetition())
+                .count();
+    }
+
+    /**
+     * Takes note of how a run there ended.
+     *
+     * @param well whether it ended well
+     */
+    void judge(boolean well) {
+        failuresInRow = well ? 0 : failuresInRow + 1;
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Gets the life of the worker.
+     *
+     * @return the life
+     */
+    WorkerId getId() {
+        return id;
+    }
+
+    /**
+     * Gets the tasks whose last run may be there.
+     *
+     * @return the tasks, by name
+     */
+    Map<TaskName, TaskEntry> getTasks() {
+        return tasks;
+    }
+
+    /**
+     * Gets the tasks whose last run may be there.
+     *
+     * @return the tasks
+     */
+    Collection<TaskEntry> listTasks() {
+        return tasks.values();
+    }
+
+    /**
+     * Gets what the worker said of itself.
+     *
+     * @return the description, null until an agent has told
+     */
+    WorkerDescription getDescription() {
+        return description;
+    }
+
+    /**
+     * Gets the connection to its agent.
+     *
+     * @return the connection, null if there is none
+     */
+    Connection getConnection() {
+        return connection;
+    }
+
+    /**
+     * Gets the run of the agent that knows all orders.
+     *
+     * @return the run, null if none does
+     */
+    Incarnation getSynced() {
+        return synced;
+    }
+
+    /**
+     * Sets the run of the agent that knows all orders.
+     *
+     * @param agent the run
+     */
+    void setSynced(Incarnation agent) {
+        synced = agent;
+    }
+
+    /**
+     * Gets until when its runs may go on without its agent.
+     *
+     * @return the time on the leader's clock
+     */
+    long getMayRunUntil() {
+        return mayRunUntil;
+    }
+
+    /**
+     * Gets when its agent was heard last.
+     *
+     * @return the time on the leader's clock
+     */
+    long getHeardAt() {
+        return heardAt;
+    }
+
+    /**
+     * Checks whether the worker answered its agent's last call.
+     *
+     * @return true if so
+     */
+    boolean isReachable() {
+        return reachable;
+    }
+
+    /**
+     * Gets the last end that was handled.
+     *
+     * @return its number
+     */
+    long getHandledEnd() {
+        return handledEnd;
+    }
+
+    /**
+     * Sets the last end that was handled.
+     *
+     * @param number its number
+     */
+    void setHandledEnd(long number) {
+        handledEnd = number;
+    }
+
+    /**
+     * Gets how many runs have failed there without one that ended well.
+     *
+     * @return the number
+     */
+    int getFailuresInRow() {
+        return failuresInRow;
+    }
+
+    /**
+     * Gets until when nothing is started there.
+     *
+     * @return the time on the leader's clock
+     */
+    long getAvoidUntil() {
+        return avoidUntil;
+    }
+
+    /**
+     * Sets until when nothing is started there.
+     *
+     * @param until the time on the leader's clock
+     */
+    void avoidUntil(long until) {
+        avoidUntil = Math.max(avoidUntil, until);
+    }
+}
--- a/src/main/java/org/standlink/command/Main.java
+++ b/src/main/java/org/standlink/command/Main.java
@@ -134,6 +134,12 @@
         Map<String, Entry> all = new LinkedHashMap<>();
         all.put("entry", new Entry("run an entry", EntryCommand::new));
         all.put("agent", new Entry("run an agent", AgentCommand::new));
+        all.put(
+                "platform entry",
+                new Entry("run an entry on the users' platform", PlatformEntryCommand::new));
+        all.put(
+                "platform agent",
+                new Entry("run an agent on the users' platform", PlatformAgentCommand::new));
         all.put("bundle check", new Entry("check a bundle file", BundleCheckCommand::new));
         all.put("bundle sign", new Entry("sign a bundle", BundleSignCommand::new));
         all.put("bundle publish", new Entry("publish a signed bundle", BundlePublishCommand::new));
--- /dev/null
+++ b/src/main/java/org/standlink/command/PlatformAgentCommand.java
@@ -0,0 +1,144 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.command;
+
+import java.nio.file.Path;
+import java.util.concurrent.ExecutionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.kohsuke.args4j.Option;
+import org.standlink.Incarnation;
+import org.standlink.VmId;
+import org.standlink.admin.HealthApi;
+import org.standlink.cell.CellTimes;
+import org.standlink.cell.LeaderSeat;
+import org.standlink.election.Candidate;
+import org.standlink.election.LeaderLink;
+import org.standlink.platform.CheckInServer;
+import org.standlink.platform.HttpWorkerCalls;
+import org.standlink.process.EventLog;
+import org.standlink.process.HttpService;
+import org.standlink.process.ProcessThreads;
+import org.standlink.runner.AgentNode;
+import org.standlink.store.TopicFollower;
+import org.standlink.wire.Connection;
+import org.standlink.wire.Hello;
+import org.standlink.wire.Message;
+import org.standlink.wire.WireServer;
+
+/** {@code standlink platform agent}: runs an agent on the users' platform. */
+final class PlatformAgentCommand extends AbstractServerCommand {
+
+    /** The threads of the check-ins' and the metrics' servers. */
+    private static final int SIDE_THREADS = 2;
+
+    /** The time between two looks at the leader, in milliseconds. */
+    private static final long LOOK_MILLIS = 100;
+
+    /** How long resigning may take, in milliseconds; a call to the store takes 10. */
+    private static final long RESIGN_MILLIS = 500;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(PlatformAgentCommand.class);
+
+    /** The settings file. */
+    @Option(name = "--settings", required = true, metaVar = "FILE", usage = "settings, JSON")
+    private Path settingsFile;
+
+    /** The run of this process. */
+    private final Incarnation self = Incarnation.ofRandom();
+
+    /** The agent. */
+    private AgentNode agent;
+
+    /** Follows claims. */
+    private TopicFollower claims;
+
+    @Override
+    public int run() throws InterruptedException {
+        PlatformSettings settings = PlatformSettings.readAgent(TextFiles.read(settingsFile));
+        LOG.info("starting").with("node", settings.node()).with("incarnation", self).write();
+        PlatformBase base = new PlatformBase(settings.store());
+        String address =
+                settings.listen().getAddress().getHostAddress() + ":" + settings.listen().getPort();
+        LeaderLink leader = new LeaderLink(base.getExecutor(), this::fromLeader);
+        Candidate candidate =
+                new Candidate(
+                        base.getStore(),
+                        base.getClock(),
+                        address,
+                        self,
+                        () -> claims == null ? -1 : claims.getPosition());
+        agent =
+                new AgentNode(
+                        settings.node(),
+                        address,
+                        self,
+                        leader,
+                        new HttpWorkerCalls(base.getCaller()),
+                        base.getClock(),
+                        base.getLoop(),
+                        candidate::leaderAnswered);
+        LeaderSeat seat =
+                new LeaderSeat(
+                        base.getStore(),
+                        new CellTimes(settings.leaseMillis(), settings.statusMillis()),
+                        base.getClock(),
+                        base.getLoop(),
+                        self,
+                        leader);
+        new WireServer(
+                settings.listen(),
+                base.getExecutor(),
+                new Hello(VmId.parse(settings.node()), self),
+                seat::handle);
+        new CheckInServer(
+                settings.checkIns(), ProcessThreads.newBounded("check-in", SIDE_THREADS), agent);
+        HttpService metrics =
+                new HttpService(
+                        settings.metrics(), ProcessThreads.newBounded("metrics", SIDE_THREADS));
+        HealthApi.addTo(metrics, base.getRegistry(), () -> true);
+        base.followManifest(seat::offer);
+        claims =
+                base.followClaims(
+                        claim -> {
+                            candidate.claimed(claim);
+                            seat.claimed(claim);
+                        });
+        agent.start();
+        base.getLoop()
+                .scheduleWithFixedDelay(
+                        candidate::tick, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        return serveUntilStopped(() -> stop(seat));
+    }
+
+    // -----------------------------------------------------------------------
+    private void fromLeader(Connection connection, long call, Message message) {
+        agent.handle(connection, call, message);
+    }
+
+    private static void stop(LeaderSeat seat) throws InterruptedException {
+        LOG.info("stopping").write();
+        try {
+            seat.resign(RESIGN_MILLIS).get(RESIGN_MILLIS, TimeUnit.MILLISECONDS);
+        } catch (ExecutionException | TimeoutException notResigned) {
+            // The others find out by the silence.
+            LOG.info("not-resigned").with("cause", notResigned).write();
+        }
+        LOG.info("stopped").write();
+        TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/command/PlatformBase.java
@@ -0,0 +1,168 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.command;
+
+import io.micrometer.prometheusmetrics.PrometheusConfig;
+import io.micrometer.prometheusmetrics.PrometheusMeterRegistry;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.function.Consumer;
+import org.standlink.election.Claim;
+import org.standlink.job.Manifest;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.platform.HttpCaller;
+import org.standlink.platform.HttpStore;
+import org.standlink.platform.ManifestFormat;
+import org.standlink.process.EventLog;
+import org.standlink.process.ProcessThreads;
+import org.standlink.store.KeyedRecord;
+import org.standlink.store.KeyedStore;
+import org.standlink.store.Topic;
+import org.standlink.store.TopicFollower;
+
+/**
+ * What every process on the users' platform has: threads, the client, the store and counters.
+ *
+ * <p>{@code PlatformBase} is thread-safe.
+ */
+final class PlatformBase implements AutoCloseable {
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(PlatformBase.class);
+
+    /** Counters. */
+    private final PrometheusMeterRegistry registry =
+            new PrometheusMeterRegistry(PrometheusConfig.DEFAULT);
+
+    /** The clock. */
+    private final MonotonicClock clock = MonotonicClock.ofSystem();
+
+    /** Threads for connections and calls. */
+    private final ExecutorService executor = ProcessThreads.newCached("work");
+
+    /** The loop, on which all decisions of the process are made. */
+    private final ScheduledExecutorService loop = ProcessThreads.newScheduled("loop", 1);
+
+    /** The client. */
+    private final HttpCaller caller = new HttpCaller(executor);
+
+    /** The store. */
+    private final KeyedStore store;
+
+    /**
+     * Constructor.
+     *
+     * @param storeAddress the store, host and port
+     */
+    PlatformBase(String storeAddress) {
+        store = new HttpStore(caller, storeAddress);
+    }
+
+    /**
+     * Follows the operator's configuration.
+     *
+     * @param receiver what receives each version
+     */
+    void followManifest(Consumer<Manifest> receiver) {
+        follow(Topic.OPERATOR, record -> ManifestFormat.decode(record).ifPresent(receiver));
+    }
+
+    /**
+     * Follows claims of leadership.
+     *
+     * @param receiver what receives each claim
+     * @return the follower
+     */
+    TopicFollower followClaims(Consumer<Claim> receiver) {
+        return follow(Topic.CLAIMS, record -> receiver.accept(Claim.of(record)));
+    }
+
+    private TopicFollower follow(Topic topic, Consumer<KeyedRecord> receiver) {
+        TopicFollower follower =
+                new TopicFollower(store, topic, loop, loop, record -> hand(receiver, record));
+        follower.start();
+        return follower;
+    }
+
+    private static void hand(Consumer<KeyedRecord> receiver, KeyedRecord record) {
+        try {
+            receiver.accept(record);
+        } catch (RuntimeException malformed) {
+            // One record that cannot be read must not hide those behind it.
+            LOG.error("record-not-read").with("key", record.key()).with("cause", malformed).write();
+        }
+    }
+
+    /**
+     * Gets the counters.
+     *
+     * @return the registry
+     */
+    PrometheusMeterRegistry getRegistry() {
+        return registry;
+    }
+
+    /**
+     * Gets the clock.
+     *
+     * @return the clock
+     */
+    MonotonicClock getClock() {
+        return clock;
+    }
+
+    /**
+     * Gets the threads for connections and calls.
+     *
+     * @return the executor
+     */
+    ExecutorService getExecutor() {
+        return executor;
+    }
+
+    /**
+     * Gets the loop.
+     *
+     * @return the loop, of one thread
+     */
+    ScheduledExecutorService getLoop() {
+        return loop;
+    }
+
+    /**
+     * Gets the client.
+     *
+     * @return the client
+     */
+    HttpCaller getCaller() {
+        return caller;
+    }
+
+    /**
+     * Gets the store.
+     *
+     * @return the store
+     */
+    KeyedStore getStore() {
+        return store;
+    }
+
+    @Override
+    public void close() {
+        loop.shutdownNow();
+        executor.shutdownNow();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/command/PlatformEntryCommand.java
@@ -0,0 +1,105 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.command;
+
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import org.kohsuke.args4j.Option;
+import org.standlink.admin.HealthApi;
+import org.standlink.election.Claim;
+import org.standlink.election.LeaderLink;
+import org.standlink.gateway.JobGateway;
+import org.standlink.platform.CallerHttp;
+import org.standlink.platform.ReadyServer;
+import org.standlink.process.ConnectionDrain;
+import org.standlink.process.EventLog;
+import org.standlink.process.HttpService;
+import org.standlink.process.ProcessThreads;
+import org.standlink.wire.LeaderNotice;
+
+/** {@code standlink platform entry}: runs an entry on the users' platform. */
+final class PlatformEntryCommand extends AbstractServerCommand {
+
+    /** The most callers answered at once; each holds a thread. */
+    private static final int CALLER_THREADS = 64;
+
+    /** The threads of the balancer's and the metrics' servers. */
+    private static final int SIDE_THREADS = 2;
+
+    /** What is left of the grace for the process to end, in milliseconds. */
+    private static final long END_MILLIS = 700;
+
+    /** The time between two looks at whether callers are quiet, in milliseconds. */
+    private static final long LOOK_MILLIS = 50;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(PlatformEntryCommand.class);
+
+    /** The settings file. */
+    @Option(name = "--settings", required = true, metaVar = "FILE", usage = "settings, JSON")
+    private Path settingsFile;
+
+    /** Whether a planned stop is under way. */
+    private volatile boolean leaving;
+
+    @Override
+    public int run() throws InterruptedException {
+        PlatformSettings settings = PlatformSettings.readEntry(TextFiles.read(settingsFile));
+        LOG.info("starting").with("node", settings.node()).with("hall", settings.hall()).write();
+        PlatformBase base = new PlatformBase(settings.store());
+        LeaderLink leader = new LeaderLink(base.getExecutor(), (connection, call, message) -> {});
+        JobGateway gateway = new JobGateway(leader, base.getClock(), base.getRegistry());
+        ConnectionDrain drain = new ConnectionDrain(base.getClock());
+        new CallerHttp(
+                settings.callers(),
+                ProcessThreads.newBounded("caller", CALLER_THREADS),
+                gateway,
+                drain);
+        new ReadyServer(
+                settings.ready(),
+                ProcessThreads.newBounded("ready", SIDE_THREADS),
+                () -> gateway.isReady() && !leaving);
+        HttpService metrics =
+                new HttpService(
+                        settings.metrics(), ProcessThreads.newBounded("metrics", SIDE_THREADS));
+        HealthApi.addTo(metrics, base.getRegistry(), gateway::isReady);
+        base.followManifest(gateway::offer);
+        base.followClaims(claim -> noteClaim(leader, claim));
+        return serveUntilStopped(() -> drain(drain, settings));
+    }
+
+    // -----------------------------------------------------------------------
+    private static void noteClaim(LeaderLink leader, Claim claim) {
+        if (claim.isHeld()) {
+            leader.offer(new LeaderNotice(claim.epoch(), claim.address()), "store");
+        } else {
+            leader.resigned(claim.epoch());
+        }
+    }
+
+    private void drain(ConnectionDrain drain, PlatformSettings settings)
+            throws InterruptedException {
+        LOG.info("stopping").with("in-progress", drain.getInProgress()).write();
+        leaving = true;
+        drain.leave();
+        long until = System.nanoTime() + (settings.graceMillis() - END_MILLIS) * 1_000_000;
+        while (System.nanoTime() < until && !drain.isQuiet()) {
+            TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+        }
+        LOG.info("stopped").with("in-progress", drain.getInProgress()).write();
+        TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/command/PlatformSettings.java
@@ -0,0 +1,110 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.command;
+
+import java.net.InetSocketAddress;
+import org.standlink.ErrorCode;
+import org.standlink.json.Addresses;
+import org.standlink.json.Faults;
+import org.standlink.json.JsonSection;
+
+/**
+ * The settings of a process on the users' platform, as the templates under {@code deploy/} lay
+ * them.
+ *
+ * <p>{@code PlatformSettings} is thread-safe and immutable.
+ *
+ * @param node the machine's name
+ * @param hall the machine's hall
+ * @param listen where other processes of standlink reach this one; null for an entry
+ * @param metrics where counters are served
+ * @param store the platform's store, host and port
+ * @param callers where callers connect; null for an agent
+ * @param ready where the balancer asks; null for an agent
+ * @param checkIns where the worker checks in; null for an entry
+ * @param leaseMillis for how long workers keep their runs without word, in milliseconds
+ * @param statusMillis for how long the state of a final job is kept, in milliseconds
+ * @param graceMillis how long a planned stop may take, in milliseconds
+ */
+record PlatformSettings(
+        String node,
+        String hall,
+        InetSocketAddress listen,
+        InetSocketAddress metrics,
+        String store,
+        InetSocketAddress callers,
+        InetSocketAddress ready,
+        InetSocketAddress checkIns,
+        long leaseMillis,
+        long statusMillis,
+        long graceMillis) {
+
+    /**
+     * Reads and checks the settings of an entry.
+     *
+     * @param text the JSON text
+     * @return the settings
+     * @throws org.standlink.StandlinkException with code INVALID_SETTINGS, listing every fault
+     */
+    static PlatformSettings readEntry(String text) {
+        Faults faults = new Faults();
+        JsonSection top = JsonSection.parse(text, faults);
+        PlatformSettings settings =
+                new PlatformSettings(
+                        top.requiredText("node"),
+                        top.requiredText("hall"),
+                        null,
+                        top.requiredValue("metrics", Addresses::parse),
+                        top.requiredText("store"),
+                        top.requiredValue("callers", Addresses::parse),
+                        top.requiredValue("ready", Addresses::parse),
+                        null,
+                        0,
+                        0,
+                        top.requiredInteger("graceMillis", 100, 600_000));
+        top.finish();
+        faults.throwIfAny(ErrorCode.INVALID_SETTINGS, "the entry's settings");
+        return settings;
+    }
+
+    /**
+     * Reads and checks the settings of an agent.
+     *
+     * @param text the JSON text
+     * @return the settings
+     * @throws org.standlink.StandlinkException with code INVALID_SETTINGS, listing every fault
+     */
+    static PlatformSettings readAgent(String text) {
+        Faults faults = new Faults();
+        JsonSection top = JsonSection.parse(text, faults);
+        PlatformSettings settings =
+                new PlatformSettings(
+                        top.requiredText("node"),
+                        top.requiredText("hall"),
+                        top.requiredValue("listen", Addresses::parse),
+                        top.requiredValue("metrics", Addresses::parse),
+                        top.requiredText("store"),
+                        null,
+                        null,
+                        top.requiredValue("checkIns", Addresses::parse),
+                        top.requiredInteger("leaseMillis", 1000, 600_000),
+                        1000 * top.requiredInteger("statusSeconds", 1, 86_400),
+                        top.requiredInteger("graceMillis", 100, 600_000));
+        top.finish();
+        faults.throwIfAny(ErrorCode.INVALID_SETTINGS, "the agent's settings");
+        return settings;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/election/Candidate.java
@@ -0,0 +1,176 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.election;
+
+import java.util.List;
+import java.util.function.LongSupplier;
+import org.standlink.Incarnation;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.process.EventLog;
+import org.standlink.store.KeyedStore;
+import org.standlink.store.Topic;
+
+/**
+ * Claims the leadership of a cell when there is no leader or it has been silent.
+ *
+ * <p>A leader that does not answer this process may well answer others. So a silent leader is
+ * replaced only if the store has had no record of it for a while, either; it writes one at least
+ * every {@code CommitQueue.HEARTBEAT_MILLIS}.
+ *
+ * <p>{@code Candidate} is thread-safe.
+ */
+public final class Candidate {
+
+    /**
+     * How long a leader must be silent, in milliseconds: four of its heartbeats, and a store that
+     * is slowed sixtyfold answers within one.
+     */
+    static final long SILENCE_MILLIS = 2000;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(Candidate.class);
+
+    /** The store. */
+    private final KeyedStore store;
+
+    /** The clock. */
+    private final MonotonicClock clock;
+
+    /** Where this process listens, host and port. */
+    private final String address;
+
+    /** The run of this process. */
+    private final Incarnation self;
+
+    /** Tells the offset up to which claims have been read; negative if not at all. */
+    private final LongSupplier claimsRead;
+
+    /** The newest claim; guarded by this. */
+    private Claim newest = Claim.NONE;
+
+    /** When the leader last answered this process with the store at hand; guarded by this. */
+    private long leaderSeen;
+
+    /** Since when the store has had no new record of the leader; guarded by this. */
+    private long quietSince = -1;
+
+    /** The end of the cell's topic since then; guarded by this. */
+    private long quietEnd;
+
+    /** Whether a call to the store is under way; guarded by this. */
+    private boolean asking;
+
+    /**
+     * Constructor.
+     *
+     * @param store the store
+     * @param clock the clock
+     * @param address where this process listens, host and port
+     * @param self the run of this process
+     * @param claimsRead tells the offset up to which claims have been read; negative if not at all
+     */
+    public Candidate(
+            KeyedStore store,
+            MonotonicClock clock,
+            String address,
+            Incarnation self,
+            LongSupplier claimsRead) {
+        this.store = store;
+        this.clock = clock;
+        this.address = address;
+        this.self = self;
+        this.claimsRead = claimsRead;
+        this.leaderSeen = clock.nowMillis() - SILENCE_MILLIS;
+    }
+
+    /**
+     * Takes note of a claim that was read.
+     *
+     * @param claim the claim
+     */
+    public synchronized void claimed(Claim claim) {
+        if (claim.epoch().compareTo(newest.epoch()) >= 0) {
+            newest = claim;
+            quietSince = -1;
+        }
+    }
+
+    /**
+     * Takes note that the leader has answered.
+     *
+     * @param storeSilentMillis how long ago the store took a call of the leader, in milliseconds
+     */
+    public synchronized void leaderAnswered(long storeSilentMillis) {
+        if (storeSilentMillis < SILENCE_MILLIS) {
+            leaderSeen = clock.nowMillis();
+            quietSince = -1;
+        }
+    }
+
+    /** Decides whether to claim; called several times a second. */
+    public void tick() {
+        synchronized (this) {
+            boolean leads = newest.isHeld() && newest.holder().equals(self);
+            boolean seen = clock.nowMillis() - leaderSeen < SILENCE_MILLIS;
+            if (asking || leads || claimsRead.getAsLong() < 0 || newest.isHeld() && seen) {
+                return;
+            }
+            asking = true;
+            if (!newest.isHeld()) {
+                claim("no leader");
+                return;
+            }
+        }
+        store.readEnd(Topic.CELL).whenComplete(this::judge);
+    }
+
+    // -----------------------------------------------------------------------
+    private synchronized void judge(Long end, Throwable failure) {
+        asking = false;
+        if (failure != null) {
+            // Without the store nobody can claim; the silence is counted anew once it is back.
+            quietSince = -1;
+            return;
+        }
+        long now = clock.nowMillis();
+        if (quietSince < 0 || end != quietEnd) {
+            quietSince = now;
+            quietEnd = end;
+        } else if (now - quietSince >= SILENCE_MILLIS) {
+            asking = true;
+            claim("silent for " + (now - quietSince) + " ms");
+        }
+    }
+
+    private void claim(String reason) {
+        Claim claim = new Claim(newest.epoch().next(), address, self);
+        LOG.info("claim").with("epoch", claim.epoch()).with("reason", reason).write();
+        store.appendAt(Topic.CLAIMS, List.of(claim.toRecord()), claimsRead.getAsLong())
+                .whenComplete((end, failure) -> claimSent(claim, failure));
+    }
+
+    private synchronized void claimSent(Claim claim, Throwable failure) {
+        // Whoever won is read from the topic, also when this answer was lost.
+        asking = false;
+        quietSince = -1;
+        if (failure != null) {
+            LOG.info("claim-not-taken")
+                    .with("epoch", claim.epoch())
+                    .with("cause", failure.getMessage())
+                    .write();
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/election/Claim.java
@@ -0,0 +1,71 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.election;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import org.standlink.Epoch;
+import org.standlink.Incarnation;
+import org.standlink.store.KeyedRecord;
+import org.standlink.store.Packing;
+
+/**
+ * A claim of a cell's leadership; the newest one in the store counts.
+ *
+ * <p>It is written as an array, so new parts may only be added at its end.
+ *
+ * <p>{@code Claim} is thread-safe and immutable.
+ *
+ * @param epoch the epoch that the claim begins
+ * @param address where the leader listens, host and port; empty if it has resigned
+ * @param holder the run of the process that claims
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record Claim(Epoch epoch, String address, Incarnation holder) {
+
+    /** The state before the first claim. */
+    public static final Claim NONE = new Claim(Epoch.NONE, "", Incarnation.of(0));
+
+    /** The key of claims. */
+    private static final String KEY = "leader";
+
+    /**
+     * Reads a claim from its record.
+     *
+     * @param record the record
+     * @return the claim
+     */
+    public static Claim of(KeyedRecord record) {
+        return Packing.unpack(record.value(), Claim.class);
+    }
+
+    /**
+     * Makes the record of this claim.
+     *
+     * @return the record
+     */
+    public KeyedRecord toRecord() {
+        return new KeyedRecord(KEY, Packing.pack(this));
+    }
+
+    /**
+     * Checks whether somebody leads by this claim.
+     *
+     * @return false if there is no leader
+     */
+    public boolean isHeld() {
+        return !address.isEmpty();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/election/LeaderLink.java
@@ -0,0 +1,147 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.election;
+
+import java.net.InetSocketAddress;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeoutException;
+import org.standlink.Epoch;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+import org.standlink.json.Addresses;
+import org.standlink.process.EventLog;
+import org.standlink.wire.LeaderNotice;
+import org.standlink.wire.Message;
+import org.standlink.wire.MessageHandler;
+import org.standlink.wire.Peer;
+
+/**
+ * The connection to the leader with the newest epoch known.
+ *
+ * <p>{@code LeaderLink} is thread-safe.
+ */
+public final class LeaderLink implements AutoCloseable {
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(LeaderLink.class);
+
+    /** Where reading threads come from. */
+    private final Executor executor;
+
+    /** What answers messages of the leader. */
+    private final MessageHandler handler;
+
+    /** The newest epoch known and where its leader listens; guarded by this. */
+    private LeaderNotice leader = new LeaderNotice(Epoch.NONE, "");
+
+    /** The connection to that leader, null if its address is not known; guarded by this. */
+    private Peer peer;
+
+    /**
+     * Constructor.
+     *
+     * @param executor where reading threads come from
+     * @param handler what answers messages of the leader
+     */
+    public LeaderLink(Executor executor, MessageHandler handler) {
+        this.executor = executor;
+        this.handler = handler;
+    }
+
+    /**
+     * Takes note of a leader; one of an older epoch is passed over.
+     *
+     * @param notice the epoch and the address
+     * @param source where it was learnt, for the log
+     */
+    public synchronized void offer(LeaderNotice notice, String source) {
+        int order = notice.epoch().compareTo(leader.epoch());
+        if (order < 0 || notice.equals(leader) || order == 0 && notice.address().isEmpty()) {
+            return;
+        }
+        LOG.info("leader-changed")
+                .with("epoch", notice.epoch())
+                .with("address", notice.address())
+                .with("before", leader.epoch())
+                .with("source", source)
+                .write();
+        leader = notice;
+        close();
+        peer = notice.address().isEmpty() ? null : connectTo(notice.address());
+    }
+
+    /**
+     * Takes note that the leader of an epoch has resigned.
+     *
+     * @param epoch the epoch
+     */
+    public synchronized void resigned(Epoch epoch) {
+        if (epoch.equals(leader.epoch())) {
+            leader = new LeaderNotice(epoch, "");
+            close();
+        }
+    }
+
+    /**
+     * Gets the newest leader known.
+     *
+     * @return its epoch and address
+     */
+    public synchronized LeaderNotice getLeader() {
+        return leader;
+    }
+
+    /**
+     * Sends a message to the leader and waits for the answer.
+     *
+     * @param message the message
+     * @param timeoutMillis how long to wait, in milliseconds
+     * @return the answer; fails with PEER_UNREACHABLE only if nothing was sent
+     */
+    public CompletableFuture<Message> call(Message message, long timeoutMillis) {
+        Peer present;
+        synchronized (this) {
+            present = peer;
+        }
+        if (present == null) {
+            return CompletableFuture.failedFuture(
+                    new StandlinkException(
+                            ErrorCode.PEER_UNREACHABLE, "no leader is known", "try again later"));
+        }
+        return present.call(message, timeoutMillis)
+                .whenComplete(
+                        (answer, failure) -> {
+                            if (failure instanceof TimeoutException) {
+                                // A silent connection may be cut; the next call makes a new one.
+                                present.close();
+                            }
+                        });
+    }
+
+    @Override
+    public synchronized void close() {
+        if (peer != null) {
+            peer.close();
+            peer = null;
+        }
+    }
+
+    private Peer connectTo(String address) {
+        InetSocketAddress target = Addresses.parse(address);
+        return new Peer(() -> target, executor, handler);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/gateway/JobGateway.java
@@ -0,0 +1,236 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.gateway;
+
+import io.micrometer.core.instrument.MeterRegistry;
+import io.micrometer.core.instrument.Timer;
+import java.util.Optional;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Function;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+import org.standlink.election.LeaderLink;
+import org.standlink.job.Manifest;
+import org.standlink.job.QueueDefinition;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.process.EventLog;
+import org.standlink.wire.CancelJob;
+import org.standlink.wire.JobAnswer;
+import org.standlink.wire.JobQuery;
+import org.standlink.wire.LeaderNotice;
+import org.standlink.wire.Message;
+import org.standlink.wire.QueueQuery;
+import org.standlink.wire.SubmitJob;
+
+/**
+ * Answers callers: finds the queue of a request, asks the leader and says truly what became of it.
+ *
+ * <p>{@code JobGateway} is thread-safe.
+ */
+public final class JobGateway {
+
+    /**
+     * How long a request waits for a leader to be reachable, in milliseconds; a restarted
+     * connection takes a tenth of it, a new leader takes longer than a caller should be held.
+     */
+    private static final long LEADER_WAIT_MILLIS = 400;
+
+    /** The pause between two tries to reach the leader, in milliseconds. */
+    private static final long PAUSE_MILLIS = 50;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(JobGateway.class);
+
+    /** The configuration in force. */
+    private final AtomicReference<Manifest> manifest = new AtomicReference<>(Manifest.NONE);
+
+    /** The leader. */
+    private final LeaderLink leader;
+
+    /** The clock. */
+    private final MonotonicClock clock;
+
+    /** Where histograms go. */
+    private final MeterRegistry registry;
+
+    /**
+     * Constructor.
+     *
+     * @param leader the leader
+     * @param clock the clock
+     * @param registry where histograms go
+     */
+    public JobGateway(LeaderLink leader, MonotonicClock clock, MeterRegistry registry) {
+        this.leader = leader;
+        this.clock = clock;
+        this.registry = registry;
+    }
+
+    /**
+     * Takes note of a configuration; an older one than the one in force is passed over.
+     *
+     * @param offered the configuration
+     */
+    public void offer(Manifest offered) {
+        Manifest before = manifest.getAndUpdate(present -> newer(present, offered));
+        if (offered.version() > before.version()) {
+            LOG.info("configuration-in-force")
+                    .with("version", offered.version())
+                    .with("before", before.version())
+                    .write();
+        }
+    }
+
+    /**
+     * Checks whether callers can be answered.
+     *
+     * @return true if there is a configuration
+     */
+    public boolean isReady() {
+        return manifest.get().version() > 0;
+    }
+
+    /**
+     * Answers a caller.
+     *
+     * @param host the host that the caller named
+     * @param path the path
+     * @param reader reads the request once its queue is known
+     * @return the answer
+     */
+    public JobReply answer(String host, String path, Function<QueueDefinition, JobCall> reader) {
+        long start = System.nanoTime();
+        Manifest present = manifest.get();
+        if (present.version() == 0) {
+            return JobReply.ofNotRun("there is no configuration yet");
+        }
+        Optional<QueueDefinition> queue = present.findQueue(host, path);
+        if (queue.isEmpty()) {
+            LOG.info("no-queue").with("path", path).with("version", present.version()).write();
+            return JobReply.of(404, "no queue takes this path");
+        }
+        JobCall call;
+        try {
+            call = reader.apply(queue.get());
+        } catch (StandlinkException malformed) {
+            LOG.info("request-refused").with("path", path).with("cause", malformed).write();
+            return JobReply.of(400, malformed.getMessage());
+        }
+        if (call.kind() == null) {
+            return JobReply.of(405, "use POST, GET or DELETE for a job, GET for a queue");
+        }
+        JobReply reply = ask(call, queue.get().name());
+        record(call, queue.get(), present, reply, System.nanoTime() - start);
+        return reply;
+    }
+
+    // -----------------------------------------------------------------------
+    private static Manifest newer(Manifest present, Manifest offered) {
+        return offered.version() > present.version() ? offered : present;
+    }
+
+    private JobReply ask(JobCall call, String queue) {
+        Message question =
+                switch (call.kind()) {
+                    case SUBMIT -> new SubmitJob(call.definition());
+                    case STATE -> new JobQuery(call.job(), queue);
+                    case CANCEL -> new CancelJob(call.job(), queue);
+                    case COUNT -> new QueueQuery(queue);
+                };
+        long start = clock.nowMillis();
+        String reason = "no leader is reachable";
+        while (clock.nowMillis() - start <= Math.min(LEADER_WAIT_MILLIS, call.waitMillis())) {
+            long left = call.waitMillis() - (clock.nowMillis() - start);
+            try {
+                Message answer = leader.call(question, Math.max(1, left)).join();
+                if (answer instanceof JobAnswer known) {
+                    return reply(call, known);
+                }
+                if (answer instanceof LeaderNotice notice) {
+                    leader.offer(notice, "another process");
+                    reason = "the leader has changed";
+                }
+            } catch (CompletionException failed) {
+                if (!isNothingSent(failed.getCause())) {
+                    return lost(call, failed.getCause());
+                }
+                reason = failed.getCause().getMessage();
+            }
+            if (!pause()) {
+                break;
+            }
+        }
+        return JobReply.ofNotRun(reason);
+    }
+
+    private static boolean isNothingSent(Throwable cause) {
+        return cause instanceof StandlinkException known
+                && known.getCode() == ErrorCode.PEER_UNREACHABLE;
+    }
+
+    private static boolean pause() {
+        try {
+            TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
+            return true;
+        } catch (InterruptedException stopped) {
+            Thread.currentThread().interrupt();
+            return false;
+        }
+    }
+
+    /** A question without an answer: a mere look had no effect, anything else may have had. */
+    private static JobReply lost(JobCall call, Throwable cause) {
+        boolean look = call.kind() == JobCall.Kind.STATE || call.kind() == JobCall.Kind.COUNT;
+        String reason = "the leader's answer was lost: " + cause;
+        return look ? JobReply.ofNotRun(reason) : JobReply.of(504, reason);
+    }
+
+    private static JobReply reply(JobCall call, JobAnswer answer) {
+        return switch (answer.result()) {
+            case DONE -> {
+                long waiting = call.kind() == JobCall.Kind.COUNT ? answer.waiting() : -1;
+                yield new JobReply(200, answer.state(), waiting, "", 0);
+            }
+            case NO_SUCH_JOB -> JobReply.of(410, "there is no such job");
+            case NOT_DONE -> JobReply.ofNotRun(answer.reason());
+            case UNKNOWN -> JobReply.of(504, answer.reason());
+        };
+    }
+
+    private void record(
+            JobCall call, QueueDefinition queue, Manifest present, JobReply reply, long nanos) {
+        Timer.builder("standlink.gateway.calls")
+                .tag("queue", queue.name())
+                .tag("kind", call.kind().name())
+                .tag("status", Integer.toString(reply.status()))
+                .publishPercentileHistogram()
+                .register(registry)
+                .record(nanos, TimeUnit.NANOSECONDS);
+        LOG.info("answered")
+                .with("job", call.job())
+                .with("kind", call.kind())
+                .with("queue", queue.name())
+                .with("version", present.version())
+                .with("epoch", leader.getLeader().epoch())
+                .with("status", reply.status())
+                .with("state", reply.state())
+                .with("reason", reply.reason())
+                .with("micros", nanos / 1000)
+                .write();
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/gateway/JobReply.java
@@ -0,0 +1,57 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.gateway;
+
+import org.standlink.job.JobState;
+
+/**
+ * The answer to a caller.
+ *
+ * <p>{@code JobReply} is thread-safe and immutable.
+ *
+ * @param status the HTTP status
+ * @param state the state of the job, null if none is told
+ * @param waiting how many jobs of the queue have not begun, negative if not told
+ * @param reason why, empty if all is well
+ * @param retryAfterSeconds when to come back, in seconds; 0 if not told
+ */
+public record JobReply(
+        int status, JobState state, long waiting, String reason, long retryAfterSeconds) {
+
+    /** When to come back after a refusal, in seconds; the header knows no less. */
+    private static final long RETRY_SECONDS = 1;
+
+    /**
+     * Makes an answer with a reason.
+     *
+     * @param status the HTTP status
+     * @param reason why
+     * @return the answer
+     */
+    public static JobReply of(int status, String reason) {
+        return new JobReply(status, null, -1, reason, 0);
+    }
+
+    /**
+     * Makes an answer that the request surely was not carried out.
+     *
+     * @param reason why
+     * @return the answer
+     */
+    public static JobReply ofNotRun(String reason) {
+        return new JobReply(503, null, -1, reason, RETRY_SECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/job/JobDefinition.java
@@ -0,0 +1,64 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.job;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+import org.standlink.JobId;
+
+/**
+ * A job as its caller submitted it.
+ *
+ * <p>It is written as an array, so new parts may only be added at its end.
+ *
+ * <p>{@code JobDefinition} is thread-safe and immutable.
+ *
+ * @param id the identifier that the caller chose
+ * @param queue the name of the queue it was submitted to
+ * @param specification the text that every task is started with
+ * @param steps the steps
+ * @param firstStartMillis when a repeated job is due first, in milliseconds since 1970
+ * @param intervalMillis the time between two repetitions, in milliseconds
+ * @param repetitions how often the steps run; 0 for once, at once
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record JobDefinition(
+        JobId id,
+        String queue,
+        String specification,
+        List<StepDefinition> steps,
+        long firstStartMillis,
+        long intervalMillis,
+        int repetitions) {
+
+    /**
+     * Gets how often the steps run.
+     *
+     * @return the number, 1 or more
+     */
+    public int times() {
+        return Math.max(1, repetitions);
+    }
+
+    /**
+     * Checks whether the job has times at which it is due.
+     *
+     * @return true if so
+     */
+    public boolean isTimed() {
+        return repetitions > 0;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/job/RunId.java
@@ -0,0 +1,35 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.job;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+
+/**
+ * Identifies one run of a task; the runs of a task are numbered from 1, rising.
+ *
+ * <p>{@code RunId} is thread-safe and immutable.
+ *
+ * @param task the task
+ * @param number the number of the run
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record RunId(TaskName task, int number) {
+
+    @Override
+    public String toString() {
+        return task + "#" + number;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/job/WorkerDescription.java
@@ -0,0 +1,43 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.job;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+import org.standlink.Resources;
+
+/**
+ * What a worker says of itself in a check-in.
+ *
+ * <p>{@code WorkerDescription} is thread-safe and immutable.
+ *
+ * @param id the life of the worker
+ * @param service the service whose queues it may run
+ * @param address where it takes calls, host and port
+ * @param capacity its room
+ * @param labels its labels, such as its kind and rack
+ * @param draining whether it is about to leave
+ * @param remainingMillis when draining, the least time left, in milliseconds
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record WorkerDescription(
+        WorkerId id,
+        String service,
+        String address,
+        Resources capacity,
+        List<String> labels,
+        boolean draining,
+        long remainingMillis) {}
--- /dev/null
+++ b/src/main/java/org/standlink/platform/HttpCaller.java
@@ -0,0 +1,103 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.platform;
+
+import java.net.ConnectException;
+import java.net.URI;
+import java.net.http.HttpClient;
+import java.net.http.HttpConnectTimeoutException;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.time.Duration;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+
+/**
+ * The one HTTP client for calls to the platform and to workers.
+ *
+ * <p>A call without an answer in its time fails; its connection is closed and not used again.
+ *
+ * <p>{@code HttpCaller} is thread-safe.
+ */
+public final class HttpCaller {
+
+    /** How long to wait for a connection; links of the platform take a few milliseconds. */
+    private static final Duration CONNECT_TIMEOUT = Duration.ofSeconds(1);
+
+    /** The client. */
+    private final HttpClient client;
+
+    /**
+     * Constructor.
+     *
+     * @param executor where the client's threads come from
+     */
+    public HttpCaller(Executor executor) {
+        client =
+                HttpClient.newBuilder()
+                        .version(HttpClient.Version.HTTP_1_1)
+                        .connectTimeout(CONNECT_TIMEOUT)
+                        .executor(executor)
+                        .build();
+    }
+
+    /**
+     * Makes a request to be completed and sent.
+     *
+     * @param address host and port
+     * @param target the path, with its query if any
+     * @param timeoutMillis how long to wait for the answer, in milliseconds
+     * @return the request
+     */
+    HttpRequest.Builder request(String address, String target, long timeoutMillis) {
+        return HttpRequest.newBuilder(URI.create("http://" + address + target))
+                .timeout(Duration.ofMillis(timeoutMillis));
+    }
+
+    /**
+     * Sends a request.
+     *
+     * @param request the request
+     * @return the answer; fails with PLATFORM_UNAVAILABLE if nothing was sent, else with
+     *     PLATFORM_OUTCOME_UNKNOWN
+     */
+    CompletableFuture<HttpResponse<byte[]>> send(HttpRequest.Builder request) {
+        return client.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray())
+                .exceptionally(
+                        failure -> {
+                            throw translate(failure);
+                        });
+    }
+
+    private static StandlinkException translate(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
+            return new StandlinkException(
+                    ErrorCode.PLATFORM_UNAVAILABLE,
+                    "no connection: " + cause,
+                    "try again later; nothing was sent",
+                    cause);
+        }
+        return new StandlinkException(
+                ErrorCode.PLATFORM_OUTCOME_UNKNOWN,
+                "no answer: " + cause,
+                "repeat the call under the same number or read the state back",
+                cause);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/platform/HttpWorkerCalls.java
@@ -0,0 +1,215 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.platform;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.net.http.HttpRequest;
+import java.net.http.HttpResponse;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Locale;
+import java.util.concurrent.CompletableFuture;
+import org.standlink.Epoch;
+import org.standlink.StandlinkException;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
+import org.standlink.job.RunProgress;
+import org.standlink.job.TaskName;
+import org.standlink.job.WorkerDescription;
+import org.standlink.runner.CallResult;
+import org.standlink.runner.HoldResult;
+import org.standlink.runner.WorkerCalls;
+import org.standlink.wire.StartOrder;
+
+/**
+ * The calls of a worker over HTTP.
+ *
+ * <p>{@code HttpWorkerCalls} is thread-safe and immutable.
+ */
+public final class HttpWorkerCalls implements WorkerCalls {
+
+    /** How long a call may take, in milliseconds; the worker is beside and answers in about 10. */
+    private static final long CALL_MILLIS = 500;
+
+    /** The header that names the life of the worker that a call is meant for. */
+    private static final String LIFE_HEADER = "X-Expect-Instance";
+
+    /** The client. */
+    private final HttpCaller caller;
+
+    /**
+     * Constructor.
+     *
+     * @param caller the client
+     */
+    public HttpWorkerCalls(HttpCaller caller) {
+        this.caller = caller;
+    }
+
+    // -----------------------------------------------------------------------
+    @Override
+    public CompletableFuture<CallResult> start(
+            WorkerDescription worker, StartOrder order, long holdUntil, Epoch epoch) {
+        ObjectNode body = run(order.run(), epoch);
+        body.put("spec", order.specification());
+        body.put("until_ms", holdUntil);
+        if (!order.checkpoint().isEmpty()) {
+            body.put("checkpoint", order.checkpoint());
+        }
+        return call(worker, "/v1/run-start", body);
+    }
+
+    @Override
+    public CompletableFuture<CallResult> stop(WorkerDescription worker, RunId run, Epoch epoch) {
+        return call(worker, "/v1/run-stop", run(run, epoch));
+    }
+
+    @Override
+    public CompletableFuture<CallResult> pace(
+            WorkerDescription worker, RunId run, int percent, Epoch epoch) {
+        ObjectNode body = run(run, epoch);
+        body.put("percent", percent);
+        return call(worker, "/v1/pace", body);
+    }
+
+    @Override
+    public CompletableFuture<HoldResult> hold(
+            WorkerDescription worker,
+            long holdUntil,
+            Epoch epoch,
+            long recordedEnd,
+            long waitMillis) {
+        ObjectNode body = Json.object();
+        if (holdUntil >= 0) {
+            body.put("until_ms", holdUntil);
+        }
+        body.put("fencing_token", epoch.getValue());
+        // The name means the last end that was recorded, not merely read.
+        body.put("last_seen", recordedEnd);
+        if (waitMillis > 0) {
+            body.put("wait_ms", waitMillis);
+        }
+        return post(worker, "/v1/hold", body, CALL_MILLIS + waitMillis)
+                .handle(
+                        (response, failure) ->
+                                failure == null ? holdResult(response) : noAnswer(failure));
+    }
+
+    // -----------------------------------------------------------------------
+    private static ObjectNode run(RunId run, Epoch epoch) {
+        ObjectNode body = Json.object();
+        body.put("task", run.task().toString());
+        body.put("run_id", run.number());
+        body.put("fencing_token", epoch.getValue());
+        return body;
+    }
+
+    private CompletableFuture<CallResult> call(
+            WorkerDescription worker, String path, ObjectNode body) {
+        return post(worker, path, body, CALL_MILLIS)
+                .handle(
+                        (response, failure) ->
+                                failure == null ? result(response) : unknown(failure));
+    }
+
+    private CompletableFuture<HttpResponse<byte[]>> post(
+            WorkerDescription worker, String path, ObjectNode body, long timeoutMillis) {
+        HttpRequest.Builder request =
+                caller.request(worker.address(), path, timeoutMillis)
+                        .header("Content-Type", "application/json")
+                        .header(LIFE_HEADER, worker.id().toString())
+                        .POST(HttpRequest.BodyPublishers.ofByteArray(Json.write(body)));
+        return caller.send(request);
+    }
+
+    private static CallResult unknown(Throwable failure) {
+        return new CallResult(CallResult.Kind.UNKNOWN, -1, String.valueOf(failure.getMessage()));
+    }
+
+    private static HoldResult noAnswer(Throwable failure) {
+        return new HoldResult(unknown(failure), List.of(), List.of());
+    }
+
+    private static CallResult result(HttpResponse<byte[]> response) {
+        int status = response.statusCode();
+        JsonNode body = body(response);
+        long clock = body.path("clock_ms").asLong(-1);
+        String reason = body.path("reason").asText("");
+        return new CallResult(kind(status, reason), clock, status + " " + reason);
+    }
+
+    private static JsonNode body(HttpResponse<byte[]> response) {
+        try {
+            return Json.read(response.body());
+        } catch (StandlinkException notJson) {
+            // An error page has no clock and no reason; the status says enough.
+            return Json.object();
+        }
+    }
+
+    private static CallResult.Kind kind(int status, String reason) {
+        return switch (status) {
+            case 200 -> CallResult.Kind.DONE;
+            case 400 -> CallResult.Kind.INVALID;
+            case 421 -> CallResult.Kind.OTHER_LIFE;
+            case 429, 503 -> CallResult.Kind.UNWELL;
+            case 409 -> conflict(reason);
+            default -> CallResult.Kind.UNKNOWN;
+        };
+    }
+
+    private static CallResult.Kind conflict(String reason) {
+        return switch (reason) {
+            case "fence" -> CallResult.Kind.FENCED;
+            case "old" -> CallResult.Kind.SUPERSEDED;
+            case "late" -> CallResult.Kind.HOLD_PAST;
+            default -> CallResult.Kind.NO_ROOM;
+        };
+    }
+
+    private static HoldResult holdResult(HttpResponse<byte[]> response) {
+        CallResult result = result(response);
+        if (result.kind() != CallResult.Kind.DONE) {
+            return new HoldResult(result, List.of(), List.of());
+        }
+        JsonNode body = body(response);
+        List<RunProgress> running = new ArrayList<>();
+        for (JsonNode row : body.path("running")) {
+            running.add(
+                    new RunProgress(
+                            runId(row.path(0), row.path(1)),
+                            row.path(2).asText(""),
+                            row.path(3).asInt(),
+                            row.path(4).asLong()));
+        }
+        List<RunEnd> ended = new ArrayList<>();
+        for (JsonNode row : body.path("ended")) {
+            ended.add(
+                    new RunEnd(
+                            row.path(0).asLong(),
+                            runId(row.path(1), row.path(2)),
+                            RunEndKind.valueOf(row.path(3).asText().toUpperCase(Locale.ROOT)),
+                            row.path(4).asText("")));
+        }
+        return new HoldResult(result, running, ended);
+    }
+
+    private static RunId runId(JsonNode task, JsonNode number) {
+        return new RunId(TaskName.parse(task.asText()), number.asInt());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/platform/Json.java
@@ -0,0 +1,78 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.platform;
+
+import com.fasterxml.jackson.core.JsonProcessingException;
+import com.fasterxml.jackson.databind.JsonNode;
+import com.fasterxml.jackson.databind.ObjectMapper;
+import com.fasterxml.jackson.databind.node.ObjectNode;
+import java.io.IOException;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+
+/** Reads and writes the JSON bodies of the platform. */
+final class Json {
+
+    /** The serializer. */
+    private static final ObjectMapper MAPPER = new ObjectMapper();
+
+    /** No instances. */
+    private Json() {}
+
+    /**
+     * Makes an empty object.
+     *
+     * @return the object
+     */
+    static ObjectNode object() {
+        return MAPPER.createObjectNode();
+    }
+
+    /**
+     * Reads a body.
+     *
+     * @param body the bytes
+     * @return the value, an empty object for an empty body
+     * @throws StandlinkException with code INVALID_MESSAGE if it is not JSON
+     */
+    static JsonNode read(byte[] body) {
+        try {
+            JsonNode value = MAPPER.readTree(body);
+            return value == null || value.isMissingNode() ? object() : value;
+        } catch (IOException malformed) {
+            throw new StandlinkException(
+                    ErrorCode.INVALID_MESSAGE,
+                    "a body of " + body.length + " bytes is not JSON",
+                    "check what the sender writes",
+                    malformed);
+        }
+    }
+
+    /**
+     * Writes a body.
+     *
+     * @param value the value
+     * @return the bytes
+     */
+    static byte[] write(JsonNode value) {
+        try {
+            return MAPPER.writeValueAsBytes(value);
+        } catch (JsonProcessingException impossible) {
+            throw new StandlinkException(
+                    ErrorCode.INTERNAL, "value not encoded", "report a defect", impossible);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/platform/ReadyServer.java
@@ -0,0 +1,64 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.platform;
+
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.util.concurrent.Executor;
+import java.util.function.BooleanSupplier;
+import org.standlink.process.HttpService;
+
+/**
+ * Tells the platform's balancer whether this process takes new connections.
+ *
+ * <p>{@code ReadyServer} is thread-safe.
+ */
+public final class ReadyServer implements AutoCloseable {
+
+    /** The server. */
+    private final HttpServer server;
+
+    /** Tells whether the process is ready. */
+    private final BooleanSupplier ready;
+
+    /**
+     * Constructor, which starts to listen.
+     *
+     * @param address where to listen
+     * @param executor where threads come from
+     * @param ready tells whether the process is ready
+     */
+    public ReadyServer(InetSocketAddress address, Executor executor, BooleanSupplier ready) {
+        this.ready = ready;
+        server = HttpService.newServer(address, executor);
+        server.createContext("/v1/ready", this::handle);
+        server.start();
+    }
+
+    @Override
+    public void close() {
+        server.stop(0);
+    }
+
+    // -----------------------------------------------------------------------
+    private void handle(HttpExchange exchange) throws IOException {
+        try (exchange) {
+            exchange.sendResponseHeaders(ready.getAsBoolean() ? 200 : 503, -1);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -0,0 +1,288 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.LongConsumer;
+import org.standlink.Epoch;
+import org.standlink.Incarnation;
+import org.standlink.election.LeaderLink;
+import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.process.EventLog;
+import org.standlink.wire.AgentGrant;
+import org.standlink.wire.AgentReport;
+import org.standlink.wire.Connection;
+import org.standlink.wire.LeaderNotice;
+import org.standlink.wire.Message;
+import org.standlink.wire.RunOrders;
+import org.standlink.wire.WorkerReport;
+
+/**
+ * The agent of a machine: looks after its workers, reports to the leader and holds its lease.
+ *
+ * <p>{@code AgentNode} is thread-safe: every call is handed to the loop.
+ */
+public final class AgentNode implements CheckInListener {
+
+    /** The time between two heartbeats, in milliseconds; a lease is ten times as long. */
+    private static final long HEARTBEAT_MILLIS = 500;
+
+    /**
+     * How long the leader's answer is waited for, in milliseconds; less than its silence allowed.
+     */
+    private static final long ANSWER_MILLIS = 1000;
+
+    /** How long changes are gathered before they are reported, in milliseconds. */
+    private static final long GATHER_MILLIS = 3;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(AgentNode.class);
+
+    /** The machine's name. */
+    private final String node;
+
+    /** Where this process listens, host and port. */
+    private final String address;
+
+    /** The run of this process. */
+    private final Incarnation self;
+
+    /** The leader. */
+    private final LeaderLink leader;
+
+    /** The calls of workers. */
+    private final WorkerCalls calls;
+
+    /** The clock. */
+    private final MonotonicClock clock;
+
+    /** The loop. */
+    private final ScheduledExecutorService loop;
+
+    /** Is told how long ago the store took a call of the leader, at each answer of the leader. */
+    private final LongConsumer whenAnswered;
+
+    /** The workers beside this agent. */
+    private final Map<WorkerId, WorkerSupervisor> workers = new LinkedHashMap<>();
+
+    /** Lives that are over. */
+    private final Set<WorkerId> dead = new HashSet<>();
+
+    /** Until when runs may go on, on this agent's clock. */
+    private long leaseEnd;
+
+    /** When the last report was sent. */
+    private long reportedAt;
+
+    /** Whether a report is under way. */
+    private boolean reporting;
+
+    /** Whether there is something to report. */
+    private boolean changed;
+
+    /** Whether the leader answered the last report. */
+    private boolean answered;
+
+    /**
+     * Constructor.
+     *
+     * @param node the machine's name
+     * @param address where this process listens, host and port
+     * @param self the run of this process
+     * @param leader the leader
+     * @param calls the calls of workers
+     * @param clock the clock
+     * @param loop the loop, of one thread
+     * @param whenAnswered is told how long ago the store took a call of the leader
+     */
+    public AgentNode(
+            String node,
+            String address,
+            Incarnation self,
+            LeaderLink leader,
+            WorkerCalls calls,
+            MonotonicClock clock,
+            ScheduledExecutorService loop,
+            LongConsumer whenAnswered) {
+        this.node = node;
+        this.address = address;
+        this.self = self;
+        this.leader = leader;
+        this.calls = calls;
+        this.clock = clock;
+        this.loop = loop;
+        this.whenAnswered = whenAnswered;
+    }
+
+    /** Begins to report. */
+    public void start() {
+        loop.scheduleWithFixedDelay(this::beat, 0, HEARTBEAT_MILLIS / 5, TimeUnit.MILLISECONDS);
+    }
+
+    // -----------------------------------------------------------------------
+    @Override
+    public void checkedIn(WorkerDescription worker, long sequence) {
+        loop.execute(() -> checkedInOnLoop(worker));
+    }
+
+    @Override
+    public void left(WorkerId worker) {
+        loop.execute(() -> over(worker, "left"));
+    }
+
+    /**
+     * Takes a message of the leader.
+     *
+     * @param connection where it came from
+     * @param call the number to answer under
+     * @param message the message
+     */
+    public void handle(Connection connection, long call, Message message) {
+        if (message instanceof RunOrders orders) {
+            loop.execute(() -> order(orders));
+        }
+    }
+
+    // -----------------------------------------------------------------------
+    private void checkedInOnLoop(WorkerDescription worker) {
+        if (dead.contains(worker.id())) {
+            return;
+        }
+        WorkerSupervisor present = workers.get(worker.id());
+        if (present != null) {
+            present.checkedIn(worker);
+            return;
+        }
+        // A new life at the address of another one means that the other is over.
+        workers.values().stream()
+                .map(WorkerSupervisor::getWorker)
+                .filter(other -> other.address().equals(worker.address()))
+                .map(WorkerDescription::id)
+                .toList()
+                .forEach(old -> over(old, "replaced"));
+        LOG.info("worker-found").with("worker", worker).write();
+        WorkerSupervisor made =
+                new WorkerSupervisor(
+                        worker, calls, clock, loop, () -> leaseEnd, this::epoch, this::changed);
+        workers.put(worker.id(), made);
+        made.start();
+    }
+
+    private void over(WorkerId worker, String reason) {
+        WorkerSupervisor supervisor = workers.remove(worker);
+        if (supervisor != null) {
+            supervisor.close();
+        }
+        if (dead.add(worker)) {
+            LOG.info("worker-over").with("worker", worker).with("reason", reason).write();
+            changed();
+        }
+    }
+
+    private Epoch epoch() {
+        return leader.getLeader().epoch();
+    }
+
+    private void order(RunOrders orders) {
+        if (orders.epoch().compareTo(epoch()) < 0) {
+            LOG.info("old-orders").with("epoch", orders.epoch()).with("known", epoch()).write();
+            return;
+        }
+        WorkerSupervisor supervisor = workers.get(orders.worker());
+        if (supervisor != null) {
+            supervisor.order(orders);
+        }
+    }
+
+    // -----------------------------------------------------------------------
+    private void changed() {
+        if (!changed) {
+            changed = true;
+            loop.schedule(this::reportIfChanged, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void reportIfChanged() {
+        if (changed && !reporting) {
+            report();
+        }
+    }
+
+    private void beat() {
+        if (!reporting && clock.nowMillis() - reportedAt >= HEARTBEAT_MILLIS) {
+            report();
+        }
+    }
+
+    private void report() {
+        reporting = true;
+        changed = false;
+        long sentAt = clock.nowMillis();
+        reportedAt = sentAt;
+        Map<WorkerId, WorkerReport> sent = new LinkedHashMap<>();
+        workers.forEach((id, supervisor) -> sent.put(id, supervisor.report()));
+        List<WorkerId> over = new ArrayList<>(dead);
+        AgentReport report =
+                new AgentReport(node, address, self, epoch(), List.copyOf(sent.values()), over);
+        leader.call(report, ANSWER_MILLIS)
+                .whenCompleteAsync(
+                        (answer, failure) -> reported(answer, failure, sent, sentAt), loop);
+    }
+
+    private void reported(
+            Message answer, Throwable failure, Map<WorkerId, WorkerReport> sent, long sentAt) {
+        reporting = false;
+        if (answer instanceof LeaderNotice notice) {
+            leader.offer(notice, "another process");
+        }
+        boolean granted =
+                answer instanceof AgentGrant grant && grant.epoch().compareTo(epoch()) >= 0;
+        if (granted != answered) {
+            answered = granted;
+            LOG.info(granted ? "leader-regained" : "leader-lost")
+                    .with("epoch", epoch())
+                    .with("cause", failure)
+                    .write();
+        }
+        if (granted) {
+            AgentGrant grant = (AgentGrant) answer;
+            whenAnswered.accept(grant.storeSilentMillis());
+            if (grant.leaseMillis() > 0) {
+                leaseEnd = Math.max(leaseEnd, sentAt + grant.leaseMillis());
+                sent.forEach(this::reported);
+            }
+        }
+        if (changed) {
+            loop.schedule(this::reportIfChanged, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void reported(WorkerId id, WorkerReport report) {
+        WorkerSupervisor supervisor = workers.get(id);
+        if (supervisor != null) {
+            supervisor.reported(report);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/runner/HoldClock.java
@@ -0,0 +1,85 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+/**
+ * Works out until when a worker may be told to keep its runs, and when they are surely over.
+ *
+ * <p>A worker counts on a clock of its own, which may be slow by 2%. Times of the agent are on its
+ * monotonic clock, in milliseconds.
+ *
+ * <p>{@code HoldClock} is mutable and not thread-safe.
+ */
+final class HoldClock {
+
+    /** By how much a worker's clock may be slow. */
+    private static final double DRIFT = 1.02;
+
+    /** The time a worker takes to kill what it held, in milliseconds, with some to spare. */
+    private static final long KILL_MILLIS = 300;
+
+    /** The worker's clock in its last answer; negative if it has not answered yet. */
+    private long workerMillis = -1;
+
+    /** When that answer came. */
+    private long answeredAt;
+
+    /** The latest time up to which the worker was told to keep its runs. */
+    private long heldUntil = Long.MIN_VALUE;
+
+    /**
+     * Takes note of the worker's clock.
+     *
+     * @param clockMillis the worker's clock, negative if it told none
+     * @param now when the answer came
+     */
+    void answered(long clockMillis, long now) {
+        if (clockMillis >= 0) {
+            workerMillis = clockMillis;
+            answeredAt = now;
+        }
+    }
+
+    /**
+     * Checks whether the worker's clock is known.
+     *
+     * @return true if it has answered
+     */
+    boolean isKnown() {
+        return workerMillis >= 0;
+    }
+
+    /**
+     * Works out what to tell the worker, and takes note that it is told.
+     *
+     * @param end until when the runs may go on, on the agent's clock
+     * @return until when on the worker's clock
+     */
+    long hold(long end) {
+        heldUntil = Math.max(heldUntil, end);
+        return workerMillis + (long) Math.max(0, (end - answeredAt) / DRIFT);
+    }
+
+    /**
+     * Checks whether all that the worker was told to keep is over.
+     *
+     * @param now the time on the agent's clock
+     * @return true if so
+     */
+    boolean isOver(long now) {
+        return now > heldUntil + KILL_MILLIS;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/runner/HoldResult.java
@@ -0,0 +1,41 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import java.util.List;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunProgress;
+
+/**
+ * What a worker answered to a hold.
+ *
+ * <p>{@code HoldResult} is thread-safe and immutable.
+ *
+ * @param result what became of the call; the lists mean something only if it was done
+ * @param running what runs
+ * @param ended the ends that have not been recorded yet
+ */
+public record HoldResult(CallResult result, List<RunProgress> running, List<RunEnd> ended) {
+
+    /**
+     * Checks whether the worker answered with its lists.
+     *
+     * @return true if so
+     */
+    public boolean isDone() {
+        return result.kind() == CallResult.Kind.DONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/runner/LocalRun.java
@@ -0,0 +1,162 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import org.standlink.job.RunId;
+import org.standlink.wire.StartOrder;
+
+/**
+ * A run that the leader wants started or stopped on the worker beside this agent.
+ *
+ * <p>{@code LocalRun} is mutable and not thread-safe.
+ */
+final class LocalRun {
+
+    /** How far it is. */
+    enum Phase {
+        /** The worker has not said yet that it runs. */
+        STARTING,
+        /** The worker has said that it runs. */
+        RUNNING,
+        /** The worker has not said yet that it will stop it. */
+        STOPPING,
+        /** The worker has said that it will stop it; its end has not been listed. */
+        STOPPED
+    }
+
+    /** The run. */
+    private final RunId run;
+
+    /** The order to start it, null if there was only one to stop it. */
+    private final StartOrder order;
+
+    /** How far it is. */
+    private Phase phase;
+
+    /** Whether a call about it is under way. */
+    private boolean calling;
+
+    /** When the worker said that it will stop it. */
+    private long stoppedAt;
+
+    /** The share of time for which it works, in percent. */
+    private int pace = 100;
+
+    /**
+     * Constructor.
+     *
+     * @param run the run
+     * @param order the order to start it, null if there was only one to stop it
+     * @param phase how far it is
+     */
+    LocalRun(RunId run, StartOrder order, Phase phase) {
+        this.run = run;
+        this.order = order;
+        this.phase = phase;
+    }
+
+    // -----------------------------------------------------------------------
+    /**
+     * Gets the run.
+     *
+     * @return the run
+     */
+    RunId getRun() {
+        return run;
+    }
+
+    /**
+     * Gets the order to start it.
+     *
+     * @return the order, null if there was only one to stop it
+     */
+    StartOrder getOrder() {
+        return order;
+    }
+
+    /**
+     * Gets how far it is.
+     *
+     * @return the phase
+     */
+    Phase getPhase() {
+        return phase;
+    }
+
+    /**
+     * Sets how far it is.
+     *
+     * @param next the phase
+     */
+    void setPhase(Phase next) {
+        phase = next;
+    }
+
+    /**
+     * Checks whether a call about it is under way.
+     *
+     * @return true if so
+     */
+    boolean isCalling() {
+        return calling;
+    }
+
+    /**
+     * Sets whether a call about it is under way.
+     *
+     * @param under whether so
+     */
+    void setCalling(boolean under) {
+        calling = under;
+    }
+
+    /**
+     * Gets when the worker said that it will stop it.
+     *
+     * @return the time on the agent's clock
+     */
+    long getStoppedAt() {
+        return stoppedAt;
+    }
+
+    /**
+     * Takes note that the worker will stop it.
+     *
+     * @param now the time on the agent's clock
+     */
+    void stopped(long now) {
+        phase = Phase.STOPPED;
+        stoppedAt = now;
+    }
+
+    /**
+     * Gets the share of time for which it works.
+     *
+     * @return the share, in percent
+     */
+    int getPace() {
+        return pace;
+    }
+
+    /**
+     * Sets the share of time for which it works.
+     *
+     * @param percent the share, in percent
+     */
+    void setPace(int percent) {
+        pace = percent;
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -0,0 +1,281 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import java.util.List;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.standlink.Epoch;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunProgress;
+import org.standlink.job.WorkerDescription;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.process.EventLog;
+import org.standlink.wire.RunOrders;
+import org.standlink.wire.WorkerReport;
+
+/**
+ * Carries out the leader's orders on one life of a worker, and keeps its hold up.
+ *
+ * <p>A call without an answer may be carried out later, so it is repeated until the worker has said
+ * what became of the run.
+ *
+ * <p>{@code WorkerSupervisor} is not thread-safe; the agent's loop owns it.
+ */
+final class WorkerSupervisor {
+
+    /**
+     * How long a hold waits for an end, in milliseconds; the figures of serving runs are as old.
+     */
+    private static final long WAIT_MILLIS = 400;
+
+    /** The pause before a failed call is repeated, in milliseconds. */
+    private static final long PAUSE_MILLIS = 150;
+
+    /** How long recorded ends are waited for before the next hold, in milliseconds. */
+    private static final long RECORD_MILLIS = 100;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(WorkerSupervisor.class);
+
+    /** The calls of workers. */
+    private final WorkerCalls calls;
+
+    /** The clock. */
+    private final MonotonicClock clock;
+
+    /** The agent's loop. */
+    private final ScheduledExecutorService loop;
+
+    /** Tells until when runs may go on, on the agent's clock. */
+    private final Supplier<Long> leaseEnd;
+
+    /** Tells the newest epoch. */
+    private final Supplier<Epoch> epoch;
+
+    /** Is told when there is something to report. */
+    private final Runnable whenChanged;
+
+    /** The runs that the leader has spoken of. */
+    private final RunTable runs;
+
+    /** What the worker's clock says. */
+    private final HoldClock holdClock = new HoldClock();
+
+    /** Paces filling runs. */
+    private final PacePolicy pace = new PacePolicy();
+
+    /** What the worker said of itself. */
+    private WorkerDescription worker;
+
+    /** What runs, as the worker said last. */
+    private List<RunProgress> running = List.of();
+
+    /** The ends that have not been recorded, as the worker said last. */
+    private List<RunEnd> ended = List.of();
+
+    /** The last end that was recorded. */
+    private long recordedEnd;
+
+    /** Whether the worker answered the last call. */
+    private boolean reachable;
+
+    /** Whether the worker has said what runs. */
+    private boolean known;
+
+    /** Whether this supervisor is closed. */
+    private boolean closed;
+
+    /**
+     * Constructor.
+     *
+     * @param worker what the worker said of itself
+     * @param calls the calls of workers
+     * @param clock the clock
+     * @param loop the agent's loop
+     * @param leaseEnd tells until when runs may go on, on the agent's clock
+     * @param epoch tells the newest epoch
+     * @param whenChanged is told when there is something to report
+     */
+    WorkerSupervisor(
+            WorkerDescription worker,
+            WorkerCalls calls,
+            MonotonicClock clock,
+            ScheduledExecutorService loop,
+            Supplier<Long> leaseEnd,
+            Supplier<Epoch> epoch,
+            Runnable whenChanged) {
+        this.worker = worker;
+        this.calls = calls;
+        this.clock = clock;
+        this.loop = loop;
+        this.leaseEnd = leaseEnd;
+        this.epoch = epoch;
+        this.whenChanged = whenChanged;
+        this.runs =
+                new RunTable(
+                        () -> this.worker,
+                        holdClock,
+                        calls,
+                        clock,
+                        loop,
+                        leaseEnd,
+                        epoch,
+                        whenChanged);
+    }
+
+    /** Begins to look after the worker. */
+    void start() {
+        hold(0);
+    }
+
+    /** Ends; the worker's life is over. */
+    void close() {
+        closed = true;
+        runs.clear();
+    }
+
+    /**
+     * Takes note of what the worker said of itself.
+     *
+     * @param told the description
+     */
+    void checkedIn(WorkerDescription told) {
+        boolean leaves = told.draining() && !worker.draining();
+        worker = told;
+        if (leaves) {
+            LOG.info("worker-draining")
+                    .with("worker", told.id())
+                    .with("remaining-millis", told.remainingMillis())
+                    .write();
+            whenChanged.run();
+        }
+    }
+
+    /**
+     * Takes the leader's orders.
+     *
+     * @param orders the orders
+     */
+    void order(RunOrders orders) {
+        orders.stops().forEach(runs::stop);
+        orders.starts().forEach(runs::start);
+        if (orders.recordedEnd() > recordedEnd) {
+            recordedEnd = orders.recordedEnd();
+            ended = ended.stream().filter(end -> end.number() > recordedEnd).toList();
+        }
+    }
+
+    /**
+     * Makes a report.
+     *
+     * @return the report
+     */
+    WorkerReport report() {
+        return new WorkerReport(
+                worker,
+                reachable,
+                isLapsed(),
+                known,
+                running,
+                ended,
+                runs.getRefused(),
+                runs.getGone());
+    }
+
+    /**
+     * Takes note that the leader has had a report.
+     *
+     * @param sent the report
+     */
+    void reported(WorkerReport sent) {
+        runs.reported(sent.refused(), sent.gone());
+        if (sent.lapsed()) {
+            runs.clear();
+        }
+    }
+
+    /**
+     * Gets the life of the worker.
+     *
+     * @return what it said of itself
+     */
+    WorkerDescription getWorker() {
+        return worker;
+    }
+
+    // -----------------------------------------------------------------------
+    private boolean isLapsed() {
+        return known && !reachable && holdClock.isOver(clock.nowMillis());
+    }
+
+    // -----------------------------------------------------------------------
+    private void hold(long waitMillis) {
+        if (closed) {
+            return;
+        }
+        long end = leaseEnd.get();
+        boolean prolong = holdClock.isKnown() && end > clock.nowMillis();
+        long until = prolong ? holdClock.hold(end) : -1;
+        long sentAt = clock.nowMillis();
+        calls.hold(worker, until, epoch.get(), recordedEnd, waitMillis)
+                .thenAcceptAsync(result -> held(result, sentAt), loop);
+    }
+
+    private void held(HoldResult result, long sentAt) {
+        holdClock.answered(result.result().clockMillis(), clock.nowMillis());
+        boolean answers = result.isDone();
+        if (answers != reachable) {
+            reachable = answers;
+            LOG.info(answers ? "worker-regained" : "worker-lost")
+                    .with("worker", worker.id())
+                    .with("detail", result.result().detail())
+                    .write();
+        }
+        if (!answers) {
+            loop.schedule(() -> hold(0), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        boolean news = !known || !result.ended().isEmpty();
+        known = true;
+        running = result.running();
+        ended = result.ended().stream().filter(end -> end.number() > recordedEnd).toList();
+        runs.settle(running, ended, sentAt);
+        paceAll();
+        if (news) {
+            whenChanged.run();
+        }
+        if (ended.isEmpty()) {
+            hold(WAIT_MILLIS);
+        } else {
+            loop.schedule(() -> hold(0), RECORD_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    // -----------------------------------------------------------------------
+    private void paceAll() {
+        double worst = 0;
+        for (RunProgress progress : running) {
+            double target = runs.getTargetMillis(progress.run());
+            if (target > 0) {
+                worst = Math.max(worst, progress.figure() / target);
+            }
+        }
+        pace.decide(worst);
+        runs.pace(pace.getShare());
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/store/KeyedStore.java
@@ -0,0 +1,86 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.store;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.standlink.Epoch;
+
+/**
+ * The platform's store.
+ *
+ * <p>Each call fails with a {@link org.standlink.StandlinkException}: PLATFORM_UNAVAILABLE if it
+ * surely had no effect, PLATFORM_OUTCOME_UNKNOWN if it may have, or later still.
+ *
+ * <p>Implementations must be thread-safe.
+ */
+public interface KeyedStore {
+
+    /**
+     * Appends records if the topic ends at an offset.
+     *
+     * @param topic the topic
+     * @param records the records
+     * @param expectedEnd the offset
+     * @return the new end; fails with CONDITION_FAILED if the topic ends elsewhere
+     */
+    CompletableFuture<Long> appendAt(Topic topic, List<KeyedRecord> records, long expectedEnd);
+
+    /**
+     * Appends records as the writer of a topic.
+     *
+     * @param topic the topic
+     * @param records the records
+     * @param writer numbers the append
+     * @return the new end; fails with EPOCH_FENCED if a newer epoch has written
+     */
+    CompletableFuture<Long> append(Topic topic, List<KeyedRecord> records, Writer writer);
+
+    /**
+     * Raises the epoch of a topic's writer, so that appends of older epochs are refused.
+     *
+     * @param topic the topic
+     * @param epoch the epoch
+     * @return the end; fails with EPOCH_FENCED if a newer epoch has written
+     */
+    CompletableFuture<Long> fence(Topic topic, Epoch epoch);
+
+    /**
+     * Reads records, waiting for one if there is none yet.
+     *
+     * @param topic the topic
+     * @param from the offset of the first record wanted
+     * @param waitMillis how long to wait, in milliseconds; 0 for not at all
+     * @return the records; fails with LOG_GAP if they are no longer kept
+     */
+    CompletableFuture<ReadResult> read(Topic topic, long from, long waitMillis);
+
+    /**
+     * Reads the offset behind the last record of a topic.
+     *
+     * @param topic the topic
+     * @return the end
+     */
+    CompletableFuture<Long> readEnd(Topic topic);
+
+    /**
+     * Reads the newest record of each key.
+     *
+     * @param topic the topic
+     * @return the records, and an offset from which reading on misses nothing
+     */
+    CompletableFuture<ReadResult> readNewest(Topic topic);
+}
--- /dev/null
+++ b/src/main/java/org/standlink/store/TopicFollower.java
@@ -0,0 +1,156 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.store;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.Executor;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+import org.standlink.process.EventLog;
+
+/**
+ * Reads a topic for as long as the process runs: first the newest record of each key, then each new
+ * record as it comes.
+ *
+ * <p>A record may be delivered more than once, and an older one after a newer one when history was
+ * dropped meanwhile; the receiver must bear that.
+ *
+ * <p>{@code TopicFollower} is thread-safe.
+ */
+public final class TopicFollower implements AutoCloseable {
+
+    /** How long a read waits for a record, in milliseconds; the store allows 30,000. */
+    private static final long WAIT_MILLIS = 10_000;
+
+    /** The pause after a failed read, in milliseconds; five tries fit in the second wanted. */
+    private static final long PAUSE_MILLIS = 200;
+
+    /** The offset that says that nothing has been read. */
+    private static final long NOTHING_READ = -1;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(TopicFollower.class);
+
+    /** The store. */
+    private final KeyedStore store;
+
+    /** The topic. */
+    private final Topic topic;
+
+    /** The timers. */
+    private final ScheduledExecutorService timers;
+
+    /** Where records are handed on. */
+    private final Executor executor;
+
+    /** What receives records. */
+    private final Consumer<KeyedRecord> receiver;
+
+    /** The offset to read on from. */
+    private volatile long position = NOTHING_READ;
+
+    /** Whether the last read failed. */
+    private volatile boolean failing;
+
+    /** Whether this follower is closed. */
+    private volatile boolean closed;
+
+    /**
+     * Constructor.
+     *
+     * @param store the store
+     * @param topic the topic
+     * @param timers the timers
+     * @param executor where records are handed on, in order
+     * @param receiver what receives records
+     */
+    public TopicFollower(
+            KeyedStore store,
+            Topic topic,
+            ScheduledExecutorService timers,
+            Executor executor,
+            Consumer<KeyedRecord> receiver) {
+        this.store = store;
+        this.topic = topic;
+        this.timers = timers;
+        this.executor = executor;
+        this.receiver = receiver;
+    }
+
+    /** Starts to read. */
+    public void start() {
+        readOn();
+    }
+
+    /**
+     * Gets the offset to read on from.
+     *
+     * @return the offset, negative if nothing has been read
+     */
+    public long getPosition() {
+        return position;
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+    }
+
+    // -----------------------------------------------------------------------
+    private void readOn() {
+        if (closed) {
+            return;
+        }
+        CompletableFuture<ReadResult> result =
+                position == NOTHING_READ
+                        ? store.readNewest(topic)
+                        : store.read(topic, position, WAIT_MILLIS);
+        result.whenCompleteAsync(this::handle, executor);
+    }
+
+    private void handle(ReadResult result, Throwable failure) {
+        if (failure != null) {
+            handleFailure(failure);
+            return;
+        }
+        if (failing) {
+            failing = false;
+            LOG.info("store-read-regained").with("topic", topic).write();
+        }
+        result.records().forEach(receiver);
+        position = result.next();
+        readOn();
+    }
+
+    private void handleFailure(Throwable failure) {
+        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        if (cause instanceof StandlinkException known && known.getCode() == ErrorCode.LOG_GAP) {
+            LOG.info("history-dropped").with("topic", topic).with("offset", position).write();
+            position = NOTHING_READ;
+            readOn();
+            return;
+        }
+        if (!failing) {
+            failing = true;
+            LOG.warning("store-read-lost").with("topic", topic).with("cause", cause).write();
+        }
+        timers.schedule(this::readOn, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/wire/AgentReport.java
@@ -0,0 +1,42 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.wire;
+
+import java.util.List;
+import org.standlink.Epoch;
+import org.standlink.Incarnation;
+import org.standlink.job.WorkerId;
+
+/**
+ * The heartbeat of an agent: it asks for a lease and tells of its workers.
+ *
+ * <p>{@code AgentReport} is thread-safe and immutable.
+ *
+ * @param node the machine's name
+ * @param address where the agent listens, host and port
+ * @param incarnation the run of the agent
+ * @param epoch the newest epoch that the agent knows
+ * @param workers the workers beside it
+ * @param dead lives of workers that are surely over
+ */
+public record AgentReport(
+        String node,
+        String address,
+        Incarnation incarnation,
+        Epoch epoch,
+        List<WorkerReport> workers,
+        List<WorkerId> dead)
+        implements Message {}
--- a/src/main/java/org/standlink/wire/Message.java
+++ b/src/main/java/org/standlink/wire/Message.java
@@ -37,7 +37,16 @@
     @JsonSubTypes.Type(value = StatusAnswer.class, name = "10"),
     @JsonSubTypes.Type(value = BundleQuery.class, name = "11"),
     @JsonSubTypes.Type(value = BundleAnswer.class, name = "12"),
-    @JsonSubTypes.Type(value = Refusal.class, name = "13")
+    @JsonSubTypes.Type(value = Refusal.class, name = "13"),
+    @JsonSubTypes.Type(value = AgentReport.class, name = "14"),
+    @JsonSubTypes.Type(value = AgentGrant.class, name = "15"),
+    @JsonSubTypes.Type(value = RunOrders.class, name = "16"),
+    @JsonSubTypes.Type(value = LeaderNotice.class, name = "17"),
+    @JsonSubTypes.Type(value = SubmitJob.class, name = "18"),
+    @JsonSubTypes.Type(value = CancelJob.class, name = "19"),
+    @JsonSubTypes.Type(value = JobQuery.class, name = "20"),
+    @JsonSubTypes.Type(value = QueueQuery.class, name = "21"),
+    @JsonSubTypes.Type(value = JobAnswer.class, name = "22")
 })
 public sealed interface Message
         permits Hello,
@@ -52,4 +61,13 @@
                 StatusAnswer,
                 BundleQuery,
                 BundleAnswer,
-                Refusal {}
+                Refusal,
+                AgentReport,
+                AgentGrant,
+                RunOrders,
+                LeaderNotice,
+                SubmitJob,
+                CancelJob,
+                JobQuery,
+                QueueQuery,
+                JobAnswer {}
--- /dev/null
+++ b/src/main/java/org/standlink/wire/StartOrder.java
@@ -0,0 +1,36 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.wire;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import org.standlink.job.RunId;
+
+/**
+ * An order to start a run.
+ *
+ * <p>It is written as an array, so new parts may only be added at its end.
+ *
+ * <p>{@code StartOrder} is thread-safe and immutable.
+ *
+ * @param run the run
+ * @param specification the job's text
+ * @param checkpoint the state to go on from, empty for none
+ * @param filling whether the run uses only processors that others leave idle
+ * @param targetMillis the tail latency that a serving run is to keep, in milliseconds; 0 if none
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+public record StartOrder(
+        RunId run, String specification, String checkpoint, boolean filling, double targetMillis) {}
