--- /dev/null
+++ b/src/test/java/org/standlink/cell/CellFixtures.java
@@ -0,0 +1,85 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.List;
+import org.standlink.JobId;
+import org.standlink.Resources;
+import org.standlink.job.JobDefinition;
+import org.standlink.job.Manifest;
+import org.standlink.job.QueueDefinition;
+import org.standlink.job.StepDefinition;
+import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
+
+/** Jobs, workers and a configuration for tests. */
+final class CellFixtures {
+
+    /** A configuration with one queue, whose tasks may fail twice. */
+    static final Manifest MANIFEST =
+            new Manifest(
+                    1,
+                    List.of(new QueueDefinition("q", "h", "/q/", "s", 0, 2, 250, 1.5, false)),
+                    List.of(),
+                    1000);
+
+    private CellFixtures() {}
+
+    /** A job with steps of so many tasks, each step after the one before. */
+    static JobDefinition job(String id, int... counts) {
+        StepDefinition[] steps = new StepDefinition[counts.length];
+        for (int i = 0; i < counts.length; i++) {
+            List<Integer> after = i == 0 ? List.of() : List.of(i - 1);
+            steps[i] = step(counts[i], after, 0, false);
+        }
+        return of(id, steps);
+    }
+
+    static JobDefinition of(String id, StepDefinition... steps) {
+        return new JobDefinition(JobId.parse(id), "q", "text", List.of(steps), 0, 0, 0);
+    }
+
+    static StepDefinition step(int count, List<Integer> after, int most, boolean perpetual) {
+        return new StepDefinition(
+                count,
+                new Resources(1000, 100, 0),
+                500,
+                after,
+                false,
+                false,
+                false,
+                "",
+                "",
+                most,
+                false,
+                perpetual,
+                "",
+                0,
+                false,
+                0);
+    }
+
+    static WorkerDescription worker(String id, int cores) {
+        return new WorkerDescription(
+                WorkerId.parse(id),
+                "s",
+                "10.0.0.1:" + id.hashCode(),
+                new Resources(cores * 1000L, 10_000, 0),
+                List.of("a"),
+                false,
+                0);
+    }
+}
--- /dev/null
+++ b/src/test/java/org/standlink/cell/TestCommitQueue.java
@@ -0,0 +1,107 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.FakeLoop;
+import org.standlink.store.FakeKeyedStore;
+import org.standlink.store.Topic;
+
+/** Tests that nothing takes effect before it was kept, whatever the store does. */
+public class TestCommitQueue {
+
+    private final FakeClock clock = new FakeClock();
+    private final FakeLoop loop = new FakeLoop(clock);
+    private final FakeKeyedStore store = new FakeKeyedStore();
+    private final JobBoard board = new JobBoard();
+    private final List<String> seen = new ArrayList<>();
+    private final CommitQueue queue =
+            new CommitQueue(store, Epoch.of(2), board, clock, loop, loop, () -> seen.add("fenced"));
+
+    @Test
+    public void effectsWaitWhileTheStoreIsDown() {
+        store.setMode(FakeKeyedStore.Mode.DOWN);
+        board.add(CellFixtures.job("a", 1));
+        queue.afterCommit(() -> seen.add("effect"));
+        queue.pump();
+        loop.advance(2000);
+        assertTrue(seen.isEmpty());
+        assertTrue(queue.isStalled());
+        store.setMode(FakeKeyedStore.Mode.UP);
+        loop.advance(200);
+        assertEquals(List.of("effect"), seen);
+        assertFalse(queue.isStalled());
+    }
+
+    @Test
+    public void anAppendWithoutAnswerCountsOnce() {
+        store.setMode(FakeKeyedStore.Mode.LOST);
+        board.add(CellFixtures.job("a", 1));
+        queue.afterCommit(() -> seen.add("effect"));
+        queue.pump();
+        loop.advance(1000);
+        assertTrue(seen.isEmpty());
+        store.setMode(FakeKeyedStore.Mode.UP);
+        loop.advance(200);
+        assertEquals(List.of("effect"), seen);
+        assertEquals(2, store.records(Topic.CELL).size());
+    }
+
+    @Test
+    public void aNewerEpochEndsIt() {
+        store.fence(Topic.CELL, Epoch.of(3));
+        board.add(CellFixtures.job("a", 1));
+        queue.afterCommit(() -> seen.add("effect"));
+        queue.pump();
+        loop.advance(1000);
+        assertEquals(List.of("fenced"), seen);
+        assertTrue(store.records(Topic.CELL).isEmpty());
+    }
+
+    @Test
+    public void aRecordIsWrittenWhenNothingElseWas() {
+        clock.advance(CommitQueue.HEARTBEAT_MILLIS - 1);
+        queue.pump();
+        loop.advance(0);
+        assertEquals(0, store.records(Topic.CELL).size());
+        clock.advance(1);
+        queue.pump();
+        loop.advance(0);
+        assertEquals(1, store.records(Topic.CELL).size());
+    }
+
+    @Test
+    public void whatComesDuringAnAppendGoesIntoTheNextOne() {
+        board.add(CellFixtures.job("a", 1));
+        queue.afterCommit(() -> seen.add("a"));
+        queue.pump();
+        board.add(CellFixtures.job("b", 1));
+        queue.afterCommit(() -> seen.add("b"));
+        queue.pump();
+        assertTrue(seen.isEmpty());
+        loop.advance(0);
+        assertEquals(List.of("a", "b"), seen);
+        assertEquals(4, store.records(Topic.CELL).size());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/standlink/cell/TestTaskEntry.java
@@ -0,0 +1,99 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
+import org.standlink.job.TaskName;
+import org.standlink.job.WorkerId;
+
+/** Tests what the ends of runs do to a task, in every order in which they may come. */
+public class TestTaskEntry {
+
+    private static final WorkerId ONE = WorkerId.parse("one");
+    private static final WorkerId TWO = WorkerId.parse("two");
+    private static final TaskName NAME = TaskName.parse("j.0.0.0");
+
+    private TaskEntry task;
+
+    @BeforeEach
+    public void assign() {
+        task = new TaskEntry(NAME, CellFixtures.step(1, List.of(), 0, false));
+        task.assign(ONE);
+    }
+
+    private static RunEnd end(int number, RunEndKind kind, String checkpoint) {
+        return new RunEnd(1, new RunId(NAME, number), kind, checkpoint);
+    }
+
+    @Test
+    public void aFailureListedTwiceCountsOnce() {
+        assertTrue(task.end(ONE, end(1, RunEndKind.FAILED, "")));
+        assertFalse(task.end(ONE, end(1, RunEndKind.FAILED, "")));
+        assertEquals(1, task.getFailures());
+    }
+
+    @Test
+    public void aFailureCountsOnceAlsoAfterANewLeaderReadTheRecord() {
+        task.end(ONE, end(1, RunEndKind.FAILED, ""));
+        TaskEntry restored = new TaskEntry(NAME, task.getStep());
+        restored.restore(task.toRecord());
+        assertFalse(restored.end(ONE, end(1, RunEndKind.FAILED, "")));
+        assertEquals(1, restored.getFailures());
+    }
+
+    @Test
+    public void anOlderRunThatIsDoneEndsTheTask() {
+        task.release();
+        task.assign(TWO);
+        assertTrue(task.end(ONE, end(1, RunEndKind.DONE, "")));
+        assertTrue(task.isDone());
+        assertEquals(TWO, task.getWorker());
+    }
+
+    @Test
+    public void theEndOfAnOlderRunLeavesTheNewerOneInPlace() {
+        task.release();
+        task.assign(TWO);
+        assertFalse(task.end(ONE, end(1, RunEndKind.LAPSED, "old")));
+        assertEquals(TWO, task.getWorker());
+        assertEquals("", task.getCheckpoint());
+    }
+
+    @Test
+    public void aStoppedRunHandsItsStateToTheNext() {
+        assertTrue(task.end(ONE, end(1, RunEndKind.STOPPED, "saved")));
+        assertNull(task.getWorker());
+        assertEquals("saved", task.getCheckpoint());
+        assertEquals(0, task.getFailures());
+    }
+
+    @Test
+    public void nothingChangesATaskThatIsDone() {
+        task.end(ONE, end(1, RunEndKind.DONE, ""));
+        assertFalse(task.end(ONE, end(1, RunEndKind.FAILED, "")));
+        assertEquals(0, task.getFailures());
+    }
+}
--- /dev/null
+++ b/src/test/java/org/standlink/election/TestCandidate.java
@@ -0,0 +1,123 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.election;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.Incarnation;
+import org.standlink.store.FakeKeyedStore;
+import org.standlink.store.KeyedRecord;
+import org.standlink.store.Topic;
+
+/** Tests when a candidate claims, and when it must not. */
+public class TestCandidate {
+
+    private static final KeyedRecord BEAT = new KeyedRecord("heartbeat", new byte[] {1});
+    private static final Claim OTHER = new Claim(Epoch.of(1), "10.0.0.9:1", Incarnation.of(9));
+
+    private final FakeClock clock = new FakeClock();
+    private final FakeKeyedStore store = new FakeKeyedStore();
+    private final Candidate candidate =
+            new Candidate(
+                    store,
+                    clock,
+                    "10.0.0.1:1",
+                    Incarnation.of(1),
+                    () -> store.records(Topic.CLAIMS).size());
+
+    private int claims() {
+        return store.records(Topic.CLAIMS).size();
+    }
+
+    private void tickFor(long millis, boolean beats, boolean answers) {
+        for (long passed = 0; passed < millis; passed += 100) {
+            clock.advance(100);
+            if (beats) {
+                store.records(Topic.CELL).add(BEAT);
+            }
+            if (answers) {
+                candidate.leaderAnswered(0);
+            }
+            candidate.tick();
+        }
+    }
+
+    @BeforeEach
+    public void led() {
+        store.records(Topic.CLAIMS).add(OTHER.toRecord());
+        candidate.claimed(OTHER);
+    }
+
+    @Test
+    public void claimsAtOnceWhenTheLeaderHasResigned() {
+        candidate.claimed(new Claim(Epoch.of(1), "", Incarnation.of(9)));
+        candidate.tick();
+        assertEquals(2, claims());
+        assertEquals(Epoch.of(2), Claim.of(store.records(Topic.CLAIMS).get(1)).epoch());
+    }
+
+    @Test
+    public void neverClaimsWhileTheLeaderAnswers() {
+        tickFor(10_000, false, true);
+        assertEquals(1, claims());
+    }
+
+    @Test
+    public void neverClaimsWhileTheLeaderWritesThoughItDoesNotAnswer() {
+        tickFor(10_000, true, false);
+        assertEquals(1, claims());
+    }
+
+    @Test
+    public void claimsWhenTheLeaderNeitherAnswersNorWrites() {
+        tickFor(Candidate.SILENCE_MILLIS - 200, false, false);
+        assertEquals(1, claims());
+        tickFor(500, false, false);
+        assertEquals(2, claims());
+    }
+
+    @Test
+    public void claimsWhenTheLeaderAnswersWithoutTheStore() {
+        for (int i = 0; i < 25; i++) {
+            clock.advance(100);
+            candidate.leaderAnswered(Candidate.SILENCE_MILLIS);
+            candidate.tick();
+        }
+        assertEquals(2, claims());
+    }
+
+    @Test
+    public void countsTheSilenceAnewWhenTheStoreWasAway() {
+        tickFor(1500, false, false);
+        store.setMode(FakeKeyedStore.Mode.DOWN);
+        tickFor(3000, false, false);
+        store.setMode(FakeKeyedStore.Mode.UP);
+        tickFor(1500, false, false);
+        assertEquals(1, claims());
+    }
+
+    @Test
+    public void losesAgainstAClaimThatWasMadeBefore() {
+        Candidate late = new Candidate(store, clock, "10.0.0.2:1", Incarnation.of(2), () -> 0);
+        late.tick();
+        assertEquals(List.of(OTHER.toRecord()), store.records(Topic.CLAIMS));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/standlink/runner/TestHoldClock.java
@@ -0,0 +1,61 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.DoubleRange;
+import net.jqwik.api.constraints.LongRange;
+import org.junit.jupiter.api.Test;
+
+/** Tests that no worker keeps a run longer than its agent believes. */
+public class TestHoldClock {
+
+    @Property(seed = "4489833508711455555")
+    void aSlowClockNeverKeepsARunBeyondTheEnd(
+            @ForAll @LongRange(max = 10_000) long lease,
+            @ForAll @LongRange(max = 2000) long way,
+            @ForAll @DoubleRange(min = 1.0, max = 1.02) double slowness) {
+        HoldClock clock = new HoldClock();
+        // The worker read its clock at time 0; the answer came a while later.
+        clock.answered(5000, way);
+        long end = way + lease;
+        long until = clock.hold(end);
+        double killedAt = (until - 5000) * slowness;
+        assertTrue(killedAt <= end, () -> "killed at " + killedAt + ", end " + end);
+    }
+
+    @Test
+    public void allIsOverOnlyAfterTheLatestTimeEverTold() {
+        HoldClock clock = new HoldClock();
+        clock.answered(0, 100);
+        clock.hold(6100);
+        clock.hold(4000);
+        assertFalse(clock.isOver(6100));
+        assertTrue(clock.isOver(6500));
+    }
+
+    @Test
+    public void anEndThatHasPassedIsToldAsTheWorkersTime() {
+        HoldClock clock = new HoldClock();
+        clock.answered(700, 100);
+        assertEquals(700, clock.hold(50));
+    }
+}
--- /dev/null
+++ b/src/test/java/org/standlink/store/FakeKeyedStore.java
@@ -0,0 +1,155 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.store;
+
+import java.util.ArrayList;
+import java.util.EnumMap;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.CompletableFuture;
+import org.standlink.Epoch;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+
+/**
+ * A store in memory that fails on demand. It behaves as the probe of the platform's store showed:
+ * see the table in docs/PLATFORM.md's source, the starting design.
+ */
+public final class FakeKeyedStore implements KeyedStore {
+
+    /** How calls behave. */
+    public enum Mode {
+        /** Calls are done and answered. */
+        UP,
+        /** Nothing is done, and calls are refused. */
+        DOWN,
+        /** Calls are done, but their answers are lost. */
+        LOST
+    }
+
+    private final Map<Topic, List<KeyedRecord>> topics = new EnumMap<>(Topic.class);
+    private final Map<Topic, Epoch> epochs = new EnumMap<>(Topic.class);
+    private final Map<Topic, Long> sequences = new EnumMap<>(Topic.class);
+    private Mode mode = Mode.UP;
+
+    /** Sets how calls behave from now on. */
+    public void setMode(Mode next) {
+        mode = next;
+    }
+
+    /** Gets all records of a topic. */
+    public List<KeyedRecord> records(Topic topic) {
+        return topics.computeIfAbsent(topic, key -> new ArrayList<>());
+    }
+
+    @Override
+    public CompletableFuture<Long> appendAt(Topic topic, List<KeyedRecord> added, long end) {
+        return call(
+                () -> {
+                    if (records(topic).size() != end) {
+                        throw failure(ErrorCode.CONDITION_FAILED);
+                    }
+                    records(topic).addAll(added);
+                    return (long) records(topic).size();
+                });
+    }
+
+    @Override
+    public CompletableFuture<Long> append(Topic topic, List<KeyedRecord> added, Writer writer) {
+        return call(
+                () -> {
+                    raise(topic, writer.epoch());
+                    long last = sequences.getOrDefault(topic, writer.sequence() - 1);
+                    if (writer.sequence() > last + 1) {
+                        throw failure(ErrorCode.INTERNAL);
+                    }
+                    if (writer.sequence() == last + 1) {
+                        sequences.put(topic, writer.sequence());
+                        records(topic).addAll(added);
+                    }
+                    return (long) records(topic).size();
+                });
+    }
+
+    @Override
+    public CompletableFuture<Long> fence(Topic topic, Epoch epoch) {
+        return call(
+                () -> {
+                    raise(topic, epoch);
+                    return (long) records(topic).size();
+                });
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> read(Topic topic, long from, long waitMillis) {
+        return call(
+                () -> {
+                    List<KeyedRecord> all = records(topic);
+                    int start = (int) Math.min(from, all.size());
+                    return new ReadResult(all.size(), List.copyOf(all.subList(start, all.size())));
+                });
+    }
+
+    @Override
+    public CompletableFuture<Long> readEnd(Topic topic) {
+        return call(() -> (long) records(topic).size());
+    }
+
+    @Override
+    public CompletableFuture<ReadResult> readNewest(Topic topic) {
+        return call(
+                () -> {
+                    Map<String, KeyedRecord> newest = new LinkedHashMap<>();
+                    for (KeyedRecord record : records(topic)) {
+                        newest.remove(record.key());
+                        if (record.value().length > 0) {
+                            newest.put(record.key(), record);
+                        }
+                    }
+                    return new ReadResult(records(topic).size(), new ArrayList<>(newest.values()));
+                });
+    }
+
+    private void raise(Topic topic, Epoch epoch) {
+        Epoch present = epochs.getOrDefault(topic, Epoch.NONE);
+        if (epoch.compareTo(present) < 0) {
+            throw failure(ErrorCode.EPOCH_FENCED);
+        }
+        if (epoch.compareTo(present) > 0) {
+            epochs.put(topic, epoch);
+            sequences.remove(topic);
+        }
+    }
+
+    private <T> CompletableFuture<T> call(java.util.function.Supplier<T> effect) {
+        if (mode == Mode.DOWN) {
+            return CompletableFuture.failedFuture(failure(ErrorCode.PLATFORM_UNAVAILABLE));
+        }
+        try {
+            T value = effect.get();
+            return mode == Mode.LOST
+                    ? CompletableFuture.failedFuture(failure(ErrorCode.PLATFORM_OUTCOME_UNKNOWN))
+                    : CompletableFuture.completedFuture(value);
+        } catch (StandlinkException refused) {
+            return CompletableFuture.failedFuture(refused);
+        }
+    }
+
+    private static StandlinkException failure(ErrorCode code) {
+        return new StandlinkException(code, "the fake store", "see the test");
+    }
+}
