Do not prolong the hold of a worker that does not answer

Cause: each unanswered hold counted as one that the worker may have taken, so the time after which its runs are surely over moved on for ever. Ruled out: the leader's own expiry (its agent kept reporting, so its lease was renewed, as it should be). Test: TestWorkerSupervisor.aSilentWorkerIsOverOnceItsHoldHasRunOut, failing before (lapsed stays false).

--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -21,6 +21,7 @@
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import org.standlink.Epoch;
 import org.standlink.job.RunEnd;
@@ -57,6 +58,9 @@
     /** Tells what the worker said of itself. */
     private final Supplier<WorkerDescription> worker;
 
+    /** Tells whether the worker answered the last look at it. */
+    private final BooleanSupplier reachable;
+
     /** What the worker's clock says. */
     private final HoldClock holdClock;
 
@@ -100,6 +104,7 @@
      * Constructor.
      *
      * @param worker tells what the worker said of itself
+     * @param reachable tells whether the worker answered the last look at it
      * @param holdClock what the worker's clock says
      * @param calls the calls of workers
      * @param clock the clock
@@ -110,6 +115,7 @@
      */
     RunTable(
             Supplier<WorkerDescription> worker,
+            BooleanSupplier reachable,
             HoldClock holdClock,
             WorkerCalls calls,
             MonotonicClock clock,
@@ -118,6 +124,7 @@
             Supplier<Epoch> epoch,
             Runnable whenChanged) {
         this.worker = worker;
+        this.reachable = reachable;
         this.holdClock = holdClock;
         this.calls = calls;
         this.clock = clock;
@@ -212,7 +219,9 @@
         if (!runs.containsKey(run.getRun())) {
             return;
         }
-        if (!holdClock.isKnown() || leaseEnd.get() <= clock.nowMillis()) {
+        if (!holdClock.isKnown()
+                || !reachable.getAsBoolean()
+                || leaseEnd.get() <= clock.nowMillis()) {
             loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -129,6 +129,7 @@
         this.runs =
                 new RunTable(
                         () -> this.worker,
+                        () -> reachable,
                         holdClock,
                         calls,
                         clock,
@@ -229,7 +230,8 @@
             return;
         }
         long end = leaseEnd.get();
-        boolean prolong = holdClock.isKnown() && end > clock.nowMillis();
+        // A worker that does not answer is not told to keep its runs longer: it may have heard.
+        boolean prolong = holdClock.isKnown() && reachable && end > clock.nowMillis();
         long until = prolong ? holdClock.hold(end) : -1;
         long sentAt = clock.nowMillis();
         calls.hold(worker, until, epoch.get(), recordedEnd, waitMillis)
--- /dev/null
+++ b/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
@@ -0,0 +1,201 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.FakeLoop;
+import org.standlink.Resources;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
+import org.standlink.job.RunProgress;
+import org.standlink.job.TaskName;
+import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
+import org.standlink.wire.RunOrders;
+import org.standlink.wire.StartOrder;
+
+/** Tests what an agent does when its worker answers, refuses or is silent. */
+public class TestWorkerSupervisor {
+
+    private static final long LEASE_MILLIS = 6000;
+    private static final RunId RUN = new RunId(TaskName.parse("j.0.0.0"), 1);
+    private static final WorkerId ID = WorkerId.parse("i-1");
+    private static final WorkerDescription WORKER =
+            new WorkerDescription(
+                    ID, "s", "10.0.0.1:1", new Resources(1000, 100, 0), List.of(), false, 0);
+
+    private final FakeClock clock = new FakeClock();
+    private final FakeLoop loop = new FakeLoop(clock);
+    private final Script worker = new Script();
+    private WorkerSupervisor supervisor;
+
+    /** A worker that answers as the test says, 10 ms after each call. */
+    private final class Script implements WorkerCalls {
+
+        private CallResult.Kind starts = CallResult.Kind.DONE;
+        private CallResult.Kind holds = CallResult.Kind.DONE;
+        private CallResult.Kind stops = CallResult.Kind.DONE;
+        private List<RunProgress> running = List.of();
+        private List<RunEnd> ended = List.of();
+        private final List<String> seen = new ArrayList<>();
+
+        private <T> CompletableFuture<T> later(T value) {
+            CompletableFuture<T> answer = new CompletableFuture<>();
+            loop.schedule(
+                    () -> {
+                        answer.complete(value);
+                    },
+                    10,
+                    java.util.concurrent.TimeUnit.MILLISECONDS);
+            return answer;
+        }
+
+        private CallResult result(CallResult.Kind kind) {
+            long told = kind == CallResult.Kind.UNKNOWN ? -1 : clock.nowMillis();
+            return new CallResult(kind, told, "scripted");
+        }
+
+        @Override
+        public CompletableFuture<CallResult> start(
+                WorkerDescription to, StartOrder order, long holdUntil, Epoch epoch) {
+            seen.add("start " + order.run().number());
+            return later(result(starts));
+        }
+
+        @Override
+        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Epoch epoch) {
+            seen.add("stop " + run.number());
+            return later(result(stops));
+        }
+
+        @Override
+        public CompletableFuture<HoldResult> hold(
+                WorkerDescription to, long until, Epoch epoch, long recorded, long waitMillis) {
+            boolean done = holds == CallResult.Kind.DONE;
+            List<RunEnd> unrecorded =
+                    ended.stream().filter(end -> end.number() > recorded).toList();
+            return later(
+                    new HoldResult(
+                            result(holds),
+                            done ? running : List.of(),
+                            done ? unrecorded : List.of()));
+        }
+
+        @Override
+        public CompletableFuture<CallResult> pace(
+                WorkerDescription to, RunId run, int percent, Epoch epoch) {
+            return later(result(CallResult.Kind.DONE));
+        }
+    }
+
+    @BeforeEach
+    public void start() {
+        supervisor =
+                new WorkerSupervisor(
+                        WORKER,
+                        worker,
+                        clock,
+                        loop,
+                        () -> clock.nowMillis() + LEASE_MILLIS,
+                        () -> Epoch.of(1),
+                        () -> {});
+        supervisor.start();
+        loop.advance(100);
+    }
+
+    private void order(List<StartOrder> starts, List<RunId> stops, long recorded) {
+        supervisor.order(new RunOrders(Epoch.of(1), ID, starts, stops, recorded));
+    }
+
+    private static StartOrder startOrder() {
+        return new StartOrder(RUN, "text", "", false, 0);
+    }
+
+    @Test
+    public void aSilentWorkerIsOverOnceItsHoldHasRunOut() {
+        assertTrue(supervisor.report().known());
+        worker.holds = CallResult.Kind.UNKNOWN;
+        loop.advance(LEASE_MILLIS - 500);
+        assertFalse(supervisor.report().reachable());
+        assertFalse(supervisor.report().lapsed());
+        loop.advance(1500);
+        assertTrue(supervisor.report().lapsed());
+    }
+
+    @Test
+    public void aStartWithoutAnAnswerIsRepeatedUnderTheSameNumber() {
+        worker.starts = CallResult.Kind.UNKNOWN;
+        order(List.of(startOrder()), List.of(), 0);
+        loop.advance(500);
+        worker.starts = CallResult.Kind.DONE;
+        loop.advance(500);
+        long calls = worker.seen.stream().filter(call -> call.equals("start 1")).count();
+        assertTrue(calls >= 3, () -> worker.seen.toString());
+        assertEquals(calls, worker.seen.size());
+    }
+
+    @Test
+    public void aRefusedStartIsReportedUntilTheLeaderKnows() {
+        worker.starts = CallResult.Kind.NO_ROOM;
+        order(List.of(startOrder()), List.of(), 0);
+        loop.advance(100);
+        assertEquals(RUN, supervisor.report().refused().get(0).run());
+        supervisor.reported(supervisor.report());
+        assertTrue(supervisor.report().refused().isEmpty());
+    }
+
+    @Test
+    public void aStopOfARunThatNeverBeganEndsInGone() {
+        order(List.of(), List.of(RUN), 0);
+        loop.advance(500);
+        assertTrue(supervisor.report().gone().isEmpty());
+        loop.advance(2000);
+        assertEquals(List.of(RUN), supervisor.report().gone());
+    }
+
+    @Test
+    public void aStoppedRunWithAnEndIsNotGone() {
+        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        order(List.of(startOrder()), List.of(), 0);
+        loop.advance(600);
+        order(List.of(), List.of(RUN), 0);
+        worker.running = List.of();
+        worker.ended = List.of(new RunEnd(1, RUN, RunEndKind.STOPPED, "c"));
+        loop.advance(3000);
+        assertTrue(supervisor.report().gone().isEmpty());
+        assertEquals(1, supervisor.report().ended().size());
+    }
+
+    @Test
+    public void endsAreReportedUntilTheyAreRecorded() {
+        worker.ended = List.of(new RunEnd(1, RUN, RunEndKind.DONE, ""));
+        loop.advance(1000);
+        assertEquals(1, supervisor.report().ended().size());
+        order(List.of(), List.of(), 1);
+        assertTrue(supervisor.report().ended().isEmpty());
+    }
+}
