Read the settings again on SIGHUP in place of ending

Cause: the JDK ends the process on SIGHUP unless a handler is set. The settings are read and compared; what changed is logged. Addresses and leases change at a restart.

--- a/src/main/java/org/standlink/command/PlatformAgentCommand.java
+++ b/src/main/java/org/standlink/command/PlatformAgentCommand.java
@@ -70,6 +70,7 @@
     @Override
     public int run() throws InterruptedException {
         PlatformSettings settings = PlatformSettings.readAgent(TextFiles.read(settingsFile));
+        SettingsReload.install(settingsFile, settings, PlatformSettings::readAgent);
         LOG.info("starting").with("node", settings.node()).with("incarnation", self).write();
         PlatformBase base = new PlatformBase(settings.store());
         String address =
--- a/src/main/java/org/standlink/command/PlatformEntryCommand.java
+++ b/src/main/java/org/standlink/command/PlatformEntryCommand.java
@@ -58,6 +58,7 @@
     @Override
     public int run() throws InterruptedException {
         PlatformSettings settings = PlatformSettings.readEntry(TextFiles.read(settingsFile));
+        SettingsReload.install(settingsFile, settings, PlatformSettings::readEntry);
         LOG.info("starting").with("node", settings.node()).with("hall", settings.hall()).write();
         PlatformBase base = new PlatformBase(settings.store());
         LeaderLink leader = new LeaderLink(base.getExecutor(), (connection, call, message) -> {});
