--- a/src/main/java/org/standlink/gateway/JobGateway.java
+++ b/src/main/java/org/standlink/gateway/JobGateway.java
@@ -50,6 +50,12 @@
      */
     private static final long LEADER_WAIT_MILLIS = 400;
 
+    /**
+     * How long an answer of the leader is waited for, in milliseconds: an append takes 10, one that
+     * takes longer than this is told to the caller as not known.
+     */
+    private static final long ANSWER_MILLIS = 1000;
+
     /** The pause between two tries to reach the leader, in milliseconds. */
     private static final long PAUSE_MILLIS = 50;
 
@@ -157,7 +163,8 @@
         while (clock.nowMillis() - start <= Math.min(LEADER_WAIT_MILLIS, call.waitMillis())) {
             long left = call.waitMillis() - (clock.nowMillis() - start);
             try {
-                Message answer = leader.call(question, Math.max(1, left)).join();
+                Message answer =
+                        leader.call(question, Math.max(1, Math.min(left, ANSWER_MILLIS))).join();
                 if (answer instanceof JobAnswer known) {
                     return reply(call, known);
                 }
