Move saveable work off a leaving worker; stop runs that stand still

Cause: nothing looked at draining workers beyond giving them no new runs, nor at progress. Lasting and checkpointing runs are stopped once their worker leaves and go on elsewhere; runs whose percent has not moved for 3 s are stopped, and their worker counts as failing.

--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -231,6 +231,7 @@
     private void tick() {
         try {
             expire();
+            reports.stopStalled();
             decide();
         } catch (RuntimeException defect) {
             LOG.error("defect-in-tick").with("cause", defect).write();
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -42,6 +42,12 @@
     /** For how long a worker that says it is unwell gets nothing new, in milliseconds. */
     private static final long UNWELL_MILLIS = 1500;
 
+    /**
+     * How long a run may stand still, in milliseconds: a run of the longest kind on the sheets,
+     * paced to 5%, shows a further percent within half of it.
+     */
+    private static final long STALL_MILLIS = 3000;
+
     /** The log. */
     private static final EventLog LOG = EventLog.of(ReportDesk.class);
 
@@ -131,6 +137,25 @@
         }
     }
 
+    /** Stops runs that stand still, so that they go on elsewhere. */
+    void stopStalled() {
+        long now = clock.nowMillis();
+        for (WorkerEntry worker : workers.getWorkers()) {
+            List<TaskEntry> stalled =
+                    worker.listTasks().stream()
+                            .filter(task -> task.isStalled(now, STALL_MILLIS))
+                            .toList();
+            for (TaskEntry task : stalled) {
+                LOG.info("stalled")
+                        .with("run", task.getRun())
+                        .with("worker", worker.getId())
+                        .write();
+                workers.judge(worker, false, now);
+            }
+            orders.stopAfterCommit(stalled);
+        }
+    }
+
     // -----------------------------------------------------------------------
     private void handleWorker(WorkerEntry worker, WorkerReport part, AgentReport report) {
         if (part.lapsed()) {
@@ -147,12 +172,16 @@
         if (part.known()) {
             compare(worker, part, report);
         }
+        if (part.worker().draining()) {
+            evacuate(worker);
+        }
     }
 
     private void saveProgress(RunProgress progress) {
         TaskEntry task = board.findTask(progress.run().task());
         if (task != null && task.getRun().equals(progress.run())) {
             task.save(progress.checkpoint());
+            task.progress(progress.percent(), clock.nowMillis());
         }
     }
 
@@ -233,6 +262,25 @@
         touched.add(job);
     }
 
+    /**
+     * Stops what can go on elsewhere without loss, while a leaving worker can still save it; the
+     * rest may end there in time.
+     */
+    private void evacuate(WorkerEntry worker) {
+        List<TaskEntry> movable =
+                worker.listTasks().stream()
+                        .filter(
+                                task ->
+                                        task.getStep().perpetual()
+                                                || task.getStep().checkpointing())
+                        .filter(TaskEntry::beginMove)
+                        .toList();
+        if (!movable.isEmpty()) {
+            LOG.info("moving").with("worker", worker.getId()).with("runs", movable.size()).write();
+            orders.stopAfterCommit(movable);
+        }
+    }
+
     /** Compares what runs with what should: tells a new agent all, and stops what is stray. */
     private void compare(WorkerEntry worker, WorkerReport part, AgentReport report) {
         List<RunId> present = new ArrayList<>();
--- a/src/main/java/org/standlink/cell/TaskEntry.java
+++ b/src/main/java/org/standlink/cell/TaskEntry.java
@@ -53,9 +53,18 @@
     /** The state that was saved last, empty if none. */
     private String checkpoint = "";
 
-    /** Where the last failed run was, null if none; not kept in the store. */
+    /** Where the last run that failed or stood still was, null if none; not kept in the store. */
     private WorkerId failedOn;
 
+    /** How much of the last run's work is done, in percent; negative if not told. */
+    private int percent = -1;
+
+    /** When that has changed last, on the leader's clock. */
+    private long progressAt;
+
+    /** Whether the last run is being stopped, since it stands still or its worker leaves. */
+    private boolean stopping;
+
     /**
      * Constructor.
      *
@@ -101,6 +110,8 @@
     void assign(WorkerId place) {
         lastRun++;
         worker = place;
+        percent = -1;
+        stopping = false;
     }
 
     /** Takes note that the last run is over, or never began. */
@@ -152,6 +163,47 @@
         }
     }
 
+    /**
+     * Takes note of how much of the last run's work is done.
+     *
+     * @param told in percent
+     * @param now the time on the leader's clock
+     */
+    void progress(int told, long now) {
+        if (told != percent) {
+            percent = told;
+            progressAt = now;
+        }
+    }
+
+    /**
+     * Checks whether the last run has stood still for a while; tells so once.
+     *
+     * @param now the time on the leader's clock
+     * @param millis how long a run may stand still, in milliseconds
+     * @return true if it is to be stopped
+     */
+    boolean isStalled(long now, long millis) {
+        boolean judged = worker != null && percent >= 0 && !step.perpetual() && !step.gang();
+        if (!judged || stopping || now - progressAt < millis) {
+            return false;
+        }
+        stopping = true;
+        failedOn = worker;
+        return true;
+    }
+
+    /**
+     * Takes note that the last run is to go on elsewhere.
+     *
+     * @return false if it is being stopped already
+     */
+    boolean beginMove() {
+        boolean begins = !stopping;
+        stopping = true;
+        return begins;
+    }
+
     // -----------------------------------------------------------------------
     /**
      * Gets the name.
--- a/src/main/java/org/standlink/runner/PacePolicy.java
+++ b/src/main/java/org/standlink/runner/PacePolicy.java
@@ -27,7 +27,7 @@
     static final int FULL = 100;
 
     /** The smallest share, in percent; nothing stands still for good. */
-    private static final int LEAST = 2;
+    private static final int LEAST = 5;
 
     /** The share of its target above which a tail is too long. */
     private static final double HIGH = 0.92;
