Tell workers to forget only ends whose own record was kept

Cause: what was told after an append was the last end handled at that moment, not the last one that the append held; ends that came while an append was under way were forgotten before they were kept, and the leader lost the store just then. Ruled out: an append that counted without being kept (the store's numbering allows none). Test: TestReportDesk.anEndIsOnlyTakenAsRecordedOnceItsOwnRecordWasKept, failing with the old rule.

--- a/src/main/java/org/standlink/cell/OrderDesk.java
+++ b/src/main/java/org/standlink/cell/OrderDesk.java
@@ -116,10 +116,16 @@
     /**
      * Tells a worker's agent which ends have been recorded, once they have.
      *
-     * @param id the worker
+     * @param worker the worker
      */
-    void recordedAfterCommit(WorkerId id) {
-        commits.afterCommit(() -> send(id, List.of(), List.of()));
+    void recordedAfterCommit(WorkerEntry worker) {
+        // Ends that are handled while the append is under way are not part of it.
+        long number = worker.getHandledEnd();
+        commits.afterCommit(
+                () -> {
+                    worker.recorded(number);
+                    send(worker.getId(), List.of(), List.of());
+                });
     }
 
     /**
@@ -167,7 +173,7 @@
         }
         try {
             worker.getConnection()
-                    .send(new RunOrders(epoch, id, starts, stops, worker.getHandledEnd()));
+                    .send(new RunOrders(epoch, id, starts, stops, worker.getRecordedEnd()));
         } catch (StandlinkException lost) {
             LOG.info("orders-not-sent").with("worker", id).with("cause", lost).write();
         }
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -194,7 +194,7 @@
             }
         }
         if (!ends.isEmpty() || worker.getHandledEnd() > before) {
-            orders.recordedAfterCommit(worker.getId());
+            orders.recordedAfterCommit(worker);
         }
     }
 
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -59,6 +59,9 @@
     /** The last end that was handled. */
     private long handledEnd;
 
+    /** The last end whose record has been kept. */
+    private long recordedEnd;
+
     /** How many runs have failed there without one that ended well. */
     private int failuresInRow;
 
@@ -262,6 +265,24 @@
         handledEnd = number;
     }
 
+    /**
+     * Gets the last end whose record has been kept.
+     *
+     * @return its number
+     */
+    long getRecordedEnd() {
+        return recordedEnd;
+    }
+
+    /**
+     * Takes note that the records of ends have been kept.
+     *
+     * @param number the number of the last of them
+     */
+    void recorded(long number) {
+        recordedEnd = Math.max(recordedEnd, number);
+    }
+
     /**
      * Gets how many runs have failed there without one that ended well.
      *
--- /dev/null
+++ b/src/test/java/org/standlink/cell/TestReportDesk.java
@@ -0,0 +1,133 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.FakeLoop;
+import org.standlink.Incarnation;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.RunProgress;
+import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
+import org.standlink.store.FakeKeyedStore;
+import org.standlink.wire.AgentReport;
+import org.standlink.wire.WorkerReport;
+
+/** Tests what reports of agents do to the state, and what agents are told and when. */
+public class TestReportDesk {
+
+    private static final WorkerDescription WORKER = CellFixtures.worker("i-1", 8);
+
+    private final FakeClock clock = new FakeClock();
+    private final FakeLoop loop = new FakeLoop(clock);
+    private final FakeKeyedStore store = new FakeKeyedStore();
+    private final JobBoard board = new JobBoard();
+    private final WorkerBoard workers = new WorkerBoard();
+    private final CommitQueue commits =
+            new CommitQueue(store, Epoch.of(1), board, clock, loop, loop, () -> {});
+    private final OrderDesk orders = new OrderDesk(Epoch.of(1), board, workers, commits);
+    private final ReportDesk reports = new ReportDesk(board, workers, orders, job -> 2, clock);
+    private List<TaskEntry> tasks;
+
+    @BeforeEach
+    public void assign() {
+        tasks = board.add(CellFixtures.job("a", 2)).readyTasks(0);
+        for (TaskEntry task : tasks) {
+            task.assign(WORKER.id());
+            workers.place(task, clock.nowMillis() + 6000);
+        }
+        commits.pump();
+        loop.advance(0);
+    }
+
+    private void report(boolean lapsed, List<RunProgress> running, RunEnd... ended) {
+        WorkerReport part =
+                new WorkerReport(
+                        WORKER,
+                        !lapsed,
+                        lapsed,
+                        true,
+                        running,
+                        List.of(ended),
+                        List.of(),
+                        List.of());
+        AgentReport report =
+                new AgentReport(
+                        "node", "a:1", Incarnation.of(1), Epoch.of(1), List.of(part), List.of());
+        reports.handle(null, report, clock.nowMillis() + 6000);
+    }
+
+    private RunEnd done(int number) {
+        return new RunEnd(number, tasks.get(number - 1).getRun(), RunEndKind.DONE, "");
+    }
+
+    @Test
+    public void anEndIsOnlyTakenAsRecordedOnceItsOwnRecordWasKept() {
+        report(false, List.of(), done(1));
+        commits.pump();
+        report(false, List.of(), done(1), done(2));
+        store.setMode(FakeKeyedStore.Mode.DOWN);
+        loop.advance(0);
+        WorkerEntry worker = workers.find(WORKER.id());
+        assertEquals(2, worker.getHandledEnd());
+        assertEquals(1, worker.getRecordedEnd());
+        store.setMode(FakeKeyedStore.Mode.UP);
+        loop.advance(500);
+        assertEquals(2, worker.getRecordedEnd());
+    }
+
+    @Test
+    public void allRunsOfALapsedWorkerAreReleased() {
+        report(true, List.of());
+        assertNull(tasks.get(0).getWorker());
+        assertNull(tasks.get(1).getWorker());
+        assertTrue(workers.find(WORKER.id()).listTasks().isEmpty());
+    }
+
+    @Test
+    public void aRunThatStandsStillIsStoppedOnce() {
+        RunProgress still = new RunProgress(tasks.get(0).getRun(), "", 30, 0);
+        for (int i = 0; i < 40; i++) {
+            RunProgress moving = new RunProgress(tasks.get(1).getRun(), "", i, 0);
+            report(false, List.of(still, moving));
+            clock.advance(100);
+        }
+        assertTrue(tasks.get(0).isStalled(clock.nowMillis(), 3000));
+        assertEquals(false, tasks.get(0).isStalled(clock.nowMillis(), 3000));
+        assertEquals(false, tasks.get(1).isStalled(clock.nowMillis(), 3000));
+    }
+
+    @Test
+    public void aWorkerWhoseLifeIsOverKeepsNothing() {
+        WorkerId id = WORKER.id();
+        reports.handle(
+                null,
+                new AgentReport(
+                        "node", "a:1", Incarnation.of(1), Epoch.of(1), List.of(), List.of(id)),
+                0);
+        assertNull(tasks.get(0).getWorker());
+        assertNull(workers.find(id));
+    }
+}
