Jobs that can be on time go before those that cannot; say which jobs wait

Cause: order of acceptance alone; late work kept work that could still be on time from starting. Ruled out: shortest first (what a job is worth grows with its work).

--- a/src/main/java/org/standlink/cell/CallerDesk.java
+++ b/src/main/java/org/standlink/cell/CallerDesk.java
@@ -99,6 +99,9 @@
             return;
         }
         JobEntry entry = known == null ? board.add(job) : known;
+        if (known == null) {
+            entry.setAcceptedAt(clock.nowMillis());
+        }
         long start = clock.nowMillis();
         commits.afterCommit(
                 () -> {
--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -220,6 +220,7 @@
         board.restore(state.records());
         for (JobEntry job : board.getJobs()) {
             noteFinal(job);
+            job.setAcceptedAt(now);
             job.allTasks()
                     .filter(task -> task.getWorker() != null)
                     .forEach(task -> workers.place(task, now + times.waitAfterFenceMillis()));
--- a/src/main/java/org/standlink/cell/JobEntry.java
+++ b/src/main/java/org/standlink/cell/JobEntry.java
@@ -43,6 +43,9 @@
     /** The state. */
     private JobState state = JobState.QUEUED;
 
+    /** When the job was accepted or read, on the leader's clock. */
+    private long acceptedAt;
+
     /** When the job became final, on the leader's clock; negative before. */
     private long finalAt = -1;
 
@@ -148,6 +151,28 @@
         return ready;
     }
 
+    /**
+     * Works out the longest chain of work, by what the caller guessed.
+     *
+     * @param unfinished whether only steps count that are not done
+     * @return the length, in milliseconds
+     */
+    long chainMillis(boolean unfinished) {
+        List<List<TaskEntry>> first = tasks.get(0);
+        long[] chain = new long[first.size()];
+        long longest = 0;
+        for (int step = 0; step < chain.length; step++) {
+            StepDefinition of = definition.steps().get(step);
+            for (int earlier : of.after()) {
+                chain[step] = Math.max(chain[step], chain[earlier]);
+            }
+            boolean counts = !unfinished || !isDone(first.get(step));
+            chain[step] += counts ? of.estimatedMillis() : 0;
+            longest = Math.max(longest, chain[step]);
+        }
+        return longest;
+    }
+
     private long dueMillis(int repetition) {
         return definition.firstStartMillis() + repetition * definition.intervalMillis();
     }
@@ -229,6 +254,24 @@
         return state;
     }
 
+    /**
+     * Gets when the job was accepted or read.
+     *
+     * @return the time on the leader's clock
+     */
+    long getAcceptedAt() {
+        return acceptedAt;
+    }
+
+    /**
+     * Sets when the job was accepted or read.
+     *
+     * @param millis the time on the leader's clock
+     */
+    void setAcceptedAt(long millis) {
+        acceptedAt = millis;
+    }
+
     /**
      * Gets when the job became final.
      *
--- a/src/main/java/org/standlink/cell/Scheduler.java
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -34,6 +34,9 @@
     /** The log. */
     private static final EventLog LOG = EventLog.of(Scheduler.class);
 
+    /** The time between two tellings of how many tasks wait, in milliseconds. */
+    private static final long TELL_MILLIS = 2000;
+
     /** The jobs. */
     private final JobBoard board;
 
@@ -43,8 +46,14 @@
     /** Chooses workers. */
     private final Placement placement;
 
-    /** A job that may have tasks to start, and its queue. */
-    private record Candidate(JobEntry job, QueueDefinition queue) {}
+    /** How many tasks of each job found no worker when this was told last. */
+    private final Map<String, Integer> waiting = new LinkedHashMap<>();
+
+    /** When it was told last how many tasks wait, on the leader's clock. */
+    private long toldAt;
+
+    /** A job that may have tasks to start, its queue, and what it can still reach. */
+    private record Candidate(JobEntry job, QueueDefinition queue, JobOutlook outlook) {}
 
     /**
      * Constructor.
@@ -69,8 +78,9 @@
      */
     List<TaskEntry> schedule(Manifest manifest, long now, long wallMillis) {
         List<TaskEntry> assigned = new ArrayList<>();
+        waiting.clear();
         Map<String, List<WorkerEntry>> usable = new LinkedHashMap<>();
-        for (Candidate candidate : candidates(manifest)) {
+        for (Candidate candidate : candidates(manifest, now)) {
             String service = candidate.queue().service();
             List<WorkerEntry> fit =
                     usable.computeIfAbsent(service, name -> workers.usable(name, now));
@@ -78,20 +88,37 @@
                 assign(candidate.job(), fit, wallMillis, assigned);
             }
         }
+        tellWaiting(now);
         return assigned;
     }
 
+    private void tellWaiting(long now) {
+        if (!waiting.isEmpty() && now - toldAt >= TELL_MILLIS) {
+            toldAt = now;
+            waiting.forEach(
+                    (job, tasks) ->
+                            LOG.info("waiting").with("job", job).with("tasks", tasks).write());
+        }
+    }
+
     // -----------------------------------------------------------------------
-    private List<Candidate> candidates(Manifest manifest) {
+    private List<Candidate> candidates(Manifest manifest, long now) {
         List<Candidate> found = new ArrayList<>();
         for (JobEntry job : board.getJobs()) {
             if (!job.getState().isFinal()) {
                 manifest.findQueue(job.getDefinition().queue())
-                        .ifPresent(queue -> found.add(new Candidate(job, queue)));
+                        .ifPresent(
+                                queue ->
+                                        found.add(
+                                                new Candidate(
+                                                        job,
+                                                        queue,
+                                                        JobOutlook.of(job, queue, now))));
             }
         }
         found.sort(
                 Comparator.comparingInt((Candidate one) -> one.queue().priority())
+                        .thenComparing(Candidate::outlook)
                         .thenComparingLong(one -> one.job().getOrder()));
         return found;
     }
@@ -101,6 +128,7 @@
         for (TaskEntry task : job.readyTasks(wallMillis)) {
             WorkerEntry worker = placement.choose(task, fit);
             if (worker == null) {
+                waiting.merge(job.getId().toString(), 1, Integer::sum);
                 continue;
             }
             task.assign(worker.getId());
--- /dev/null
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -0,0 +1,164 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.standlink.Incarnation;
+import org.standlink.Resources;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.StepDefinition;
+import org.standlink.policy.HarmTable;
+
+/** Tests which task gets which worker, and which has to wait. */
+public class TestScheduler {
+
+    private static final long NOW = 1_000_000;
+
+    private final JobBoard board = new JobBoard();
+    private final WorkerBoard workers = new WorkerBoard();
+    private final HarmTable harm = new HarmTable();
+    private final Scheduler scheduler =
+            new Scheduler(board, workers, new LeastAskedPlacement(harm));
+
+    private WorkerEntry worker(String id, int cores) {
+        WorkerEntry worker = workers.get(CellFixtures.worker(id, cores).id(), NOW + 6000);
+        worker.heard(CellFixtures.worker(id, cores), null, true, NOW);
+        worker.setSynced(Incarnation.of(1));
+        return worker;
+    }
+
+    private JobEntry add(String id, StepDefinition... steps) {
+        JobEntry job = board.add(CellFixtures.of(id, steps));
+        job.setAcceptedAt(NOW);
+        return job;
+    }
+
+    private List<TaskEntry> schedule(long now) {
+        workers.getWorkers().forEach(one -> one.heard(one.getDescription(), null, true, now));
+        return scheduler.schedule(CellFixtures.MANIFEST, now, 0);
+    }
+
+    private static StepDefinition filling(String image, int cores) {
+        return of(image, cores, 0, true, false);
+    }
+
+    private static StepDefinition serving(String image, int cores) {
+        return of(image, cores, 20, false, true);
+    }
+
+    private static StepDefinition of(
+            String image, int cores, double target, boolean fills, boolean lasts) {
+        return new StepDefinition(
+                1,
+                new Resources(cores * 1000L, 100, 0),
+                500,
+                List.of(),
+                true,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                lasts,
+                image,
+                target,
+                fills,
+                0);
+    }
+
+    @Test
+    public void noWorkerIsEverGivenMoreThanItHas() {
+        worker("i-1", 4);
+        worker("i-2", 4);
+        add("a", CellFixtures.step(20, List.of(), 0, false));
+        assertEquals(8, schedule(NOW).size());
+        workers.getWorkers().forEach(one -> assertEquals(0, one.free().milliCores()));
+    }
+
+    @Test
+    public void aStepIsSpreadAsItAsks() {
+        worker("i-1", 8);
+        worker("i-2", 8);
+        add("a", CellFixtures.step(9, List.of(), 3, false));
+        assertEquals(6, schedule(NOW).size());
+    }
+
+    @Test
+    public void aLeavingOrSilentWorkerGetsNothing() {
+        WorkerEntry leaving = worker("i-1", 8);
+        leaving.avoidUntil(NOW + 100);
+        add("a", CellFixtures.step(1, List.of(), 0, false));
+        assertTrue(schedule(NOW).isEmpty());
+        assertEquals(1, schedule(NOW + 100).size());
+    }
+
+    @Test
+    public void aFillingTaskAvoidsTheWorkerWhereItHarms() {
+        WorkerEntry sensitive = worker("i-1", 8);
+        WorkerEntry other = worker("i-2", 8);
+        add("s", serving("s", 6));
+        schedule(NOW);
+        WorkerEntry with = sensitive.listTasks().isEmpty() ? other : sensitive;
+        harm.tell(List.of(new HarmTable.Entry("s", "bad", 0.9)));
+        harm.tell(List.of(new HarmTable.Entry("s", "good", 0.0)));
+        add("b", filling("bad", 2));
+        add("g", filling("good", 2));
+        List<TaskEntry> placed = schedule(NOW);
+        assertEquals(2, placed.size());
+        assertTrue(!placed.get(0).getWorker().equals(with.getId()));
+        assertEquals(with.getId(), placed.get(1).getWorker());
+    }
+
+    @Test
+    public void aHarmfulTaskWaitsForAWorkerWhereItHarmsNobody() {
+        worker("i-1", 8);
+        add("s", serving("s", 6));
+        schedule(NOW);
+        worker("i-2", 1);
+        harm.tell(List.of(new HarmTable.Entry("s", "bad", 0.9)));
+        add("one", filling("bad", 1));
+        add("two", filling("bad", 1));
+        assertEquals(1, schedule(NOW).size());
+    }
+
+    @Test
+    public void theTaskGoesElsewhereAfterAFailure() {
+        WorkerEntry one = worker("i-1", 8);
+        WorkerEntry two = worker("i-2", 4);
+        add("a", CellFixtures.step(1, List.of(), 0, false));
+        TaskEntry task = schedule(NOW).get(0);
+        assertEquals(one.getId(), task.getWorker());
+        task.end(
+                one.getId(), new org.standlink.job.RunEnd(1, task.getRun(), RunEndKind.FAILED, ""));
+        workers.vacate(task, one.getId());
+        assertEquals(two.getId(), schedule(NOW).get(0).getWorker());
+    }
+
+    @Test
+    public void aJobThatCanBeOnTimeGoesBeforeOneThatCannot() {
+        worker("i-1", 1);
+        JobEntry old = add("old", CellFixtures.step(1, List.of(), 0, false));
+        JobEntry young = add("young", CellFixtures.step(1, List.of(), 0, false));
+        // The target is 250 ms and 1.5 times 500 ms of work.
+        old.setAcceptedAt(NOW - 2000);
+        assertEquals(young.getId(), schedule(NOW).get(0).getName().job());
+    }
+}
