Start from a class archive; claim sooner when nobody leads at the leader's address

A refused connection, or an answer that nobody leads there, halves the silence that a candidate waits for; the store's records still have the last word. Tests: TestCandidate, two more.

--- a/src/main/java/org/standlink/command/Main.java
+++ b/src/main/java/org/standlink/command/Main.java
@@ -140,6 +140,9 @@
         all.put(
                 "platform agent",
                 new Entry("run an agent on the users' platform", PlatformAgentCommand::new));
+        all.put(
+                "platform rehearse",
+                new Entry("load all classes, to archive them", PlatformRehearseCommand::new));
         all.put("bundle check", new Entry("check a bundle file", BundleCheckCommand::new));
         all.put("bundle sign", new Entry("sign a bundle", BundleSignCommand::new));
         all.put("bundle publish", new Entry("publish a signed bundle", BundlePublishCommand::new));
--- a/src/main/java/org/standlink/command/PlatformAgentCommand.java
+++ b/src/main/java/org/standlink/command/PlatformAgentCommand.java
@@ -92,7 +92,7 @@
                         new HttpWorkerCalls(base.getCaller()),
                         base.getClock(),
                         base.getLoop(),
-                        candidate::leaderAnswered);
+                        candidate);
         LeaderSeat seat =
                 new LeaderSeat(
                         base.getStore(),
--- a/src/main/java/org/standlink/election/Candidate.java
+++ b/src/main/java/org/standlink/election/Candidate.java
@@ -32,7 +32,7 @@
  *
  * <p>{@code Candidate} is thread-safe.
  */
-public final class Candidate {
+public final class Candidate implements LeaderObserver {
 
     /**
      * How long a leader must be silent, in milliseconds: four of its heartbeats, and a store that
@@ -40,6 +40,12 @@
      */
     static final long SILENCE_MILLIS = 2000;
 
+    /**
+     * How long the store must be without a record of a leader that is gone from its address, in
+     * milliseconds: two of its heartbeats, in case it is cut off from this process only.
+     */
+    static final long GONE_MILLIS = 1000;
+
     /** The log. */
     private static final EventLog LOG = EventLog.of(Candidate.class);
 
@@ -70,6 +76,9 @@
     /** The end of the cell's topic since then; guarded by this. */
     private long quietEnd;
 
+    /** Whether nobody leads at the leader's address; guarded by this. */
+    private boolean gone;
+
     /** Whether a call to the store is under way; guarded by this. */
     private boolean asking;
 
@@ -105,26 +114,29 @@
         if (claim.epoch().compareTo(newest.epoch()) >= 0) {
             newest = claim;
             quietSince = -1;
+            gone = false;
         }
     }
 
-    /**
-     * Takes note that the leader has answered.
-     *
-     * @param storeSilentMillis how long ago the store took a call of the leader, in milliseconds
-     */
+    @Override
     public synchronized void leaderAnswered(long storeSilentMillis) {
         if (storeSilentMillis < SILENCE_MILLIS) {
             leaderSeen = clock.nowMillis();
             quietSince = -1;
+            gone = false;
         }
     }
 
+    @Override
+    public synchronized void leaderGone() {
+        gone = true;
+    }
+
     /** Decides whether to claim; called several times a second. */
     public void tick() {
         synchronized (this) {
             boolean leads = newest.isHeld() && newest.holder().equals(self);
-            boolean seen = clock.nowMillis() - leaderSeen < SILENCE_MILLIS;
+            boolean seen = !gone && clock.nowMillis() - leaderSeen < SILENCE_MILLIS;
             if (asking || leads || claimsRead.getAsLong() < 0 || newest.isHeld() && seen) {
                 return;
             }
@@ -149,7 +161,7 @@
         if (quietSince < 0 || end != quietEnd) {
             quietSince = now;
             quietEnd = end;
-        } else if (now - quietSince >= SILENCE_MILLIS) {
+        } else if (now - quietSince >= (gone ? GONE_MILLIS : SILENCE_MILLIS)) {
             asking = true;
             claim("silent for " + (now - quietSince) + " ms");
         }
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -15,6 +15,7 @@
  */
 package org.standlink.runner;
 
+import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -23,10 +24,10 @@
 import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.LongConsumer;
 import org.standlink.Epoch;
 import org.standlink.Incarnation;
 import org.standlink.election.LeaderLink;
+import org.standlink.election.LeaderObserver;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
 import org.standlink.lease.MonotonicClock;
@@ -82,8 +83,8 @@
     /** The loop. */
     private final ScheduledExecutorService loop;
 
-    /** Is told how long ago the store took a call of the leader, at each answer of the leader. */
-    private final LongConsumer whenAnswered;
+    /** Is told what this agent sees of the leader. */
+    private final LeaderObserver observer;
 
     /** What the leader believes of images. */
     private final HarmTable harm = new HarmTable();
@@ -119,7 +120,7 @@
      * @param calls the calls of workers
      * @param clock the clock
      * @param loop the loop, of one thread
-     * @param whenAnswered is told how long ago the store took a call of the leader
+     * @param observer is told what this agent sees of the leader
      */
     public AgentNode(
             String node,
@@ -129,7 +130,7 @@
             WorkerCalls calls,
             MonotonicClock clock,
             ScheduledExecutorService loop,
-            LongConsumer whenAnswered) {
+            LeaderObserver observer) {
         this.node = node;
         this.address = address;
         this.self = self;
@@ -137,7 +138,7 @@
         this.calls = calls;
         this.clock = clock;
         this.loop = loop;
-        this.whenAnswered = whenAnswered;
+        this.observer = observer;
     }
 
     /** Begins to report. */
@@ -266,7 +267,13 @@
             Message answer, Throwable failure, Map<WorkerId, WorkerReport> sent, long sentAt) {
         reporting = false;
         if (answer instanceof LeaderNotice notice) {
+            boolean other = notice.epoch().compareTo(epoch()) > 0;
             leader.offer(notice, "another process");
+            if (!other) {
+                observer.leaderGone();
+            }
+        } else if (isRefused(failure)) {
+            observer.leaderGone();
         }
         boolean granted =
                 answer instanceof AgentGrant grant && grant.epoch().compareTo(epoch()) >= 0;
@@ -279,7 +286,7 @@
         }
         if (granted) {
             AgentGrant grant = (AgentGrant) answer;
-            whenAnswered.accept(grant.storeSilentMillis());
+            observer.leaderAnswered(grant.storeSilentMillis());
             harm.tell(grant.harm());
             if (grant.leaseMillis() > 0) {
                 leaseEnd = Math.max(leaseEnd, sentAt + grant.leaseMillis());
@@ -291,6 +298,15 @@
         }
     }
 
+    /** A refused connection says that no process listens at the leader's address. */
+    private static boolean isRefused(Throwable failure) {
+        Throwable cause = failure;
+        while (cause != null && !(cause instanceof ConnectException)) {
+            cause = cause.getCause();
+        }
+        return cause != null && String.valueOf(cause.getMessage()).contains("refused");
+    }
+
     private void reported(WorkerId id, WorkerReport report) {
         WorkerSupervisor supervisor = workers.get(id);
         if (supervisor != null) {
--- a/src/test/java/org/standlink/election/TestCandidate.java
+++ b/src/test/java/org/standlink/election/TestCandidate.java
@@ -94,6 +94,23 @@
         assertEquals(2, claims());
     }
 
+    @Test
+    public void claimsSoonerWhenNobodyLeadsAtTheLeadersAddress() {
+        candidate.leaderAnswered(0);
+        candidate.leaderGone();
+        tickFor(Candidate.GONE_MILLIS, false, false);
+        assertEquals(1, claims());
+        tickFor(200, false, false);
+        assertEquals(2, claims());
+    }
+
+    @Test
+    public void neverClaimsWhileTheLeaderWritesThoughItsAddressRefuses() {
+        candidate.leaderGone();
+        tickFor(10_000, true, false);
+        assertEquals(1, claims());
+    }
+
     @Test
     public void claimsWhenTheLeaderAnswersWithoutTheStore() {
         for (int i = 0; i < 25; i++) {
