Tell callers only states that have been kept

Cause: callers who asked meanwhile were told 'completed' from the leader's memory, and a job once shown as completed may not run again; the state was lost with the leader, since it could not be kept. Ruled out: ends recorded too early (mended before; the log shows 51 while 54 had ended). Test: TestCommitQueue.callersAreToldOnlyWhatWasKept, which could not hold before: there was one state only.

--- a/src/main/java/org/standlink/cell/CallerDesk.java
+++ b/src/main/java/org/standlink/cell/CallerDesk.java
@@ -111,7 +111,7 @@
                             .with("again", known != null)
                             .with("kept-after-millis", clock.nowMillis() - start)
                             .write();
-                    connection.answer(call, JobAnswer.ofDone(entry.getState()));
+                    connection.answer(call, JobAnswer.ofDone(entry.getKeptState()));
                 });
     }
 
@@ -127,7 +127,7 @@
             LOG.info("cancelled").with("job", job.getId()).write();
             whenFinal.accept(job);
         }
-        commits.afterCommit(() -> connection.answer(call, JobAnswer.ofDone(job.getState())));
+        commits.afterCommit(() -> connection.answer(call, JobAnswer.ofDone(job.getKeptState())));
     }
 
     private JobEntry findIn(JobId id, String queue) {
@@ -140,14 +140,14 @@
         JobEntry job = findIn(id, queue);
         return job == null
                 ? JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, "")
-                : JobAnswer.ofDone(job.getState());
+                : JobAnswer.ofDone(job.getKeptState());
     }
 
     private JobAnswer waitingIn(String queue) {
         long waiting =
                 board.getJobs().stream()
                         .filter(job -> job.getDefinition().queue().equals(queue))
-                        .filter(job -> job.getState() == JobState.QUEUED)
+                        .filter(job -> job.getKeptState() == JobState.QUEUED)
                         .count();
         return new JobAnswer(JobAnswer.Result.DONE, null, waiting, "");
     }
--- a/src/main/java/org/standlink/cell/CommitQueue.java
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -210,6 +210,7 @@
         }
         takenAt = sentAt;
         begunAt = -1;
+        board.kept();
         runEffects(effects);
         pump();
     }
--- a/src/main/java/org/standlink/cell/JobBoard.java
+++ b/src/main/java/org/standlink/cell/JobBoard.java
@@ -53,6 +53,9 @@
     /** Jobs whose records are to be removed. */
     private final Set<JobId> removed = new HashSet<>();
 
+    /** Jobs whose state is in the append under way. */
+    private final List<JobEntry> sent = new ArrayList<>();
+
     /** The place of the next job. */
     private long nextOrder = 1;
 
@@ -175,8 +178,14 @@
         return !changed.isEmpty() || !removed.isEmpty();
     }
 
+    /** Takes note that the records taken last have been kept. */
+    void kept() {
+        sent.forEach(JobEntry::kept);
+        sent.clear();
+    }
+
     /**
-     * Takes the records of all that has changed.
+     * Takes the records of all that has changed; {@link #kept()} must come before the next time.
      *
      * @return the records
      */
@@ -188,6 +197,7 @@
         }
         for (JobId id : changed) {
             byte[] value = Packing.pack(jobs.get(id).toRecord());
+            sent.add(jobs.get(id));
             records.add(new KeyedRecord(STATE_KEY + id, value));
         }
         for (JobId id : removed) {
--- a/src/main/java/org/standlink/cell/JobEntry.java
+++ b/src/main/java/org/standlink/cell/JobEntry.java
@@ -43,6 +43,12 @@
     /** The state. */
     private JobState state = JobState.QUEUED;
 
+    /** The state in the append under way. */
+    private JobState sentState = JobState.QUEUED;
+
+    /** The state that was kept last; callers are told no other. */
+    private JobState keptState = JobState.QUEUED;
+
     /** When the job was accepted or read, on the leader's clock. */
     private long acceptedAt;
 
@@ -84,6 +90,8 @@
      */
     void restore(JobRecord record) {
         state = record.state();
+        sentState = state;
+        keptState = state;
         List<TaskEntry> all = allTasks().toList();
         for (int i = 0; i < Math.min(all.size(), record.tasks().size()); i++) {
             all.get(i).restore(record.tasks().get(i));
@@ -96,6 +104,7 @@
      * @return the record
      */
     JobRecord toRecord() {
+        sentState = state;
         return new JobRecord(order, state, allTasks().map(TaskEntry::toRecord).toList());
     }
 
@@ -254,6 +263,20 @@
         return state;
     }
 
+    /** Takes note that the record made last has been kept. */
+    void kept() {
+        keptState = sentState;
+    }
+
+    /**
+     * Gets the state that was kept last.
+     *
+     * @return the state that callers may be told, since no new leader can fall behind it
+     */
+    JobState getKeptState() {
+        return keptState;
+    }
+
     /**
      * Gets when the job was accepted or read.
      *
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -191,6 +191,12 @@
         orders.stops().forEach(runs::stop);
         orders.starts().forEach(runs::start);
         if (orders.recordedEnd() > recordedEnd) {
+            LOG.info("ends-recorded")
+                    .with("worker", worker.id())
+                    .with("before", recordedEnd)
+                    .with("number", orders.recordedEnd())
+                    .with("epoch", orders.epoch())
+                    .write();
             recordedEnd = orders.recordedEnd();
             ended = ended.stream().filter(end -> end.number() > recordedEnd).toList();
         }
--- a/src/test/java/org/standlink/cell/TestCommitQueue.java
+++ b/src/test/java/org/standlink/cell/TestCommitQueue.java
@@ -25,6 +25,7 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
+import org.standlink.job.JobState;
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.store.Topic;
 
@@ -68,6 +69,23 @@
         assertEquals(2, store.records(Topic.CELL).size());
     }
 
+    @Test
+    public void callersAreToldOnlyWhatWasKept() {
+        JobEntry job = board.add(CellFixtures.job("a", 1));
+        queue.pump();
+        loop.advance(0);
+        store.setMode(FakeKeyedStore.Mode.DOWN);
+        job.cancel();
+        board.markChanged(job);
+        queue.pump();
+        loop.advance(1000);
+        assertEquals(JobState.CANCELLED, job.getState());
+        assertEquals(JobState.QUEUED, job.getKeptState());
+        store.setMode(FakeKeyedStore.Mode.UP);
+        loop.advance(200);
+        assertEquals(JobState.CANCELLED, job.getKeptState());
+    }
+
     @Test
     public void aNewerEpochEndsIt() {
         store.fence(Topic.CELL, Epoch.of(3));
