Keep workers' addresses, so that a new leader knows at once which lives are over

Cause: the restarted agents found new lives of their workers, but neither they nor the new leader knew that these replaced the old ones, so it waited out the old leader's authority and a lease, 13.4 s. Ruled out: a shorter lease (it saves work at restarts of agents). Test: TestReportDesk.aNewLifeAtTheAddressOfAnotherOneEndsItAlsoForANewLeader; there was no address before.

--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -148,7 +148,9 @@
         this.loop = loop;
         this.whenDeposed = whenDeposed;
         this.scheduler = new Scheduler(board, workers, new LeastAskedPlacement(harm));
-        this.commits = new CommitQueue(store, epoch, board, clock, loop, loop, this::depose);
+        this.commits =
+                new CommitQueue(
+                        store, epoch, List.of(board, workers), clock, loop, loop, this::depose);
         this.orders = new OrderDesk(epoch, board, workers, commits);
         this.callers = new CallerDesk(board, commits, clock, this::noteFinal);
         this.reports = new ReportDesk(board, workers, orders, this::mostAttempts, clock, harm);
@@ -218,6 +220,7 @@
         }
         long now = clock.nowMillis();
         board.restore(state.records());
+        workers.restore(state.records(), now + times.waitAfterFenceMillis());
         for (JobEntry job : board.getJobs()) {
             noteFinal(job);
             job.setAcceptedAt(now);
--- a/src/main/java/org/standlink/cell/CommitQueue.java
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -66,8 +66,8 @@
     /** The epoch of the leader. */
     private final Epoch epoch;
 
-    /** The jobs. */
-    private final JobBoard board;
+    /** The parts of the state. */
+    private final List<ChangeSource> sources;
 
     /** The clock. */
     private final MonotonicClock clock;
@@ -104,7 +104,7 @@
      *
      * @param store the store
      * @param epoch the epoch of the leader
-     * @param board the jobs
+     * @param sources the parts of the state
      * @param clock the clock
      * @param loop the leader's loop
      * @param timers the timers
@@ -113,14 +113,14 @@
     CommitQueue(
             KeyedStore store,
             Epoch epoch,
-            JobBoard board,
+            List<ChangeSource> sources,
             MonotonicClock clock,
             Executor loop,
             ScheduledExecutorService timers,
             Runnable whenFenced) {
         this.store = store;
         this.epoch = epoch;
-        this.board = board;
+        this.sources = List.copyOf(sources);
         this.clock = clock;
         this.loop = loop;
         this.timers = timers;
@@ -143,13 +143,14 @@
             return;
         }
         boolean beat = clock.nowMillis() - takenAt >= HEARTBEAT_MILLIS;
-        if (!board.hasChanges() && !beat) {
+        if (sources.stream().noneMatch(ChangeSource::hasChanges) && !beat) {
             runEffects(takeWaiting());
             return;
         }
-        List<KeyedRecord> records = board.takeChanges();
+        List<KeyedRecord> records = new ArrayList<>();
+        sources.forEach(source -> records.addAll(source.takeChanges()));
         if (records.isEmpty()) {
-            records = List.of(new KeyedRecord(HEARTBEAT_KEY, new byte[] {1}));
+            records.add(new KeyedRecord(HEARTBEAT_KEY, new byte[] {1}));
         }
         sequence++;
         begunAt = clock.nowMillis();
@@ -210,7 +211,7 @@
         }
         takenAt = sentAt;
         begunAt = -1;
-        board.kept();
+        sources.forEach(ChangeSource::kept);
         runEffects(effects);
         pump();
     }
--- a/src/main/java/org/standlink/cell/JobBoard.java
+++ b/src/main/java/org/standlink/cell/JobBoard.java
@@ -33,7 +33,7 @@
  *
  * <p>{@code JobBoard} is mutable and not thread-safe; the leader's loop owns it.
  */
-final class JobBoard {
+final class JobBoard implements ChangeSource {
 
     /** The start of the keys of definitions. */
     private static final String DEFINITION_KEY = "d/";
@@ -169,27 +169,19 @@
         return jobs.values();
     }
 
-    /**
-     * Checks whether anything is to be kept.
-     *
-     * @return true if so
-     */
-    boolean hasChanges() {
+    @Override
+    public boolean hasChanges() {
         return !changed.isEmpty() || !removed.isEmpty();
     }
 
-    /** Takes note that the records taken last have been kept. */
-    void kept() {
+    @Override
+    public void kept() {
         sent.forEach(JobEntry::kept);
         sent.clear();
     }
 
-    /**
-     * Takes the records of all that has changed; {@link #kept()} must come before the next time.
-     *
-     * @return the records
-     */
-    List<KeyedRecord> takeChanges() {
+    @Override
+    public List<KeyedRecord> takeChanges() {
         List<KeyedRecord> records = new ArrayList<>();
         for (JobId id : added) {
             byte[] value = Packing.pack(jobs.get(id).getDefinition());
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -119,18 +119,27 @@
         for (WorkerReport part : report.workers()) {
             WorkerEntry worker = workers.get(part.worker().id(), leaseUntil);
             worker.prolong(leaseUntil);
+            boolean first = worker.getDescription() == null;
             worker.heard(part.worker(), connection, part.reachable(), clock.nowMillis());
+            if (first) {
+                workers.keepAddress(worker);
+                workers.replacedBy(worker).forEach(this::replaced);
+            }
             handleWorker(worker, part, report);
         }
         for (WorkerId dead : report.dead()) {
             WorkerEntry worker = workers.find(dead);
             if (worker != null) {
-                releaseAll(worker, "worker-replaced");
-                workers.remove(worker);
+                replaced(worker);
             }
         }
     }
 
+    private void replaced(WorkerEntry worker) {
+        releaseAll(worker, "worker-replaced");
+        workers.remove(worker);
+    }
+
     /**
      * Takes the jobs that have changed since this was called last.
      *
--- a/src/main/java/org/standlink/cell/WorkerBoard.java
+++ b/src/main/java/org/standlink/cell/WorkerBoard.java
@@ -15,20 +15,24 @@
  */
 package org.standlink.cell;
 
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Collection;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import org.standlink.job.WorkerId;
 import org.standlink.process.EventLog;
+import org.standlink.store.KeyedRecord;
 
 /**
  * All workers of a cell, and which tasks may run on each.
  *
  * <p>{@code WorkerBoard} is mutable and not thread-safe; the leader's loop owns it.
  */
-final class WorkerBoard {
+final class WorkerBoard implements ChangeSource {
 
     /** After how many failures of different jobs in a row a worker is set aside. */
     private static final int MOST_FAILURES = 3;
@@ -42,9 +46,78 @@
     /** The log. */
     private static final EventLog LOG = EventLog.of(WorkerBoard.class);
 
+    /** The start of the keys of workers' addresses. */
+    private static final String ADDRESS_KEY = "w/";
+
+    /** Workers whose address is to be kept, or removed if they are no longer known. */
+    private final Set<WorkerId> changed = new LinkedHashSet<>();
+
     /** The workers. */
     private final Map<WorkerId, WorkerEntry> workers = new LinkedHashMap<>();
 
+    // -----------------------------------------------------------------------
+    /**
+     * Takes over what was kept.
+     *
+     * @param records the records, in any order; those of other parts are passed over
+     * @param mayRunUntil until when the runs of these workers may go on
+     */
+    void restore(List<KeyedRecord> records, long mayRunUntil) {
+        for (KeyedRecord record : records) {
+            if (record.key().startsWith(ADDRESS_KEY) && record.value().length > 0) {
+                WorkerId id = WorkerId.parse(record.key().substring(ADDRESS_KEY.length()));
+                String address = new String(record.value(), StandardCharsets.US_ASCII);
+                get(id, mayRunUntil).restoreAddress(address);
+            }
+        }
+    }
+
+    /**
+     * Finds the lives of workers that are over, since another life answers at their address.
+     *
+     * @param present the life that answers
+     * @return the others
+     */
+    List<WorkerEntry> replacedBy(WorkerEntry present) {
+        return workers.values().stream()
+                .filter(other -> other != present)
+                .filter(other -> other.getAddress().equals(present.getAddress()))
+                .toList();
+    }
+
+    /**
+     * Takes note that a worker's address is to be kept.
+     *
+     * @param worker the worker
+     */
+    void keepAddress(WorkerEntry worker) {
+        changed.add(worker.getId());
+    }
+
+    @Override
+    public boolean hasChanges() {
+        return !changed.isEmpty();
+    }
+
+    @Override
+    public List<KeyedRecord> takeChanges() {
+        List<KeyedRecord> records = new ArrayList<>();
+        for (WorkerId id : changed) {
+            WorkerEntry worker = workers.get(id);
+            String address = worker == null ? "" : worker.getAddress();
+            byte[] value = address.getBytes(StandardCharsets.US_ASCII);
+            records.add(new KeyedRecord(ADDRESS_KEY + id, value));
+        }
+        changed.clear();
+        return records;
+    }
+
+    @Override
+    public void kept() {
+        // Nothing waits for the address of a worker.
+    }
+
+    // -----------------------------------------------------------------------
     /**
      * Finds or adds a worker.
      *
@@ -148,5 +221,6 @@
      */
     void remove(WorkerEntry worker) {
         workers.remove(worker.getId());
+        changed.add(worker.getId());
     }
 }
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -35,6 +35,9 @@
     /** The life of the worker. */
     private final WorkerId id;
 
+    /** Where it takes calls, host and port; empty if not known. */
+    private String address = "";
+
     /** The tasks whose last run may be there. */
     private final Map<TaskName, TaskEntry> tasks = new LinkedHashMap<>();
 
@@ -97,6 +100,7 @@
             synced = null;
         }
         description = told;
+        address = told.address();
         reachable = answers;
         heardAt = now;
     }
@@ -202,6 +206,24 @@
         return tasks.values();
     }
 
+    /**
+     * Gets where the worker takes calls.
+     *
+     * @return host and port, empty if not known
+     */
+    String getAddress() {
+        return address;
+    }
+
+    /**
+     * Takes over where the worker takes calls.
+     *
+     * @param kept host and port
+     */
+    void restoreAddress(String kept) {
+        address = kept;
+    }
+
     /**
      * Gets what the worker said of itself.
      *
--- a/src/test/java/org/standlink/cell/TestCommitQueue.java
+++ b/src/test/java/org/standlink/cell/TestCommitQueue.java
@@ -38,7 +38,14 @@
     private final JobBoard board = new JobBoard();
     private final List<String> seen = new ArrayList<>();
     private final CommitQueue queue =
-            new CommitQueue(store, Epoch.of(2), board, clock, loop, loop, () -> seen.add("fenced"));
+            new CommitQueue(
+                    store,
+                    Epoch.of(2),
+                    List.of(board),
+                    clock,
+                    loop,
+                    loop,
+                    () -> seen.add("fenced"));
 
     @Test
     public void effectsWaitWhileTheStoreIsDown() {
--- a/src/test/java/org/standlink/cell/TestReportDesk.java
+++ b/src/test/java/org/standlink/cell/TestReportDesk.java
@@ -33,6 +33,7 @@
 import org.standlink.job.WorkerId;
 import org.standlink.policy.HarmTable;
 import org.standlink.store.FakeKeyedStore;
+import org.standlink.store.Topic;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.WorkerReport;
 
@@ -47,7 +48,8 @@
     private final JobBoard board = new JobBoard();
     private final WorkerBoard workers = new WorkerBoard();
     private final CommitQueue commits =
-            new CommitQueue(store, Epoch.of(1), board, clock, loop, loop, () -> {});
+            new CommitQueue(
+                    store, Epoch.of(1), List.of(board, workers), clock, loop, loop, () -> {});
     private final OrderDesk orders = new OrderDesk(Epoch.of(1), board, workers, commits);
     private final ReportDesk reports =
             new ReportDesk(board, workers, orders, job -> 2, clock, new HarmTable());
@@ -121,6 +123,36 @@
         assertEquals(false, tasks.get(1).isStalled(clock.nowMillis(), 3000));
     }
 
+    @Test
+    public void aNewLifeAtTheAddressOfAnotherOneEndsItAlsoForANewLeader() {
+        report(false, List.of());
+        commits.pump();
+        loop.advance(0);
+        WorkerBoard restored = new WorkerBoard();
+        restored.restore(store.records(Topic.CELL), clock.nowMillis() + 9000);
+        tasks.forEach(task -> restored.place(task, 0));
+        ReportDesk next = new ReportDesk(board, restored, orders, job -> 2, clock, new HarmTable());
+        WorkerDescription other =
+                new WorkerDescription(
+                        WorkerId.parse("i-2"),
+                        "s",
+                        WORKER.address(),
+                        WORKER.capacity(),
+                        List.of(),
+                        false,
+                        0);
+        WorkerReport part =
+                new WorkerReport(
+                        other, true, false, true, List.of(), List.of(), List.of(), List.of());
+        next.handle(
+                null,
+                new AgentReport(
+                        "node", "a:1", Incarnation.of(2), Epoch.of(1), List.of(part), List.of()),
+                clock.nowMillis() + 6000);
+        assertNull(tasks.get(0).getWorker());
+        assertNull(restored.find(WORKER.id()));
+    }
+
     @Test
     public void aWorkerWhoseLifeIsOverKeepsNothing() {
         WorkerId id = WORKER.id();
