Hold nobody up for a leader that does not answer; explain a job from logs

Cause: connecting to the leader happened on the caller's thread under a lock; a leader known to be silent was called all the same. Change: connections are made in the background, a call without one fails at once; a leader that has left all calls unanswered for 500 ms is tried by one caller each 250 ms and the others are refused as not run. A job that may have been kept is told as unknown at once while the store is away. Tests: TestLeaderLink; TestCandidate.

--- a/src/main/java/org/standlink/cell/CallerDesk.java
+++ b/src/main/java/org/standlink/cell/CallerDesk.java
@@ -98,6 +98,17 @@
             connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, reason));
             return;
         }
+        if (known != null && commits.isStalled()) {
+            // It may have been kept; waiting for that would hold the caller up.
+            String reason = "the store does not answer";
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.UNKNOWN, reason));
+            return;
+        }
+        LOG.info("received")
+                .with("job", job.id())
+                .with("again", known != null)
+                .with("store-silent-millis", commits.getSilentMillis())
+                .write();
         JobEntry entry = known == null ? board.add(job) : known;
         if (known == null) {
             entry.setAcceptedAt(clock.nowMillis());
--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -222,8 +222,8 @@
         board.restore(state.records());
         workers.restore(state.records(), now + times.waitAfterFenceMillis());
         for (JobEntry job : board.getJobs()) {
-            noteFinal(job);
             job.setAcceptedAt(now);
+            noteFinal(job);
             job.allTasks()
                     .filter(task -> task.getWorker() != null)
                     .forEach(task -> workers.place(task, now + times.waitAfterFenceMillis()));
@@ -324,6 +324,11 @@
     private void noteFinal(JobEntry job) {
         if (job.getState().isFinal() && job.getFinalAt() < 0) {
             job.setFinalAt(clock.nowMillis());
+            LOG.info("final")
+                    .with("job", job.getId())
+                    .with("state", job.getState())
+                    .with("after-millis", clock.nowMillis() - job.getAcceptedAt())
+                    .write();
             orders.stopAfterCommit(job.allTasks().toList());
         }
     }
--- a/src/main/java/org/standlink/command/Main.java
+++ b/src/main/java/org/standlink/command/Main.java
@@ -149,6 +149,7 @@
         all.put("bundle diff", new Entry("compare two bundles", BundleDiffCommand::new));
         all.put("bundle status", new Entry("show the bundle in force", BundleStatusCommand::new));
         all.put("status", new Entry("show cells, workers and tasks", StatusCommand::new));
+        all.put("explain", new Entry("show what was decided about a job", ExplainCommand::new));
         all.put("keys", new Entry("make an operator's keys", KeysCommand::new));
         all.put(
                 "stand-in platform",
--- a/src/main/java/org/standlink/command/PlatformAgentCommand.java
+++ b/src/main/java/org/standlink/command/PlatformAgentCommand.java
@@ -75,7 +75,7 @@
         PlatformBase base = new PlatformBase(settings.store());
         String address =
                 settings.listen().getAddress().getHostAddress() + ":" + settings.listen().getPort();
-        LeaderLink leader = new LeaderLink(base.getExecutor(), this::fromLeader);
+        LeaderLink leader = new LeaderLink(base.getExecutor(), this::fromLeader, base.getClock());
         Candidate candidate =
                 new Candidate(
                         base.getStore(),
--- a/src/main/java/org/standlink/command/PlatformEntryCommand.java
+++ b/src/main/java/org/standlink/command/PlatformEntryCommand.java
@@ -61,7 +61,9 @@
         SettingsReload.install(settingsFile, settings, PlatformSettings::readEntry);
         LOG.info("starting").with("node", settings.node()).with("hall", settings.hall()).write();
         PlatformBase base = new PlatformBase(settings.store());
-        LeaderLink leader = new LeaderLink(base.getExecutor(), (connection, call, message) -> {});
+        LeaderLink leader =
+                new LeaderLink(
+                        base.getExecutor(), (connection, call, message) -> {}, base.getClock());
         JobGateway gateway = new JobGateway(leader, base.getClock(), base.getRegistry());
         ConnectionDrain drain = new ConnectionDrain(base.getClock());
         new CallerHttp(
--- a/src/main/java/org/standlink/command/PlatformRehearseCommand.java
+++ b/src/main/java/org/standlink/command/PlatformRehearseCommand.java
@@ -82,7 +82,9 @@
 
     // -----------------------------------------------------------------------
     private static void rehearseEntry(PlatformBase base, ExecutorService threads) {
-        LeaderLink leader = new LeaderLink(base.getExecutor(), (connection, call, message) -> {});
+        LeaderLink leader =
+                new LeaderLink(
+                        base.getExecutor(), (connection, call, message) -> {}, base.getClock());
         JobGateway gateway = new JobGateway(leader, base.getClock(), base.getRegistry());
         ConnectionDrain drain = new ConnectionDrain(base.getClock());
         CallerHttp callers = new CallerHttp(FREE, threads, gateway, drain);
@@ -92,7 +94,9 @@
     }
 
     private static void rehearseAgent(PlatformBase base, ExecutorService threads) {
-        LeaderLink leader = new LeaderLink(base.getExecutor(), (connection, call, message) -> {});
+        LeaderLink leader =
+                new LeaderLink(
+                        base.getExecutor(), (connection, call, message) -> {}, base.getClock());
         CellTimes times = new CellTimes(CALL_MILLIS, CALL_MILLIS);
         Incarnation self = Incarnation.ofRandom();
         LeaderSeat seat =
--- a/src/main/java/org/standlink/election/Candidate.java
+++ b/src/main/java/org/standlink/election/Candidate.java
@@ -46,6 +46,13 @@
      */
     static final long GONE_MILLIS = 1000;
 
+    /**
+     * How long the store must be without a record of a leader that says it has no store, in
+     * milliseconds: after an outage for all, the leader's next try comes within one call and a
+     * pause.
+     */
+    static final long STORELESS_MILLIS = 1500;
+
     /** The log. */
     private static final EventLog LOG = EventLog.of(Candidate.class);
 
@@ -76,6 +83,9 @@
     /** The end of the cell's topic since then; guarded by this. */
     private long quietEnd;
 
+    /** Whether the leader has said that it has no store; guarded by this. */
+    private boolean storeless;
+
     /** Whether nobody leads at the leader's address; guarded by this. */
     private boolean gone;
 
@@ -115,12 +125,14 @@
             newest = claim;
             quietSince = -1;
             gone = false;
+            storeless = false;
         }
     }
 
     @Override
     public synchronized void leaderAnswered(long storeSilentMillis) {
-        if (storeSilentMillis < SILENCE_MILLIS) {
+        storeless = storeSilentMillis >= STORELESS_MILLIS;
+        if (!storeless) {
             leaderSeen = clock.nowMillis();
             quietSince = -1;
             gone = false;
@@ -136,7 +148,7 @@
     public void tick() {
         synchronized (this) {
             boolean leads = newest.isHeld() && newest.holder().equals(self);
-            boolean seen = !gone && clock.nowMillis() - leaderSeen < SILENCE_MILLIS;
+            boolean seen = !gone && !storeless && clock.nowMillis() - leaderSeen < SILENCE_MILLIS;
             if (asking || leads || claimsRead.getAsLong() < 0 || newest.isHeld() && seen) {
                 return;
             }
@@ -161,12 +173,19 @@
         if (quietSince < 0 || end != quietEnd) {
             quietSince = now;
             quietEnd = end;
-        } else if (now - quietSince >= (gone ? GONE_MILLIS : SILENCE_MILLIS)) {
+        } else if (now - quietSince >= quietNeeded()) {
             asking = true;
             claim("silent for " + (now - quietSince) + " ms");
         }
     }
 
+    private long quietNeeded() {
+        if (gone) {
+            return GONE_MILLIS;
+        }
+        return storeless ? STORELESS_MILLIS : SILENCE_MILLIS;
+    }
+
     private void claim(String reason) {
         Claim claim = new Claim(newest.epoch().next(), address, self);
         LOG.info("claim").with("epoch", claim.epoch()).with("reason", reason).write();
--- a/src/main/java/org/standlink/election/LeaderLink.java
+++ b/src/main/java/org/standlink/election/LeaderLink.java
@@ -23,6 +23,7 @@
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
 import org.standlink.json.Addresses;
+import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
 import org.standlink.wire.LeaderNotice;
 import org.standlink.wire.Message;
@@ -39,6 +40,24 @@
     /** The log. */
     private static final EventLog LOG = EventLog.of(LeaderLink.class);
 
+    /**
+     * How long the leader may leave all calls unanswered before it counts as silent, in
+     * milliseconds; an append to a store that is slowed sixtyfold takes half of it.
+     */
+    private static final long SILENT_MILLIS = 500;
+
+    /** The time between two calls that try whether a silent leader answers, in milliseconds. */
+    private static final long PROBE_MILLIS = 250;
+
+    /** The clock. */
+    private final MonotonicClock clock;
+
+    /** Since when calls are without an answer, negative if none is; guarded by this. */
+    private long waitingSince = -1;
+
+    /** When a silent leader was tried last; guarded by this. */
+    private long triedAt;
+
     /** Where reading threads come from. */
     private final Executor executor;
 
@@ -56,8 +75,10 @@
      *
      * @param executor where reading threads come from
      * @param handler what answers messages of the leader
+     * @param clock the clock
      */
-    public LeaderLink(Executor executor, MessageHandler handler) {
+    public LeaderLink(Executor executor, MessageHandler handler, MonotonicClock clock) {
+        this.clock = clock;
         this.executor = executor;
         this.handler = handler;
     }
@@ -80,6 +101,7 @@
                 .with("source", source)
                 .write();
         leader = notice;
+        waitingSince = -1;
         close();
         peer = notice.address().isEmpty() ? null : connectTo(notice.address());
     }
@@ -122,9 +144,13 @@
                     new StandlinkException(
                             ErrorCode.PEER_UNREACHABLE, "no leader is known", "try again later"));
         }
-        return present.call(message, timeoutMillis)
+        began();
+        return present.callOpen(message, timeoutMillis)
                 .whenComplete(
                         (answer, failure) -> {
+                            if (failure == null) {
+                                answered();
+                            }
                             if (failure instanceof TimeoutException) {
                                 // A silent connection may be cut; the next call makes a new one.
                                 present.close();
@@ -132,6 +158,32 @@
                         });
     }
 
+    /**
+     * Checks whether the leader is not worth calling at the moment. Now and then one caller is let
+     * through to try it.
+     *
+     * @return true if it has left all calls unanswered for a while
+     */
+    public synchronized boolean isSilent() {
+        long now = clock.nowMillis();
+        boolean silent = waitingSince >= 0 && now - waitingSince > SILENT_MILLIS;
+        if (silent && now - triedAt >= PROBE_MILLIS) {
+            triedAt = now;
+            return false;
+        }
+        return silent;
+    }
+
+    private synchronized void began() {
+        if (waitingSince < 0) {
+            waitingSince = clock.nowMillis();
+        }
+    }
+
+    private synchronized void answered() {
+        waitingSince = -1;
+    }
+
     @Override
     public synchronized void close() {
         if (peer != null) {
--- a/src/main/java/org/standlink/gateway/JobGateway.java
+++ b/src/main/java/org/standlink/gateway/JobGateway.java
@@ -161,6 +161,10 @@
         long start = clock.nowMillis();
         String reason = "no leader is reachable";
         while (clock.nowMillis() - start <= Math.min(LEADER_WAIT_MILLIS, call.waitMillis())) {
+            if (leader.isSilent()) {
+                reason = "the leader does not answer";
+                break;
+            }
             long left = call.waitMillis() - (clock.nowMillis() - start);
             try {
                 Message answer =
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -59,6 +59,9 @@
     /** How long changes are gathered before they are reported, in milliseconds. */
     private static final long GATHER_MILLIS = 3;
 
+    /** The pause after a report that was not answered, in milliseconds; connecting takes less. */
+    private static final long RETRY_MILLIS = 50;
+
     /** The log. */
     private static final EventLog LOG = EventLog.of(AgentNode.class);
 
@@ -293,11 +296,19 @@
                 sent.forEach(this::reported);
             }
         }
-        if (changed) {
+        if (failure != null) {
+            loop.schedule(this::reportAgain, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (changed) {
             loop.schedule(this::reportIfChanged, GATHER_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
+    private void reportAgain() {
+        if (!reporting) {
+            report();
+        }
+    }
+
     /** A refused connection says that no process listens at the leader's address. */
     private static boolean isRefused(Throwable failure) {
         Throwable cause = failure;
--- a/src/main/java/org/standlink/wire/Peer.java
+++ b/src/main/java/org/standlink/wire/Peer.java
@@ -20,6 +20,7 @@
 import java.net.Socket;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.function.Supplier;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
@@ -43,6 +44,12 @@
     /** What answers messages that are not answers. */
     private final MessageHandler handler;
 
+    /** Whether a connection is being made in the background. */
+    private final AtomicBoolean connecting = new AtomicBoolean();
+
+    /** Why the last try in the background failed, null if it did not. */
+    private volatile StandlinkException lastFailure;
+
     /** The connection, null if there is none. */
     private volatile Connection connection;
 
@@ -73,6 +80,37 @@
         return connectAnew();
     }
 
+    /**
+     * Sends a message over the open connection and waits for its answer. If there is none, one is
+     * made in the background and the call fails at once.
+     *
+     * @param message the message
+     * @param timeoutMillis how long to wait, in milliseconds
+     * @return the answer; fails with PEER_UNREACHABLE only if nothing was sent
+     */
+    public CompletableFuture<Message> callOpen(Message message, long timeoutMillis) {
+        Connection present = getOpen();
+        if (present != null) {
+            return present.call(message, timeoutMillis);
+        }
+        if (connecting.compareAndSet(false, true)) {
+            executor.execute(this::connectInBackground);
+        }
+        return CompletableFuture.failedFuture(
+                unreachable("a peer that is being connected to", lastFailure));
+    }
+
+    private void connectInBackground() {
+        try {
+            connectAnew();
+            lastFailure = null;
+        } catch (StandlinkException unreachable) {
+            lastFailure = unreachable;
+        } finally {
+            connecting.set(false);
+        }
+    }
+
     /**
      * Gets the connection if there is one.
      *
