Let filling runs stand still beside a tail that stays over its target; leases of 6 s at most

Cause: the least share was 5% whatever the tail did, and only suspects were paced. Ruled out: figures that came late (they came every 350 ms).

--- a/src/main/java/org/standlink/cell/CellTimes.java
+++ b/src/main/java/org/standlink/cell/CellTimes.java
@@ -33,6 +33,12 @@
      */
     public static final long AUTHORITY_MILLIS = 3000;
 
+    /**
+     * The longest lease, in milliseconds: an agent whose machine lost power for 3.5 s is back
+     * within 5.5 s. A longer one would only keep the work of lost workers waiting.
+     */
+    public static final long LONGEST_LEASE_MILLIS = 6000;
+
     /**
      * What is added to every wait for somebody else's clock, in milliseconds: 2% of a lease of ten
      * seconds, and the time a worker takes to kill.
--- a/src/main/java/org/standlink/command/PlatformAgentCommand.java
+++ b/src/main/java/org/standlink/command/PlatformAgentCommand.java
@@ -96,7 +96,9 @@
         LeaderSeat seat =
                 new LeaderSeat(
                         base.getStore(),
-                        new CellTimes(settings.leaseMillis(), settings.statusMillis()),
+                        new CellTimes(
+                                Math.min(settings.leaseMillis(), CellTimes.LONGEST_LEASE_MILLIS),
+                                settings.statusMillis()),
                         base.getClock(),
                         base.getLoop(),
                         self,
--- a/src/main/java/org/standlink/runner/PacePolicy.java
+++ b/src/main/java/org/standlink/runner/PacePolicy.java
@@ -24,7 +24,7 @@
 /**
  * Decides how much filling runs may work beside serving ones, image by image: at once less when the
  * tail of a serving image that they are believed to harm is near its target, slowly more when it is
- * well below.
+ * well below. If a tail stays over its target all the same, all filling runs stand still.
  *
  * <p>{@code PacePolicy} is mutable and not thread-safe.
  */
@@ -33,7 +33,7 @@
     /** The full share, in percent. */
     static final int FULL = 100;
 
-    /** The smallest share, in percent; nothing stands still for good. */
+    /** The smallest share beside a tail that is too long, in percent. */
     private static final int LEAST = 5;
 
     /** The first share of an image beside one that it is believed to harm, in percent. */
@@ -45,6 +45,15 @@
     /** The share of its target below which a tail leaves room. */
     private static final double LOW = 0.7;
 
+    /** The share of its target above which a tail counts as over it; figures are rough. */
+    private static final double OVER = 0.97;
+
+    /**
+     * How long a tail may be over its target before all filling runs stand still, in milliseconds;
+     * the operators bear 4,000, and figures lag by half a second.
+     */
+    private static final long LONGEST_OVER_MILLIS = 1400;
+
     /** By what a share is multiplied when a tail is too long. */
     private static final double LESS = 0.4;
 
@@ -60,6 +69,9 @@
     /** The share of each filling image. */
     private final Map<String, Integer> shares = new HashMap<>();
 
+    /** Since when the tail of each serving image has been over its target. */
+    private final Map<String, Long> overSince = new HashMap<>();
+
     /** The serving images there. */
     private Set<String> serving = new HashSet<>();
 
@@ -77,9 +89,14 @@
      *
      * @param tails the worst tail of each serving image, as a share of its target
      * @param filling the filling images there
+     * @param now the time, in milliseconds
      */
-    void decide(Map<String, Double> tails, Set<String> filling) {
+    void decide(Map<String, Double> tails, Set<String> filling, long now) {
         serving = new HashSet<>(tails.keySet());
+        if (isOverForLong(tails, now)) {
+            filling.forEach(image -> shares.put(image, 0));
+            return;
+        }
         boolean blamed =
                 tails.entrySet().stream()
                         .filter(tail -> tail.getValue() > HIGH)
@@ -110,6 +127,20 @@
     }
 
     // -----------------------------------------------------------------------
+    private boolean isOverForLong(Map<String, Double> tails, long now) {
+        overSince.keySet().retainAll(tails.keySet());
+        boolean found = false;
+        for (Map.Entry<String, Double> tail : tails.entrySet()) {
+            if (tail.getValue() <= OVER) {
+                overSince.remove(tail.getKey());
+                continue;
+            }
+            long since = overSince.computeIfAbsent(tail.getKey(), key -> now);
+            found |= now - since >= LONGEST_OVER_MILLIS;
+        }
+        return found;
+    }
+
     private boolean isSuspect(String servingImage, String image) {
         return harm.get(servingImage, image) >= HarmTable.HARMLESS;
     }
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -306,7 +306,7 @@
                 filling.add(order.image());
             }
         }
-        pace.decide(tails, filling);
+        pace.decide(tails, filling, now);
         runs.pace(pace::getShare);
     }
 }
