--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -37,6 +37,7 @@
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.Connection;
 import org.standlink.wire.JobAnswer;
+import org.standlink.wire.LeaderNotice;
 import org.standlink.wire.Message;
 
 /**
@@ -281,8 +282,8 @@
             if (message instanceof AgentReport report) {
                 report(connection, call, report);
             } else if (!active) {
-                String reason = "the leader is reading its state";
-                connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, reason));
+                // The caller asks again; the state is read within some tens of milliseconds.
+                connection.answer(call, new LeaderNotice(epoch, ""));
                 return;
             } else {
                 callers.handle(connection, call, message);
--- a/src/main/java/org/standlink/election/Candidate.java
+++ b/src/main/java/org/standlink/election/Candidate.java
@@ -34,11 +34,14 @@
  */
 public final class Candidate implements LeaderObserver {
 
+    /** After how long without an answer a leader is suspected, in milliseconds: two heartbeats. */
+    static final long SUSPECT_MILLIS = 1100;
+
     /**
-     * How long a leader must be silent, in milliseconds: four of its heartbeats, and a store that
-     * is slowed sixtyfold answers within one.
+     * How long the store must be without a record of a suspected leader, in milliseconds: three of
+     * its heartbeats; a store that is slowed sixtyfold answers within one.
      */
-    static final long SILENCE_MILLIS = 2000;
+    static final long SILENCE_MILLIS = 1500;
 
     /**
      * How long the store must be without a record of a leader that is gone from its address, in
@@ -112,7 +115,7 @@
         this.address = address;
         this.self = self;
         this.claimsRead = claimsRead;
-        this.leaderSeen = clock.nowMillis() - SILENCE_MILLIS;
+        this.leaderSeen = clock.nowMillis() - SUSPECT_MILLIS;
     }
 
     /**
@@ -148,7 +151,7 @@
     public void tick() {
         synchronized (this) {
             boolean leads = newest.isHeld() && newest.holder().equals(self);
-            boolean seen = !gone && !storeless && clock.nowMillis() - leaderSeen < SILENCE_MILLIS;
+            boolean seen = !gone && !storeless && clock.nowMillis() - leaderSeen < SUSPECT_MILLIS;
             if (asking || leads || claimsRead.getAsLong() < 0 || newest.isHeld() && seen) {
                 return;
             }
--- a/src/main/java/org/standlink/leader/LeaderService.java
+++ b/src/main/java/org/standlink/leader/LeaderService.java
@@ -267,7 +267,7 @@
             throw new StandlinkException(
                     ErrorCode.LOG_GAP,
                     "the log has dropped records of cell '" + cell + "'",
-                    "wait for a snapshot, or see 'The log has dropped records' in OPERATING.md");
+                    "wait for a snapshot, or see 'The log has dropped records' in OPERATIONS.md");
         }
         return fold.getCell(cell).getEpoch().next();
     }
