--- a/src/main/java/org/standlink/runner/PacePolicy.java
+++ b/src/main/java/org/standlink/runner/PacePolicy.java
@@ -48,11 +48,14 @@
     /** The share of its target above which a tail counts as over it; figures are rough. */
     private static final double OVER = 0.97;
 
+    /** How long a tail may be over its target before suspects stand still, in milliseconds. */
+    private static final long SUSPECTS_MILLIS = 1200;
+
     /**
      * How long a tail may be over its target before all filling runs stand still, in milliseconds;
      * the operators bear 4,000, and figures lag by half a second.
      */
-    private static final long LONGEST_OVER_MILLIS = 1400;
+    private static final long ALL_MILLIS = 2200;
 
     /** By what a share is multiplied when a tail is too long. */
     private static final double LESS = 0.4;
@@ -93,10 +96,7 @@
      */
     void decide(Map<String, Double> tails, Set<String> filling, long now) {
         serving = new HashSet<>(tails.keySet());
-        if (isOverForLong(tails, now)) {
-            filling.forEach(image -> shares.put(image, 0));
-            return;
-        }
+        noteOver(tails, now);
         boolean blamed =
                 tails.entrySet().stream()
                         .filter(tail -> tail.getValue() > HIGH)
@@ -108,7 +108,8 @@
                     worst = Math.max(worst, tail.getValue());
                 }
             }
-            shares.put(image, next(getShare(image), worst, harmOf(image)));
+            int share = next(getShare(image), worst, harmOf(image));
+            shares.put(image, isToStandStill(image, now) ? 0 : share);
         }
     }
 
@@ -127,18 +128,27 @@
     }
 
     // -----------------------------------------------------------------------
-    private boolean isOverForLong(Map<String, Double> tails, long now) {
+    private void noteOver(Map<String, Double> tails, long now) {
         overSince.keySet().retainAll(tails.keySet());
-        boolean found = false;
-        for (Map.Entry<String, Double> tail : tails.entrySet()) {
-            if (tail.getValue() <= OVER) {
-                overSince.remove(tail.getKey());
-                continue;
+        tails.forEach(
+                (image, tail) -> {
+                    if (tail <= OVER) {
+                        overSince.remove(image);
+                    } else {
+                        overSince.putIfAbsent(image, now);
+                    }
+                });
+    }
+
+    private boolean isToStandStill(String image, long now) {
+        for (Map.Entry<String, Long> over : overSince.entrySet()) {
+            long millis = now - over.getValue();
+            boolean suspect = isSuspect(over.getKey(), image);
+            if (millis >= ALL_MILLIS || suspect && millis >= SUSPECTS_MILLIS) {
+                return true;
             }
-            long since = overSince.computeIfAbsent(tail.getKey(), key -> now);
-            found |= now - since >= LONGEST_OVER_MILLIS;
         }
-        return found;
+        return false;
     }
 
     private boolean isSuspect(String servingImage, String image) {
--- a/src/test/java/org/standlink/runner/TestPacePolicy.java
+++ b/src/test/java/org/standlink/runner/TestPacePolicy.java
@@ -71,7 +71,12 @@
     public void allStandStillWhenATailStaysOverItsTarget() {
         believe("s", "good", 0.05);
         believe("s", "bad", 0.9);
-        for (int i = 0; i < 5; i++) {
+        for (int i = 0; i < 4; i++) {
+            pace.decide(Map.of("s", 1.1), Set.of("good", "bad"), now += 400);
+        }
+        assertEquals(PacePolicy.FULL, pace.getShare("good"));
+        assertEquals(0, pace.getShare("bad"));
+        for (int i = 0; i < 3; i++) {
             pace.decide(Map.of("s", 1.1), Set.of("good", "bad"), now += 400);
         }
         assertEquals(0, pace.getShare("good"));
