--- /dev/null
+++ b/src/test/java/org/standlink/platform/TestHttpWorkerCalls.java
@@ -0,0 +1,173 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.fasterxml.jackson.databind.JsonNode;
+import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.Resources;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
+import org.standlink.job.RunProgress;
+import org.standlink.job.TaskName;
+import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
+import org.standlink.process.HttpService;
+import org.standlink.process.ProcessThreads;
+import org.standlink.runner.CallResult;
+import org.standlink.runner.HoldResult;
+import org.standlink.wire.StartOrder;
+
+/**
+ * Tests the calls of workers against answers written out by hand, after the platform's examples.
+ */
+public class TestHttpWorkerCalls {
+
+    private static final RunId RUN = new RunId(TaskName.parse("5c0e7a21d94b36f8.0.1.17"), 2);
+
+    private final ExecutorService threads = ProcessThreads.newCached("test");
+    private HttpServer server;
+    private HttpWorkerCalls calls;
+    private WorkerDescription worker;
+    private volatile int status = 200;
+    private volatile String answer = "{\"clock_ms\":482113}";
+    private volatile String path;
+    private volatile String life;
+    private volatile JsonNode body;
+
+    @BeforeEach
+    public void listen() {
+        server = HttpService.newServer(new InetSocketAddress("127.0.0.1", 0), threads);
+        server.createContext("/", this::handle);
+        server.start();
+        calls = new HttpWorkerCalls(new HttpCaller(threads));
+        worker =
+                new WorkerDescription(
+                        WorkerId.parse("i-7f3a91c2"),
+                        "s",
+                        "127.0.0.1:" + server.getAddress().getPort(),
+                        Resources.NONE,
+                        List.of(),
+                        false,
+                        0);
+    }
+
+    @AfterEach
+    public void close() {
+        server.stop(0);
+        threads.shutdownNow();
+    }
+
+    private void handle(HttpExchange exchange) throws IOException {
+        try (exchange) {
+            path = exchange.getRequestURI().getPath();
+            life = exchange.getRequestHeaders().getFirst("X-Expect-Instance");
+            body = Json.read(exchange.getRequestBody().readAllBytes());
+            byte[] bytes = answer.getBytes(StandardCharsets.UTF_8);
+            exchange.sendResponseHeaders(status, bytes.length);
+            exchange.getResponseBody().write(bytes);
+        }
+    }
+
+    private CallResult start(String checkpoint) {
+        StartOrder order = new StartOrder(RUN, "(text)", checkpoint, false, 0, "");
+        return calls.start(worker, order, 486000, Epoch.of(7)).join();
+    }
+
+    @Test
+    public void aStartNamesRunTimeEpochAndLife() {
+        CallResult result = start("00000bb87a21d94b");
+        assertEquals(CallResult.Kind.DONE, result.kind());
+        assertEquals(482113, result.clockMillis());
+        assertEquals("/v1/run-start", path);
+        assertEquals("i-7f3a91c2", life);
+        assertEquals("5c0e7a21d94b36f8.0.1.17", body.path("task").asText());
+        assertEquals(2, body.path("run_id").asInt());
+        assertEquals("(text)", body.path("spec").asText());
+        assertEquals(486000, body.path("until_ms").asLong());
+        assertEquals(7, body.path("fencing_token").asLong());
+        assertEquals("00000bb87a21d94b", body.path("checkpoint").asText());
+    }
+
+    @Test
+    public void aStartWithoutAStateNamesNone() {
+        start("");
+        assertFalse(body.has("checkpoint"));
+    }
+
+    @Test
+    public void eachRefusalHasItsKind() {
+        Object[][] table = {
+            {409, "{\"clock_ms\":1,\"reason\":\"fence\"}", CallResult.Kind.FENCED},
+            {409, "{\"clock_ms\":1,\"reason\":\"old\"}", CallResult.Kind.SUPERSEDED},
+            {409, "{\"clock_ms\":1,\"reason\":\"late\"}", CallResult.Kind.HOLD_PAST},
+            {409, "{\"clock_ms\":1,\"reason\":\"room\"}", CallResult.Kind.NO_ROOM},
+            {409, "{\"clock_ms\":1,\"reason\":\"ticket\"}", CallResult.Kind.NO_ROOM},
+            {400, "{\"error\":\"unknown\"}", CallResult.Kind.INVALID},
+            {421, "", CallResult.Kind.OTHER_LIFE},
+            {429, "", CallResult.Kind.UNWELL},
+            {503, "not json", CallResult.Kind.UNWELL},
+            {500, "", CallResult.Kind.UNKNOWN},
+        };
+        for (Object[] row : table) {
+            status = (Integer) row[0];
+            answer = (String) row[1];
+            assertEquals(row[2], start("").kind(), () -> row[0] + " " + row[1]);
+        }
+    }
+
+    @Test
+    public void aWorkerThatIsNotThereIsUnknown() {
+        server.stop(0);
+        assertEquals(CallResult.Kind.UNKNOWN, start("").kind());
+    }
+
+    @Test
+    public void aHoldReadsBothLists() {
+        answer =
+                "{\"clock_ms\":482113,\"running\":[[\"5c0e7a21d94b36f8.0.1.17\",2,\"0b\",41,12]],"
+                        + "\"ended\":[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"]]}";
+        HoldResult result = calls.hold(worker, 486000, Epoch.of(7), 57, 400).join();
+        assertTrue(result.isDone());
+        assertEquals(List.of(new RunProgress(RUN, "0b", 41, 12)), result.running());
+        RunId other = new RunId(TaskName.parse("5c0e7a21d94b36f8.0.1.9"), 1);
+        assertEquals(List.of(new RunEnd(58, other, RunEndKind.DONE, "")), result.ended());
+        assertEquals(57, body.path("last_seen").asLong());
+        assertEquals(400, body.path("wait_ms").asLong());
+        assertEquals(486000, body.path("until_ms").asLong());
+    }
+
+    @Test
+    public void aHoldThatProlongsNothingNamesNoTime() {
+        calls.hold(worker, -1, Epoch.of(7), 0, 0).join();
+        assertFalse(body.has("until_ms"));
+        assertFalse(body.has("wait_ms"));
+    }
+}
