--- /dev/null
+++ b/src/test/java/org/standlink/gateway/TestJobGateway.java
@@ -0,0 +1,182 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.gateway;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
+import java.net.InetSocketAddress;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.ErrorCode;
+import org.standlink.Incarnation;
+import org.standlink.JobId;
+import org.standlink.StandlinkException;
+import org.standlink.VmId;
+import org.standlink.election.LeaderLink;
+import org.standlink.job.JobDefinition;
+import org.standlink.job.JobState;
+import org.standlink.job.Manifest;
+import org.standlink.job.QueueDefinition;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.process.ProcessThreads;
+import org.standlink.wire.Connection;
+import org.standlink.wire.Hello;
+import org.standlink.wire.JobAnswer;
+import org.standlink.wire.LeaderNotice;
+import org.standlink.wire.MessageHandler;
+import org.standlink.wire.WireServer;
+
+/** Tests what callers are told, over real connections to scripted leaders. */
+public class TestJobGateway {
+
+    private static final JobId ID = JobId.parse("5c0e7a21d94b36f8");
+    private static final JobDefinition JOB = new JobDefinition(ID, "q", "text", List.of(), 0, 0, 0);
+    private static final Manifest MANIFEST =
+            new Manifest(
+                    3,
+                    List.of(new QueueDefinition("q", "h", "/q/", "s", 0, 2, 250, 1.5, false)),
+                    List.of(),
+                    1000);
+
+    private final ExecutorService threads = ProcessThreads.newCached("test");
+    private final LeaderLink leader =
+            new LeaderLink(threads, (c, n, m) -> {}, MonotonicClock.ofSystem());
+    private final JobGateway gateway =
+            new JobGateway(leader, MonotonicClock.ofSystem(), new SimpleMeterRegistry());
+    private WireServer server;
+
+    @BeforeEach
+    public void configure() {
+        gateway.offer(MANIFEST);
+    }
+
+    @AfterEach
+    public void close() {
+        leader.close();
+        if (server != null) {
+            server.close();
+        }
+        threads.shutdownNow();
+    }
+
+    private void lead(long epoch, MessageHandler script) {
+        Hello hello = new Hello(VmId.parse("vm"), Incarnation.of(1));
+        server = new WireServer(new InetSocketAddress("127.0.0.1", 0), threads, hello, script);
+        String address = "127.0.0.1:" + server.getPort();
+        leader.offer(new LeaderNotice(Epoch.of(epoch), address), "test");
+    }
+
+    private void leadWith(JobAnswer answer) {
+        lead(1, (connection, call, message) -> connection.answer(call, answer));
+    }
+
+    private JobReply ask(JobCall.Kind kind) {
+        JobDefinition job = kind == JobCall.Kind.SUBMIT ? JOB : null;
+        return gateway.answer("h", "/q/x", queue -> new JobCall(kind, ID, job, 3000));
+    }
+
+    @Test
+    public void eachAnswerOfTheLeaderHasItsStatus() {
+        Object[][] table = {
+            {JobCall.Kind.SUBMIT, JobAnswer.ofDone(JobState.QUEUED), 200},
+            {JobCall.Kind.STATE, JobAnswer.ofDone(JobState.RUNNING), 200},
+            {JobCall.Kind.STATE, JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, ""), 410},
+            {JobCall.Kind.CANCEL, JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, ""), 410},
+            {JobCall.Kind.SUBMIT, JobAnswer.of(JobAnswer.Result.NOT_DONE, "why"), 503},
+            {JobCall.Kind.SUBMIT, JobAnswer.of(JobAnswer.Result.UNKNOWN, "why"), 504},
+        };
+        long epoch = 1;
+        for (Object[] row : table) {
+            JobAnswer answer = (JobAnswer) row[1];
+            lead(epoch++, (connection, call, message) -> connection.answer(call, answer));
+            JobReply reply = ask((JobCall.Kind) row[0]);
+            assertEquals(row[2], reply.status(), () -> row[0] + " " + row[1]);
+            assertEquals(answer.state(), reply.state());
+            server.close();
+        }
+    }
+
+    @Test
+    public void aRefusalSaysWhenToComeBack() {
+        leadWith(JobAnswer.of(JobAnswer.Result.NOT_DONE, "why"));
+        assertTrue(ask(JobCall.Kind.SUBMIT).retryAfterSeconds() > 0);
+    }
+
+    @Test
+    public void withoutALeaderNothingRan() {
+        JobReply reply = ask(JobCall.Kind.SUBMIT);
+        assertEquals(503, reply.status());
+    }
+
+    @Test
+    public void aJobWhoseAnswerIsLostIsNeverToldAsNotRun() {
+        lead(1, (connection, call, message) -> connection.close());
+        assertEquals(504, ask(JobCall.Kind.SUBMIT).status());
+    }
+
+    @Test
+    public void aMereQuestionMayBeAskedAgain() {
+        lead(1, (connection, call, message) -> connection.close());
+        assertEquals(503, ask(JobCall.Kind.STATE).status());
+    }
+
+    @Test
+    public void aProcessThatNoLongerLeadsSendsTheCallerOn() {
+        AtomicInteger asked = new AtomicInteger();
+        lead(
+                1,
+                (Connection connection, long call, org.standlink.wire.Message message) -> {
+                    if (asked.incrementAndGet() == 1) {
+                        connection.answer(call, new LeaderNotice(Epoch.of(1), ""));
+                    } else {
+                        connection.answer(call, JobAnswer.ofDone(JobState.QUEUED));
+                    }
+                });
+        assertEquals(200, ask(JobCall.Kind.SUBMIT).status());
+        assertEquals(2, asked.get());
+    }
+
+    @Test
+    public void whatIsWrongIsToldAtOnce() {
+        assertEquals(404, gateway.answer("h", "/x/", queue -> null).status());
+        assertEquals(404, gateway.answer("other", "/q/x", queue -> null).status());
+        assertEquals(405, ask(null).status());
+        JobReply reply =
+                gateway.answer(
+                        "h",
+                        "/q/x",
+                        queue -> {
+                            throw new StandlinkException(
+                                    ErrorCode.INVALID_MESSAGE, "no job", "send one");
+                        });
+        assertEquals(400, reply.status());
+        assertTrue(reply.reason().contains("send one"));
+    }
+
+    @Test
+    public void anOlderConfigurationNeverComesBack() {
+        gateway.offer(new Manifest(2, List.of(), List.of(), 0));
+        leadWith(JobAnswer.ofDone(JobState.QUEUED));
+        assertEquals(200, ask(JobCall.Kind.SUBMIT).status());
+    }
+}
