--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -25,7 +25,7 @@
 import org.standlink.Epoch;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
-import org.standlink.job.Manifest;
+import org.standlink.job.Configuration;
 import org.standlink.job.QueueDefinition;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.policy.HarmTable;
@@ -78,7 +78,7 @@
     private final LongSupplier wallClock;
 
     /** The configuration in force. */
-    private final Supplier<Manifest> manifest;
+    private final Supplier<Configuration> configuration;
 
     /** The loop. */
     private final ScheduledExecutorService loop;
@@ -127,7 +127,7 @@
      * @param times the lengths of time agreed on
      * @param clock the clock
      * @param wallClock the time of day, in milliseconds since 1970
-     * @param manifest the configuration in force
+     * @param configuration the configuration in force
      * @param loop the loop, of one thread
      * @param whenDeposed what is told when another process leads
      */
@@ -137,7 +137,7 @@
             CellTimes times,
             MonotonicClock clock,
             LongSupplier wallClock,
-            Supplier<Manifest> manifest,
+            Supplier<Configuration> configuration,
             ScheduledExecutorService loop,
             Runnable whenDeposed) {
         this.epoch = epoch;
@@ -145,7 +145,7 @@
         this.times = times;
         this.clock = clock;
         this.wallClock = wallClock;
-        this.manifest = manifest;
+        this.configuration = configuration;
         this.loop = loop;
         this.whenDeposed = whenDeposed;
         this.scheduler = new Scheduler(board, workers, new LeastAskedPlacement(harm));
@@ -265,7 +265,8 @@
     private void decide() {
         if (!commits.isStalled()) {
             List<TaskEntry> assigned =
-                    scheduler.schedule(manifest.get(), clock.nowMillis(), wallClock.getAsLong());
+                    scheduler.schedule(
+                            configuration.get(), clock.nowMillis(), wallClock.getAsLong());
             assigned.forEach(task -> board.find(task.getName().job()).refresh(Integer.MAX_VALUE));
             orders.startAfterCommit(assigned);
         }
@@ -335,7 +336,8 @@
     }
 
     private int mostAttempts(JobEntry job) {
-        return manifest.get()
+        return configuration
+                .get()
                 .findQueue(job.getDefinition().queue())
                 .map(QueueDefinition::mostAttempts)
                 .orElse(OTHERWISE_ATTEMPTS);
--- a/src/main/java/org/standlink/cell/JobEntry.java
+++ b/src/main/java/org/standlink/cell/JobEntry.java
@@ -122,7 +122,7 @@
                         .anyMatch(
                                 task ->
                                         !task.isDone()
-                                                && !task.getStep().perpetual()
+                                                && !task.getStep().longRunning()
                                                 && task.getFailures() >= mostAttempts);
         if (spent) {
             state = JobState.FAILED;
--- a/src/main/java/org/standlink/cell/JobOutlook.java
+++ b/src/main/java/org/standlink/cell/JobOutlook.java
@@ -47,7 +47,7 @@
      * @return what it can still reach; a job that lasts or has times can always be on time
      */
     static JobOutlook of(JobEntry job, QueueDefinition queue, long now) {
-        boolean lasts = job.getDefinition().steps().stream().anyMatch(step -> step.perpetual());
+        boolean lasts = job.getDefinition().steps().stream().anyMatch(step -> step.longRunning());
         if (lasts || job.getDefinition().isTimed()) {
             return ON_TIME;
         }
--- a/src/main/java/org/standlink/cell/LeaderSeat.java
+++ b/src/main/java/org/standlink/cell/LeaderSeat.java
@@ -22,7 +22,7 @@
 import org.standlink.Incarnation;
 import org.standlink.election.Claim;
 import org.standlink.election.LeaderLink;
-import org.standlink.job.Manifest;
+import org.standlink.job.Configuration;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
 import org.standlink.store.KeyedStore;
@@ -62,7 +62,8 @@
     private final LeaderLink link;
 
     /** The configuration in force. */
-    private final AtomicReference<Manifest> manifest = new AtomicReference<>(Manifest.NONE);
+    private final AtomicReference<Configuration> configuration =
+            new AtomicReference<>(Configuration.NONE);
 
     /** The newest claim; guarded by this. */
     private Claim newest = Claim.NONE;
@@ -100,8 +101,9 @@
      *
      * @param offered the configuration
      */
-    public void offer(Manifest offered) {
-        manifest.updateAndGet(present -> offered.version() > present.version() ? offered : present);
+    public void offer(Configuration offered) {
+        configuration.updateAndGet(
+                present -> offered.version() > present.version() ? offered : present);
     }
 
     /**
@@ -132,7 +134,7 @@
                             times,
                             clock,
                             System::currentTimeMillis,
-                            manifest::get,
+                            configuration::get,
                             loop,
                             this::leave);
             leader.start();
--- a/src/main/java/org/standlink/cell/LeastAskedPlacement.java
+++ b/src/main/java/org/standlink/cell/LeastAskedPlacement.java
@@ -23,7 +23,8 @@
 
 /**
  * Chooses the worker with the most processors that nobody has asked for. Serving tasks are put
- * together; a filling task goes where it harms nobody, and waits when it would find no processors.
+ * together; a best-effort task goes where it harms nobody, and waits when it would find no
+ * processors.
  *
  * <p>{@code LeastAskedPlacement} is thread-safe and immutable.
  */
@@ -53,8 +54,8 @@
      */
     private static final long SERVING_PERCENT = 50;
 
-    /** The share of a filling task's wish that must be free for it to start, in hundredths. */
-    private static final long FILLING_PERCENT = 70;
+    /** The share of a best-effort task's wish that must be free for it to start, in hundredths. */
+    private static final long BEST_EFFORT_PERCENT = 70;
 
     /** What is believed of images. */
     private final HarmTable harm;
@@ -71,7 +72,7 @@
     @Override
     public WorkerEntry choose(TaskEntry task, Collection<WorkerEntry> workers) {
         boolean choosy =
-                task.getStep().filling()
+                task.getStep().bestEffort()
                         && workers.stream().anyMatch(one -> harm(task, one) < HarmTable.HARMFUL);
         WorkerEntry best = null;
         long bestScore = Long.MIN_VALUE;
@@ -93,7 +94,7 @@
         if (!Placement.isAllowed(task, worker)) {
             return false;
         }
-        if (!task.getStep().filling()) {
+        if (!task.getStep().bestEffort()) {
             return true;
         }
         return idleMilliCores(worker) >= wanted(task.getStep(), worker)
@@ -103,7 +104,7 @@
     private static long wanted(StepDefinition step, WorkerEntry worker) {
         Resources capacity = worker.getDescription().capacity();
         long wish = Math.min(step.demand().milliCores(), capacity.milliCores());
-        return wish * FILLING_PERCENT / 100;
+        return wish * BEST_EFFORT_PERCENT / 100;
     }
 
     private static long idleMilliCores(WorkerEntry worker) {
@@ -111,7 +112,7 @@
         for (TaskEntry task : worker.listTasks()) {
             StepDefinition step = task.getStep();
             long asked = step.demand().milliCores();
-            idle -= step.perpetual() ? asked * SERVING_PERCENT / 100 : asked;
+            idle -= step.longRunning() ? asked * SERVING_PERCENT / 100 : asked;
         }
         return idle;
     }
@@ -119,7 +120,7 @@
     private static List<StepDefinition> serving(WorkerEntry worker) {
         return worker.listTasks().stream()
                 .map(TaskEntry::getStep)
-                .filter(StepDefinition::perpetual)
+                .filter(StepDefinition::longRunning)
                 .toList();
     }
 
@@ -133,11 +134,11 @@
 
     private long apartScore(TaskEntry task, WorkerEntry worker) {
         List<StepDefinition> serving = serving(worker);
-        if (task.getStep().perpetual()) {
+        if (task.getStep().longRunning()) {
             long asked = serving.stream().mapToLong(step -> step.demand().milliCores()).sum();
             return asked * TOGETHER_WEIGHT;
         }
-        if (!task.getStep().filling() || serving.isEmpty()) {
+        if (!task.getStep().bestEffort() || serving.isEmpty()) {
             return 0;
         }
         double belief = harm(task, worker);
--- a/src/main/java/org/standlink/cell/OrderDesk.java
+++ b/src/main/java/org/standlink/cell/OrderDesk.java
@@ -162,7 +162,7 @@
                 task.getRun(),
                 board.find(task.getName().job()).getDefinition().specification(),
                 task.getCheckpoint(),
-                step.filling(),
+                step.bestEffort(),
                 step.targetMillis(),
                 step.image());
     }
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -49,7 +49,7 @@
 
     /**
      * How long a run may stand still, in milliseconds: a run of the longest kind on the sheets,
-     * paced to 5%, shows a further percent within half of it.
+     * throttled to 5%, shows a further percent within half of it.
      */
     private static final long STALL_MILLIS = 3000;
 
@@ -185,7 +185,7 @@
     // -----------------------------------------------------------------------
     private void handleWorker(WorkerEntry worker, WorkerReport part, AgentReport report) {
         if (part.lapsed()) {
-            releaseAll(worker, "hold-lapsed");
+            releaseAll(worker, "lease-lapsed");
         }
         part.running().forEach(this::saveProgress);
         learn(worker, part.running());
@@ -219,7 +219,7 @@
             StepDefinition step = task.getStep();
             if (step.targetMillis() > 0) {
                 tails.merge(step.image(), progress.figure() / step.targetMillis(), Math::max);
-            } else if (step.filling()) {
+            } else if (step.bestEffort()) {
                 used.merge(step.image(), progress.figure(), Long::sum);
             }
         }
@@ -331,7 +331,7 @@
                 worker.listTasks().stream()
                         .filter(
                                 task ->
-                                        task.getStep().perpetual()
+                                        task.getStep().longRunning()
                                                 || task.getStep().checkpointing())
                         .filter(TaskEntry::beginMove)
                         .toList();
--- a/src/main/java/org/standlink/cell/Scheduler.java
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -20,7 +20,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import org.standlink.job.Manifest;
+import org.standlink.job.Configuration;
 import org.standlink.job.QueueDefinition;
 import org.standlink.process.EventLog;
 
@@ -71,16 +71,16 @@
     /**
      * Assigns what can be assigned.
      *
-     * @param manifest the configuration in force
+     * @param configuration the configuration in force
      * @param now the time on the leader's clock, in milliseconds
      * @param wallMillis the time of day, in milliseconds since 1970
      * @return the tasks that were assigned; the change is marked on the board
      */
-    List<TaskEntry> schedule(Manifest manifest, long now, long wallMillis) {
+    List<TaskEntry> schedule(Configuration configuration, long now, long wallMillis) {
         List<TaskEntry> assigned = new ArrayList<>();
         waiting.clear();
         Map<String, List<WorkerEntry>> usable = new LinkedHashMap<>();
-        for (Candidate candidate : candidates(manifest, now)) {
+        for (Candidate candidate : candidates(configuration, now)) {
             String service = candidate.queue().service();
             List<WorkerEntry> fit =
                     usable.computeIfAbsent(service, name -> workers.usable(name, now));
@@ -102,11 +102,12 @@
     }
 
     // -----------------------------------------------------------------------
-    private List<Candidate> candidates(Manifest manifest, long now) {
+    private List<Candidate> candidates(Configuration configuration, long now) {
         List<Candidate> found = new ArrayList<>();
         for (JobEntry job : board.getJobs()) {
             if (!job.getState().isFinal()) {
-                manifest.findQueue(job.getDefinition().queue())
+                configuration
+                        .findQueue(job.getDefinition().queue())
                         .ifPresent(
                                 queue ->
                                         found.add(
--- a/src/main/java/org/standlink/cell/TaskEntry.java
+++ b/src/main/java/org/standlink/cell/TaskEntry.java
@@ -184,7 +184,7 @@
      * @return true if it is to be stopped
      */
     boolean isStalled(long now, long millis) {
-        boolean judged = worker != null && percent >= 0 && !step.perpetual() && !step.gang();
+        boolean judged = worker != null && percent >= 0 && !step.longRunning() && !step.gang();
         if (!judged || stopping || now - progressAt < millis) {
             return false;
         }
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -128,7 +128,7 @@
     }
 
     /**
-     * Works out how many processors are asked for, those of filling tasks included.
+     * Works out how many processors are asked for, those of best-effort tasks included.
      *
      * @return the sum, in thousandths of a core
      */
--- a/src/main/java/org/standlink/command/PlatformAgentCommand.java
+++ b/src/main/java/org/standlink/command/PlatformAgentCommand.java
@@ -27,7 +27,7 @@
 import org.standlink.cell.LeaderSeat;
 import org.standlink.election.Candidate;
 import org.standlink.election.LeaderLink;
-import org.standlink.platform.CheckInServer;
+import org.standlink.platform.HeartbeatServer;
 import org.standlink.platform.HttpWorkerCalls;
 import org.standlink.process.EventLog;
 import org.standlink.process.HttpService;
@@ -42,7 +42,7 @@
 /** {@code standlink platform agent}: runs an agent on the users' platform. */
 final class PlatformAgentCommand extends AbstractServerCommand {
 
-    /** The threads of the check-ins' and the metrics' servers. */
+    /** The threads of the heartbeats' and the metrics' servers. */
     private static final int SIDE_THREADS = 2;
 
     /** The time between two looks at the leader, in milliseconds. */
@@ -108,13 +108,13 @@
                 base.getExecutor(),
                 new Hello(VmId.parse(settings.node()), self),
                 seat::handle);
-        new CheckInServer(
-                settings.checkIns(), ProcessThreads.newBounded("check-in", SIDE_THREADS), agent);
+        new HeartbeatServer(
+                settings.heartbeats(), ProcessThreads.newBounded("heartbeat", SIDE_THREADS), agent);
         HttpService metrics =
                 new HttpService(
                         settings.metrics(), ProcessThreads.newBounded("metrics", SIDE_THREADS));
         HealthApi.addTo(metrics, base.getRegistry(), () -> true);
-        base.followManifest(seat::offer);
+        base.followConfiguration(seat::offer);
         claims =
                 base.followClaims(
                         claim -> {
--- a/src/main/java/org/standlink/command/PlatformBase.java
+++ b/src/main/java/org/standlink/command/PlatformBase.java
@@ -21,11 +21,11 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
 import org.standlink.election.Claim;
-import org.standlink.job.Manifest;
+import org.standlink.job.Configuration;
 import org.standlink.lease.MonotonicClock;
+import org.standlink.platform.ConfigurationFormat;
 import org.standlink.platform.HttpCaller;
 import org.standlink.platform.HttpStore;
-import org.standlink.platform.ManifestFormat;
 import org.standlink.process.EventLog;
 import org.standlink.process.ProcessThreads;
 import org.standlink.store.KeyedRecord;
@@ -76,8 +76,8 @@
      *
      * @param receiver what receives each version
      */
-    void followManifest(Consumer<Manifest> receiver) {
-        follow(Topic.OPERATOR, record -> ManifestFormat.decode(record).ifPresent(receiver));
+    void followConfiguration(Consumer<Configuration> receiver) {
+        follow(Topic.OPERATOR, record -> ConfigurationFormat.decode(record).ifPresent(receiver));
     }
 
     /**
--- a/src/main/java/org/standlink/command/PlatformEntryCommand.java
+++ b/src/main/java/org/standlink/command/PlatformEntryCommand.java
@@ -79,7 +79,7 @@
                 new HttpService(
                         settings.metrics(), ProcessThreads.newBounded("metrics", SIDE_THREADS));
         HealthApi.addTo(metrics, base.getRegistry(), gateway::isReady);
-        base.followManifest(gateway::offer);
+        base.followConfiguration(gateway::offer);
         base.followClaims(claim -> noteClaim(leader, claim));
         return serveUntilStopped(() -> drain(drain, settings));
     }
--- a/src/main/java/org/standlink/command/PlatformRehearseCommand.java
+++ b/src/main/java/org/standlink/command/PlatformRehearseCommand.java
@@ -34,7 +34,7 @@
 import org.standlink.job.JobDefinition;
 import org.standlink.job.StepDefinition;
 import org.standlink.platform.CallerHttp;
-import org.standlink.platform.CheckInServer;
+import org.standlink.platform.HeartbeatServer;
 import org.standlink.platform.HttpWorkerCalls;
 import org.standlink.platform.ReadyServer;
 import org.standlink.process.ConnectionDrain;
@@ -71,7 +71,7 @@
         HealthApi.addTo(nothing, base.getRegistry(), () -> true);
         rehearseEntry(base, threads);
         rehearseAgent(base, threads);
-        base.followManifest(manifest -> {});
+        base.followConfiguration(configuration -> {});
         base.followClaims(claim -> {});
         Thread.sleep(CALL_MILLIS);
         base.getRegistry().scrape();
@@ -117,10 +117,10 @@
                         base.getClock(),
                         base.getLoop(),
                         candidate(base, self));
-        CheckInServer checkIns = new CheckInServer(FREE, threads, agent);
+        HeartbeatServer heartbeats = new HeartbeatServer(FREE, threads, agent);
         agent.start();
         submit(leader);
-        checkIns.close();
+        heartbeats.close();
         server.close();
     }
 
--- a/src/main/java/org/standlink/command/PlatformSettings.java
+++ b/src/main/java/org/standlink/command/PlatformSettings.java
@@ -34,7 +34,7 @@
  * @param store the platform's store, host and port
  * @param callers where callers connect; null for an agent
  * @param ready where the balancer asks; null for an agent
- * @param checkIns where the worker checks in; null for an entry
+ * @param heartbeats where the worker sends heartbeats; null for an entry
  * @param leaseMillis for how long workers keep their runs without word, in milliseconds
  * @param statusMillis for how long the state of a final job is kept, in milliseconds
  * @param graceMillis how long a planned stop may take, in milliseconds
@@ -47,7 +47,7 @@
         String store,
         InetSocketAddress callers,
         InetSocketAddress ready,
-        InetSocketAddress checkIns,
+        InetSocketAddress heartbeats,
         long leaseMillis,
         long statusMillis,
         long graceMillis) {
@@ -99,7 +99,7 @@
                         top.requiredText("store"),
                         null,
                         null,
-                        top.requiredValue("checkIns", Addresses::parse),
+                        top.requiredValue("heartbeats", Addresses::parse),
                         top.requiredInteger("leaseMillis", 1000, 600_000),
                         1000 * top.requiredInteger("statusSeconds", 1, 86_400),
                         top.requiredInteger("graceMillis", 100, 600_000));
--- a/src/main/java/org/standlink/gateway/JobGateway.java
+++ b/src/main/java/org/standlink/gateway/JobGateway.java
@@ -25,7 +25,7 @@
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
 import org.standlink.election.LeaderLink;
-import org.standlink.job.Manifest;
+import org.standlink.job.Configuration;
 import org.standlink.job.QueueDefinition;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
@@ -63,7 +63,8 @@
     private static final EventLog LOG = EventLog.of(JobGateway.class);
 
     /** The configuration in force. */
-    private final AtomicReference<Manifest> manifest = new AtomicReference<>(Manifest.NONE);
+    private final AtomicReference<Configuration> configuration =
+            new AtomicReference<>(Configuration.NONE);
 
     /** The leader. */
     private final LeaderLink leader;
@@ -92,8 +93,8 @@
      *
      * @param offered the configuration
      */
-    public void offer(Manifest offered) {
-        Manifest before = manifest.getAndUpdate(present -> newer(present, offered));
+    public void offer(Configuration offered) {
+        Configuration before = configuration.getAndUpdate(present -> newer(present, offered));
         if (offered.version() > before.version()) {
             LOG.info("configuration-in-force")
                     .with("version", offered.version())
@@ -108,7 +109,7 @@
      * @return true if there is a configuration
      */
     public boolean isReady() {
-        return manifest.get().version() > 0;
+        return configuration.get().version() > 0;
     }
 
     /**
@@ -121,7 +122,7 @@
      */
     public JobReply answer(String host, String path, Function<QueueDefinition, JobCall> reader) {
         long start = System.nanoTime();
-        Manifest present = manifest.get();
+        Configuration present = configuration.get();
         if (present.version() == 0) {
             return JobReply.ofNotRun("there is no configuration yet");
         }
@@ -146,7 +147,7 @@
     }
 
     // -----------------------------------------------------------------------
-    private static Manifest newer(Manifest present, Manifest offered) {
+    private static Configuration newer(Configuration present, Configuration offered) {
         return offered.version() > present.version() ? offered : present;
     }
 
@@ -224,7 +225,11 @@
     }
 
     private void record(
-            JobCall call, QueueDefinition queue, Manifest present, JobReply reply, long nanos) {
+            JobCall call,
+            QueueDefinition queue,
+            Configuration present,
+            JobReply reply,
+            long nanos) {
         Timer.builder("standlink.gateway.calls")
                 .tag("queue", queue.name())
                 .tag("kind", call.kind().name())
--- a/src/main/java/org/standlink/job/Manifest.java
+++ b/src/main/java/org/standlink/job/Configuration.java
@@ -21,21 +21,21 @@
 /**
  * One version of the operator's configuration: the queues that take jobs.
  *
- * <p>{@code Manifest} is thread-safe and immutable.
+ * <p>{@code Configuration} is thread-safe and immutable.
  *
  * @param version the version; a higher one replaces a lower one
  * @param queues the queues
  * @param unguardedServices the services whose workers start whatever they are told
  * @param mostBodyBytes the longest body that a caller may send, in bytes
  */
-public record Manifest(
+public record Configuration(
         long version,
         List<QueueDefinition> queues,
         List<String> unguardedServices,
         int mostBodyBytes) {
 
-    /** The manifest before the first. */
-    public static final Manifest NONE = new Manifest(0, List.of(), List.of(), 0);
+    /** The configuration before the first. */
+    public static final Configuration NONE = new Configuration(0, List.of(), List.of(), 0);
 
     /**
      * Finds the queue of a request: the longest prefix of its path on its host.
--- a/src/main/java/org/standlink/job/StepDefinition.java
+++ b/src/main/java/org/standlink/job/StepDefinition.java
@@ -37,10 +37,10 @@
  * @param dataRack the rack where the data is, empty if anywhere
  * @param mostPerWorker the most tasks of the step on one worker, 0 for no limit
  * @param speculative whether copies of a task may run side by side
- * @param perpetual whether tasks run until the job is cancelled
+ * @param longRunning whether tasks run until the job is cancelled
  * @param image what the tasks run, empty if not told
  * @param targetMillis the tail latency that a serving task is to keep, in milliseconds; 0 if none
- * @param filling whether the tasks use only processors that others leave idle
+ * @param bestEffort whether the tasks use only processors that others leave idle
  * @param mayMiss how many tasks the system may hold away at once, by its own doing
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
@@ -56,18 +56,20 @@
         String dataRack,
         int mostPerWorker,
         boolean speculative,
-        boolean perpetual,
+        boolean longRunning,
         String image,
         double targetMillis,
-        boolean filling,
+        boolean bestEffort,
         int mayMiss) {
 
     /**
-     * Gets what a task takes of a worker's room: a filling task takes no processors of it.
+     * Gets what a task takes of a worker's room: a best-effort task takes no processors of it.
      *
      * @return the amount that must be free on the worker
      */
     public Resources room() {
-        return filling ? new Resources(0, demand.memoryMegabytes(), demand.accelerators()) : demand;
+        return bestEffort
+                ? new Resources(0, demand.memoryMegabytes(), demand.accelerators())
+                : demand;
     }
 }
--- a/src/main/java/org/standlink/job/WorkerDescription.java
+++ b/src/main/java/org/standlink/job/WorkerDescription.java
@@ -20,7 +20,7 @@
 import org.standlink.Resources;
 
 /**
- * What a worker says of itself in a check-in.
+ * What a worker says of itself in a heartbeat.
  *
  * <p>{@code WorkerDescription} is thread-safe and immutable.
  *
--- a/src/main/java/org/standlink/platform/ManifestFormat.java
+++ b/src/main/java/org/standlink/platform/ConfigurationFormat.java
@@ -19,22 +19,22 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Optional;
-import org.standlink.job.Manifest;
+import org.standlink.job.Configuration;
 import org.standlink.job.QueueDefinition;
 import org.standlink.store.KeyedRecord;
 
 /**
  * Reads what the operator publishes.
  *
- * <p>{@code ManifestFormat} is thread-safe and immutable.
+ * <p>{@code ConfigurationFormat} is thread-safe and immutable.
  */
-public final class ManifestFormat {
+public final class ConfigurationFormat {
 
     /** The key of the newest configuration. */
     private static final String CONFIGURATION_KEY = "config";
 
     /** No instances. */
-    private ManifestFormat() {}
+    private ConfigurationFormat() {}
 
     /**
      * Reads a record.
@@ -42,7 +42,7 @@
      * @param record the record
      * @return the configuration, empty if the record holds something else
      */
-    public static Optional<Manifest> decode(KeyedRecord record) {
+    public static Optional<Configuration> decode(KeyedRecord record) {
         if (!record.key().equals(CONFIGURATION_KEY) || record.value().length == 0) {
             return Optional.empty();
         }
@@ -56,7 +56,7 @@
             }
         }
         return Optional.of(
-                new Manifest(
+                new Configuration(
                         body.path("version").asLong(),
                         queues,
                         unguarded,
--- a/src/main/java/org/standlink/platform/CheckInServer.java
+++ b/src/main/java/org/standlink/platform/HeartbeatServer.java
@@ -29,26 +29,26 @@
 import org.standlink.job.WorkerId;
 import org.standlink.process.EventLog;
 import org.standlink.process.HttpService;
-import org.standlink.runner.CheckInListener;
+import org.standlink.runner.WorkerListener;
 
 /**
- * Takes the check-ins of the worker on this machine.
+ * Takes the heartbeats of the worker on this machine.
  *
- * <p>{@code CheckInServer} is thread-safe.
+ * <p>{@code HeartbeatServer} is thread-safe.
  */
-public final class CheckInServer implements AutoCloseable {
+public final class HeartbeatServer implements AutoCloseable {
 
     /** The start of the path, before the life of the worker. */
     private static final String PATH = "/v1/instances/";
 
     /** The log. */
-    private static final EventLog LOG = EventLog.of(CheckInServer.class);
+    private static final EventLog LOG = EventLog.of(HeartbeatServer.class);
 
     /** The server. */
     private final HttpServer server;
 
     /** What is told. */
-    private final CheckInListener listener;
+    private final WorkerListener listener;
 
     /**
      * Constructor, which starts to listen.
@@ -57,7 +57,7 @@
      * @param executor where threads come from
      * @param listener what is told
      */
-    public CheckInServer(InetSocketAddress address, Executor executor, CheckInListener listener) {
+    public HeartbeatServer(InetSocketAddress address, Executor executor, WorkerListener listener) {
         this.listener = listener;
         server = HttpService.newServer(address, executor);
         server.createContext(PATH, this::handle);
@@ -82,7 +82,7 @@
             String last = exchange.getRequestURI().getPath().substring(PATH.length());
             WorkerId id = WorkerId.parse(last);
             switch (exchange.getRequestMethod()) {
-                case "PUT" -> checkIn(id, Json.read(body));
+                case "PUT" -> takeHeartbeat(id, Json.read(body));
                 case "DELETE" -> listener.left(id);
                 default -> {
                     return 405;
@@ -90,12 +90,12 @@
             }
             return 200;
         } catch (StandlinkException malformed) {
-            LOG.warning("check-in-refused").with("cause", malformed.getMessage()).write();
+            LOG.warning("heartbeat-refused").with("cause", malformed.getMessage()).write();
             return 400;
         }
     }
 
-    private void checkIn(WorkerId id, JsonNode body) {
+    private void takeHeartbeat(WorkerId id, JsonNode body) {
         JsonNode room = body.path("capacity");
         List<String> labels = new ArrayList<>();
         body.path("labels").forEach(label -> labels.add(label.asText()));
@@ -108,7 +108,7 @@
                         labels,
                         body.path("state").asText().equals("draining"),
                         body.path("remaining_ms").asLong());
-        listener.checkedIn(worker, body.path("seq").asLong());
+        listener.heartbeat(worker, body.path("seq").asLong());
     }
 
     /** Parts that several messages share. */
--- a/src/main/java/org/standlink/platform/HttpWorkerCalls.java
+++ b/src/main/java/org/standlink/platform/HttpWorkerCalls.java
@@ -32,7 +32,7 @@
 import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
 import org.standlink.runner.CallResult;
-import org.standlink.runner.HoldResult;
+import org.standlink.runner.RenewalResult;
 import org.standlink.runner.WorkerCalls;
 import org.standlink.wire.StartOrder;
 
@@ -64,10 +64,10 @@
     // -----------------------------------------------------------------------
     @Override
     public CompletableFuture<CallResult> start(
-            WorkerDescription worker, StartOrder order, long holdUntil, Epoch epoch) {
+            WorkerDescription worker, StartOrder order, long leaseUntil, Epoch epoch) {
         ObjectNode body = run(order.run(), epoch);
         body.put("spec", order.specification());
-        body.put("until_ms", holdUntil);
+        body.put("until_ms", leaseUntil);
         if (!order.checkpoint().isEmpty()) {
             body.put("checkpoint", order.checkpoint());
         }
@@ -80,7 +80,7 @@
     }
 
     @Override
-    public CompletableFuture<CallResult> pace(
+    public CompletableFuture<CallResult> throttle(
             WorkerDescription worker, RunId run, int percent, Epoch epoch) {
         ObjectNode body = run(run, epoch);
         body.put("percent", percent);
@@ -88,15 +88,15 @@
     }
 
     @Override
-    public CompletableFuture<HoldResult> hold(
+    public CompletableFuture<RenewalResult> renew(
             WorkerDescription worker,
-            long holdUntil,
+            long leaseUntil,
             Epoch epoch,
             long recordedEnd,
             long waitMillis) {
         ObjectNode body = Json.object();
-        if (holdUntil >= 0) {
-            body.put("until_ms", holdUntil);
+        if (leaseUntil >= 0) {
+            body.put("until_ms", leaseUntil);
         }
         body.put("fencing_token", epoch.getValue());
         // The name means the last end that was recorded, not merely read.
@@ -107,7 +107,7 @@
         return post(worker, "/v1/hold", body, CALL_MILLIS + waitMillis)
                 .handle(
                         (response, failure) ->
-                                failure == null ? holdResult(response) : noAnswer(failure));
+                                failure == null ? renewalResult(response) : noAnswer(failure));
     }
 
     // -----------------------------------------------------------------------
@@ -141,8 +141,8 @@
         return new CallResult(CallResult.Kind.UNKNOWN, -1, String.valueOf(failure.getMessage()));
     }
 
-    private static HoldResult noAnswer(Throwable failure) {
-        return new HoldResult(unknown(failure), List.of(), List.of());
+    private static RenewalResult noAnswer(Throwable failure) {
+        return new RenewalResult(unknown(failure), List.of(), List.of());
     }
 
     private static CallResult result(HttpResponse<byte[]> response) {
@@ -177,15 +177,15 @@
         return switch (reason) {
             case "fence" -> CallResult.Kind.FENCED;
             case "old" -> CallResult.Kind.SUPERSEDED;
-            case "late" -> CallResult.Kind.HOLD_PAST;
+            case "late" -> CallResult.Kind.LEASE_PAST;
             default -> CallResult.Kind.NO_ROOM;
         };
     }
 
-    private static HoldResult holdResult(HttpResponse<byte[]> response) {
+    private static RenewalResult renewalResult(HttpResponse<byte[]> response) {
         CallResult result = result(response);
         if (result.kind() != CallResult.Kind.DONE) {
-            return new HoldResult(result, List.of(), List.of());
+            return new RenewalResult(result, List.of(), List.of());
         }
         JsonNode body = body(response);
         List<RunProgress> running = new ArrayList<>();
@@ -206,7 +206,7 @@
                             RunEndKind.valueOf(row.path(3).asText().toUpperCase(Locale.ROOT)),
                             row.path(4).asText("")));
         }
-        return new HoldResult(result, running, ended);
+        return new RenewalResult(result, running, ended);
     }
 
     private static RunId runId(JsonNode task, JsonNode number) {
--- a/src/main/java/org/standlink/platform/JobFormat.java
+++ b/src/main/java/org/standlink/platform/JobFormat.java
@@ -72,7 +72,7 @@
         }
         return new StepDefinition(
                 Math.max(1, step.path("count").asInt(1)),
-                CheckInServer.Decoding.resources(step),
+                HeartbeatServer.Decoding.resources(step),
                 step.path("estimated_ms").asLong(),
                 after,
                 step.path("checkpointing").asBoolean(),
--- a/src/main/java/org/standlink/policy/HarmTable.java
+++ b/src/main/java/org/standlink/policy/HarmTable.java
@@ -21,7 +21,7 @@
 import java.util.TreeMap;
 
 /**
- * Learns which filling images lengthen the tail of which serving images, pair by pair.
+ * Learns which best-effort images lengthen the tail of which serving images, pair by pair.
  *
  * <p>Samples of the users' platform showed that a pair either hardly matters or lengthens the tail
  * up to fifteenfold, so each pair has one belief from 0 (harmless) to 1 (harmful). A tail above its
@@ -34,7 +34,8 @@
 public final class HarmTable {
 
     /**
-     * The belief of a pair that was never seen; serving tails are protected by pacing meanwhile.
+     * The belief of a pair that was never seen; serving tails are protected by throttling
+     * meanwhile.
      */
     public static final double UNKNOWN = 0.4;
 
@@ -69,12 +70,12 @@
      * The belief of one pair.
      *
      * @param serving the serving image
-     * @param filling the filling image
+     * @param bestEffort the best-effort image
      * @param belief 0 for harmless to 1 for harmful
      */
-    public record Entry(String serving, String filling, double belief) {}
+    public record Entry(String serving, String bestEffort, double belief) {}
 
-    /** The beliefs, by serving and then filling image; guarded by this. */
+    /** The beliefs, by serving and then best-effort image; guarded by this. */
     private final Map<String, Map<String, Double>> beliefs = new TreeMap<>();
 
     /**
@@ -82,16 +83,16 @@
      *
      * @param serving the serving image
      * @param ratio its tail as a share of its target
-     * @param used the processors in use by each filling image there, in thousandths of a core
+     * @param used the processors in use by each best-effort image there, in thousandths of a core
      */
     public synchronized void observe(String serving, double ratio, Map<String, Long> used) {
         if (ratio > HIGH) {
             blame(serving, used);
         } else if (ratio < LOW) {
             used.forEach(
-                    (filling, cores) -> {
+                    (bestEffort, cores) -> {
                         if (cores >= LEAST_CLEARED) {
-                            put(serving, filling, get(serving, filling) * (1 - LOWER));
+                            put(serving, bestEffort, get(serving, bestEffort) * (1 - LOWER));
                         }
                     });
         }
@@ -116,20 +117,20 @@
         return used.getValue() < LEAST_BLAMED ? 0 : used.getValue() * get(serving, used.getKey());
     }
 
-    private void put(String serving, String filling, double belief) {
-        beliefs.computeIfAbsent(serving, key -> new TreeMap<>()).put(filling, belief);
+    private void put(String serving, String bestEffort, double belief) {
+        beliefs.computeIfAbsent(serving, key -> new TreeMap<>()).put(bestEffort, belief);
     }
 
     /**
      * Gets the belief of a pair.
      *
      * @param serving the serving image
-     * @param filling the filling image
+     * @param bestEffort the best-effort image
      * @return 0 for harmless to 1 for harmful
      */
-    public synchronized double get(String serving, String filling) {
+    public synchronized double get(String serving, String bestEffort) {
         Map<String, Double> row = beliefs.get(serving);
-        return row == null ? UNKNOWN : row.getOrDefault(filling, UNKNOWN);
+        return row == null ? UNKNOWN : row.getOrDefault(bestEffort, UNKNOWN);
     }
 
     /**
@@ -138,7 +139,7 @@
      * @param told the beliefs
      */
     public synchronized void tell(List<Entry> told) {
-        told.forEach(entry -> put(entry.serving(), entry.filling(), entry.belief()));
+        told.forEach(entry -> put(entry.serving(), entry.bestEffort(), entry.belief()));
     }
 
     /**
@@ -151,9 +152,9 @@
         beliefs.forEach(
                 (serving, row) ->
                         row.forEach(
-                                (filling, belief) -> {
+                                (bestEffort, belief) -> {
                                     double rounded = Math.round(belief / STEP) * STEP;
-                                    all.add(new Entry(serving, filling, rounded));
+                                    all.add(new Entry(serving, bestEffort, rounded));
                                 }));
         return all;
     }
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -46,7 +46,7 @@
  *
  * <p>{@code AgentNode} is thread-safe: every call is handed to the loop.
  */
-public final class AgentNode implements CheckInListener {
+public final class AgentNode implements WorkerListener {
 
     /** The time between two heartbeats, in milliseconds; a lease is ten times as long. */
     private static final long HEARTBEAT_MILLIS = 500;
@@ -151,8 +151,8 @@
 
     // -----------------------------------------------------------------------
     @Override
-    public void checkedIn(WorkerDescription worker, long sequence) {
-        loop.execute(() -> checkedInOnLoop(worker));
+    public void heartbeat(WorkerDescription worker, long sequence) {
+        loop.execute(() -> heartbeatOnLoop(worker));
     }
 
     @Override
@@ -174,13 +174,13 @@
     }
 
     // -----------------------------------------------------------------------
-    private void checkedInOnLoop(WorkerDescription worker) {
+    private void heartbeatOnLoop(WorkerDescription worker) {
         if (dead.contains(worker.id())) {
             return;
         }
         WorkerSupervisor present = workers.get(worker.id());
         if (present != null) {
-            present.checkedIn(worker);
+            present.heartbeat(worker);
             return;
         }
         // A new life at the address of another one means that the other is over.
--- a/src/main/java/org/standlink/runner/CallResult.java
+++ b/src/main/java/org/standlink/runner/CallResult.java
@@ -35,7 +35,7 @@
         /** The run is not above one that ended or was stopped there; it will never start. */
         SUPERSEDED,
         /** The time for which the worker should keep its runs is over already. */
-        HOLD_PAST,
+        LEASE_PAST,
         /** A newer leader has given orders. */
         FENCED,
         /** The worker refuses the order for good. */
--- a/src/main/java/org/standlink/runner/LocalRun.java
+++ b/src/main/java/org/standlink/runner/LocalRun.java
@@ -53,7 +53,7 @@
     private long stoppedAt;
 
     /** The share of time for which it works, in percent. */
-    private int pace = 100;
+    private int share = 100;
 
     /**
      * Constructor.
@@ -147,8 +147,8 @@
      *
      * @return the share, in percent
      */
-    int getPace() {
-        return pace;
+    int getShare() {
+        return share;
     }
 
     /**
@@ -156,7 +156,7 @@
      *
      * @param percent the share, in percent
      */
-    void setPace(int percent) {
-        pace = percent;
+    void setShare(int percent) {
+        share = percent;
     }
 }
--- a/src/main/java/org/standlink/runner/HoldResult.java
+++ b/src/main/java/org/standlink/runner/RenewalResult.java
@@ -20,15 +20,15 @@
 import org.standlink.job.RunProgress;
 
 /**
- * What a worker answered to a hold.
+ * What a worker answered to a renewal.
  *
- * <p>{@code HoldResult} is thread-safe and immutable.
+ * <p>{@code RenewalResult} is thread-safe and immutable.
  *
  * @param result what became of the call; the lists mean something only if it was done
  * @param running what runs
  * @param ended the ends that have not been recorded yet
  */
-public record HoldResult(CallResult result, List<RunProgress> running, List<RunEnd> ended) {
+public record RenewalResult(CallResult result, List<RunProgress> running, List<RunEnd> ended) {
 
     /**
      * Checks whether the worker answered with its lists.
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -63,7 +63,7 @@
     private final BooleanSupplier reachable;
 
     /** What the worker's clock says. */
-    private final HoldClock holdClock;
+    private final WorkerLeaseClock leaseClock;
 
     /** The calls of workers. */
     private final WorkerCalls calls;
@@ -98,15 +98,15 @@
     /** The ends that have not been recorded, as the worker said last. */
     private List<RunEnd> ended = List.of();
 
-    /** Tells the share of time for which runs of a filling image work, in percent. */
-    private ToIntFunction<String> shares = image -> PacePolicy.FULL;
+    /** Tells the share of time for which runs of a best-effort image work, in percent. */
+    private ToIntFunction<String> shares = image -> ThrottlePolicy.FULL;
 
     /**
      * Constructor.
      *
      * @param worker tells what the worker said of itself
      * @param reachable tells whether the worker answered the last look at it
-     * @param holdClock what the worker's clock says
+     * @param leaseClock what the worker's clock says
      * @param calls the calls of workers
      * @param clock the clock
      * @param loop the agent's loop
@@ -117,7 +117,7 @@
     RunTable(
             Supplier<WorkerDescription> worker,
             BooleanSupplier reachable,
-            HoldClock holdClock,
+            WorkerLeaseClock leaseClock,
             WorkerCalls calls,
             MonotonicClock clock,
             ScheduledExecutorService loop,
@@ -126,7 +126,7 @@
             Runnable whenChanged) {
         this.worker = worker;
         this.reachable = reachable;
-        this.holdClock = holdClock;
+        this.leaseClock = leaseClock;
         this.calls = calls;
         this.clock = clock;
         this.loop = loop;
@@ -220,21 +220,21 @@
         if (!runs.containsKey(run.getRun())) {
             return;
         }
-        if (!holdClock.isKnown()
+        if (!leaseClock.isKnown()
                 || !reachable.getAsBoolean()
                 || leaseEnd.get() <= clock.nowMillis()) {
             loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
         run.setCalling(true);
-        long until = holdClock.hold(leaseEnd.get());
+        long until = leaseClock.renew(leaseEnd.get());
         calls.start(worker.get(), run.getOrder(), until, epoch.get())
                 .thenAcceptAsync(result -> started(run, result), loop);
     }
 
     private void started(LocalRun run, CallResult result) {
         run.setCalling(false);
-        holdClock.answered(result.clockMillis(), clock.nowMillis());
+        leaseClock.answered(result.clockMillis(), clock.nowMillis());
         if (result.kind() != CallResult.Kind.DONE) {
             logCall("start", run, result);
         }
@@ -245,9 +245,9 @@
         switch (result.kind()) {
             case DONE -> {
                 run.setPhase(LocalRun.Phase.RUNNING);
-                applyPace(run);
+                applyShare(run);
             }
-            case UNKNOWN, HOLD_PAST ->
+            case UNKNOWN, LEASE_PAST ->
                     loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             case NO_ROOM, UNWELL, INVALID -> {
                 runs.remove(run.getRun());
@@ -345,35 +345,35 @@
 
     // -----------------------------------------------------------------------
     /**
-     * Sets the share of time for which filling runs work.
+     * Sets the share of time for which best-effort runs work.
      *
      * @param byImage tells the share of an image, in percent
      */
-    void pace(ToIntFunction<String> byImage) {
+    void throttle(ToIntFunction<String> byImage) {
         shares = byImage;
-        runs.values().forEach(this::applyPace);
+        runs.values().forEach(this::applyShare);
     }
 
-    private void applyPace(LocalRun run) {
+    private void applyShare(LocalRun run) {
         if (run.getOrder() == null) {
             return;
         }
         int wanted = shares.applyAsInt(run.getOrder().image());
-        boolean paced =
+        boolean changes =
                 run.getPhase() == LocalRun.Phase.RUNNING
-                        && run.getOrder().filling()
-                        && run.getPace() != wanted
+                        && run.getOrder().bestEffort()
+                        && run.getShare() != wanted
                         && !run.isCalling();
-        if (!paced) {
+        if (!changes) {
             return;
         }
         run.setCalling(true);
-        calls.pace(worker.get(), run.getRun(), wanted, epoch.get())
+        calls.throttle(worker.get(), run.getRun(), wanted, epoch.get())
                 .thenAcceptAsync(
                         result -> {
                             run.setCalling(false);
                             if (result.kind() == CallResult.Kind.DONE) {
-                                run.setPace(wanted);
+                                run.setShare(wanted);
                             }
                             callStop(run);
                         },
--- a/src/main/java/org/standlink/runner/PacePolicy.java
+++ b/src/main/java/org/standlink/runner/ThrottlePolicy.java
@@ -22,13 +22,13 @@
 import org.standlink.policy.HarmTable;
 
 /**
- * Decides how much filling runs may work beside serving ones, image by image: at once less when the
- * tail of a serving image that they are believed to harm is near its target, slowly more when it is
- * well below. If a tail stays over its target all the same, all filling runs stand still.
+ * Decides how much best-effort runs may work beside serving ones, image by image: at once less when
+ * the tail of a serving image that they are believed to harm is near its target, slowly more when
+ * it is well below. If a tail stays over its target all the same, all best-effort runs stand still.
  *
- * <p>{@code PacePolicy} is mutable and not thread-safe.
+ * <p>{@code ThrottlePolicy} is mutable and not thread-safe.
  */
-final class PacePolicy {
+final class ThrottlePolicy {
 
     /** The full share, in percent. */
     static final int FULL = 100;
@@ -52,8 +52,8 @@
     private static final long SUSPECTS_MILLIS = 1200;
 
     /**
-     * How long a tail may be over its target before all filling runs stand still, in milliseconds;
-     * the operators bear 4,000, and figures lag by half a second.
+     * How long a tail may be over its target before all best-effort runs stand still, in
+     * milliseconds; the operators bear 4,000, and figures lag by half a second.
      */
     private static final long ALL_MILLIS = 2200;
 
@@ -69,7 +69,7 @@
     /** The beliefs. */
     private final HarmTable harm;
 
-    /** The share of each filling image. */
+    /** The share of each best-effort image. */
     private final Map<String, Integer> shares = new HashMap<>();
 
     /** Since when the tail of each serving image has been over its target. */
@@ -83,7 +83,7 @@
      *
      * @param harm the beliefs
      */
-    PacePolicy(HarmTable harm) {
+    ThrottlePolicy(HarmTable harm) {
         this.harm = harm;
     }
 
@@ -91,17 +91,17 @@
      * Decides on the shares after new figures.
      *
      * @param tails the worst tail of each serving image, as a share of its target
-     * @param filling the filling images there
+     * @param bestEffort the best-effort images there
      * @param now the time, in milliseconds
      */
-    void decide(Map<String, Double> tails, Set<String> filling, long now) {
+    void decide(Map<String, Double> tails, Set<String> bestEffort, long now) {
         serving = new HashSet<>(tails.keySet());
         noteOver(tails, now);
         boolean blamed =
                 tails.entrySet().stream()
                         .filter(tail -> tail.getValue() > HIGH)
-                        .allMatch(tail -> isAnySuspect(tail.getKey(), filling));
-        for (String image : filling) {
+                        .allMatch(tail -> isAnySuspect(tail.getKey(), bestEffort));
+        for (String image : bestEffort) {
             double worst = 0;
             for (Map.Entry<String, Double> tail : tails.entrySet()) {
                 if (!blamed || isSuspect(tail.getKey(), image)) {
@@ -116,7 +116,7 @@
     /**
      * Gets the share for which runs of an image may work.
      *
-     * @param image the filling image
+     * @param image the best-effort image
      * @return the share, in percent
      */
     int getShare(String image) {
@@ -155,8 +155,8 @@
         return harm.get(servingImage, image) >= HarmTable.HARMLESS;
     }
 
-    private boolean isAnySuspect(String servingImage, Set<String> filling) {
-        return filling.stream().anyMatch(image -> isSuspect(servingImage, image));
+    private boolean isAnySuspect(String servingImage, Set<String> bestEffort) {
+        return bestEffort.stream().anyMatch(image -> isSuspect(servingImage, image));
     }
 
     private double harmOf(String image) {
--- a/src/main/java/org/standlink/runner/WorkerCalls.java
+++ b/src/main/java/org/standlink/runner/WorkerCalls.java
@@ -35,12 +35,12 @@
      *
      * @param worker the worker
      * @param order the run
-     * @param holdUntil until when the worker keeps all it runs, on its own clock
+     * @param leaseUntil until when the worker keeps all it runs, on its own clock
      * @param epoch the epoch of the leader that ordered it
      * @return what the worker said; never fails
      */
     CompletableFuture<CallResult> start(
-            WorkerDescription worker, StartOrder order, long holdUntil, Epoch epoch);
+            WorkerDescription worker, StartOrder order, long leaseUntil, Epoch epoch);
 
     /**
      * Stops a run; the worker also refuses the run if its start comes later.
@@ -56,15 +56,15 @@
      * Prolongs the time for which the worker keeps all it runs, and asks what runs and has ended.
      *
      * @param worker the worker
-     * @param holdUntil until when, on the worker's clock; negative to prolong nothing
+     * @param leaseUntil until when, on the worker's clock; negative to prolong nothing
      * @param epoch the epoch of the newest leader known
      * @param recordedEnd the last end that has been recorded; the worker forgets it
      * @param waitMillis how long the worker may wait for an end, in milliseconds
      * @return the answer, with an empty list of what runs if the worker did not take the call
      */
-    CompletableFuture<HoldResult> hold(
+    CompletableFuture<RenewalResult> renew(
             WorkerDescription worker,
-            long holdUntil,
+            long leaseUntil,
             Epoch epoch,
             long recordedEnd,
             long waitMillis);
@@ -78,6 +78,6 @@
      * @param epoch the epoch of the newest leader known
      * @return what the worker said; never fails
      */
-    CompletableFuture<CallResult> pace(
+    CompletableFuture<CallResult> throttle(
             WorkerDescription worker, RunId run, int percent, Epoch epoch);
 }
--- a/src/main/java/org/standlink/runner/HoldClock.java
+++ b/src/main/java/org/standlink/runner/WorkerLeaseClock.java
@@ -21,9 +21,9 @@
  * <p>A worker counts on a clock of its own, which may be slow by 2%. Times of the agent are on its
  * monotonic clock, in milliseconds.
  *
- * <p>{@code HoldClock} is mutable and not thread-safe.
+ * <p>{@code WorkerLeaseClock} is mutable and not thread-safe.
  */
-final class HoldClock {
+final class WorkerLeaseClock {
 
     /** By how much a worker's clock may be slow. */
     private static final double DRIFT = 1.02;
@@ -38,7 +38,7 @@
     private long answeredAt;
 
     /** The latest time up to which the worker was told to keep its runs. */
-    private long heldUntil = Long.MIN_VALUE;
+    private long grantedUntil = Long.MIN_VALUE;
 
     /**
      * Takes note of the worker's clock.
@@ -68,8 +68,8 @@
      * @param end until when the runs may go on, on the agent's clock
      * @return until when on the worker's clock
      */
-    long hold(long end) {
-        heldUntil = Math.max(heldUntil, end);
+    long renew(long end) {
+        grantedUntil = Math.max(grantedUntil, end);
         return workerMillis + (long) Math.max(0, (end - answeredAt) / DRIFT);
     }
 
@@ -80,6 +80,6 @@
      * @return true if so
      */
     boolean isOver(long now) {
-        return now > heldUntil + KILL_MILLIS;
+        return now > grantedUntil + KILL_MILLIS;
     }
 }
--- a/src/main/java/org/standlink/runner/CheckInListener.java
+++ b/src/main/java/org/standlink/runner/WorkerListener.java
@@ -19,19 +19,19 @@
 import org.standlink.job.WorkerId;
 
 /**
- * Is told of workers that check in or leave.
+ * Is told of workers that send heartbeats or leave.
  *
  * <p>Implementations must be thread-safe.
  */
-public interface CheckInListener {
+public interface WorkerListener {
 
     /**
-     * A worker has checked in.
+     * A worker has sent a heartbeat.
      *
      * @param worker what it said of itself
-     * @param sequence rises with each check-in of one life, so that a late one can be known
+     * @param sequence rises with each heartbeat of one life, so that a late one can be known
      */
-    void checkedIn(WorkerDescription worker, long sequence);
+    void heartbeat(WorkerDescription worker, long sequence);
 
     /**
      * A worker has left.
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -35,7 +35,7 @@
 import org.standlink.wire.WorkerReport;
 
 /**
- * Carries out the leader's orders on one life of a worker, and keeps its hold up.
+ * Carries out the leader's orders on one life of a worker, and keeps its lease up.
  *
  * <p>A call without an answer may be carried out later, so it is repeated until the worker has said
  * what became of the run.
@@ -45,18 +45,20 @@
 final class WorkerSupervisor {
 
     /**
-     * How long a hold waits for an end, in milliseconds; the figures of serving runs are as old.
+     * How long a renewal waits for an end, in milliseconds; the figures of serving runs are as old.
      */
     private static final long WAIT_MILLIS = 400;
 
     /** The pause before a failed call is repeated, in milliseconds. */
     private static final long PAUSE_MILLIS = 150;
 
-    /** How long recorded ends are waited for before the next hold, in milliseconds. */
+    /** How long recorded ends are waited for before the next renewal, in milliseconds. */
     private static final long RECORD_MILLIS = 100;
 
-    /** The time between two decisions on pace, in milliseconds; a figure covers half a second. */
-    private static final long PACE_MILLIS = 350;
+    /**
+     * The time between two decisions on throttling, in milliseconds; a figure covers half a second.
+     */
+    private static final long THROTTLE_MILLIS = 350;
 
     /** The log. */
     private static final EventLog LOG = EventLog.of(WorkerSupervisor.class);
@@ -83,13 +85,13 @@
     private final RunTable runs;
 
     /** What the worker's clock says. */
-    private final HoldClock holdClock = new HoldClock();
+    private final WorkerLeaseClock leaseClock = new WorkerLeaseClock();
 
-    /** Paces filling runs. */
-    private final PacePolicy pace;
+    /** Throttles best-effort runs. */
+    private final ThrottlePolicy throttling;
 
-    /** When the pace was decided on last. */
-    private long pacedAt;
+    /** When throttling was decided on last. */
+    private long throttledAt;
 
     /** What the worker said of itself. */
     private WorkerDescription worker;
@@ -140,12 +142,12 @@
         this.leaseEnd = leaseEnd;
         this.epoch = epoch;
         this.whenChanged = whenChanged;
-        this.pace = new PacePolicy(harm);
+        this.throttling = new ThrottlePolicy(harm);
         this.runs =
                 new RunTable(
                         () -> this.worker,
                         () -> reachable,
-                        holdClock,
+                        leaseClock,
                         calls,
                         clock,
                         loop,
@@ -156,7 +158,7 @@
 
     /** Begins to look after the worker. */
     void start() {
-        hold(0);
+        renew(0);
     }
 
     /** Ends; the worker's life is over. */
@@ -170,7 +172,7 @@
      *
      * @param told the description
      */
-    void checkedIn(WorkerDescription told) {
+    void heartbeat(WorkerDescription told) {
         boolean leaves = told.draining() && !worker.draining();
         worker = told;
         if (leaves) {
@@ -242,25 +244,25 @@
 
     // -----------------------------------------------------------------------
     private boolean isLapsed() {
-        return known && !reachable && holdClock.isOver(clock.nowMillis());
+        return known && !reachable && leaseClock.isOver(clock.nowMillis());
     }
 
     // -----------------------------------------------------------------------
-    private void hold(long waitMillis) {
+    private void renew(long waitMillis) {
         if (closed) {
             return;
         }
         long end = leaseEnd.get();
         // A worker that does not answer is not told to keep its runs longer: it may have heard.
-        boolean prolong = holdClock.isKnown() && reachable && end > clock.nowMillis();
-        long until = prolong ? holdClock.hold(end) : -1;
+        boolean prolong = leaseClock.isKnown() && reachable && end > clock.nowMillis();
+        long until = prolong ? leaseClock.renew(end) : -1;
         long sentAt = clock.nowMillis();
-        calls.hold(worker, until, epoch.get(), recordedEnd, waitMillis)
+        calls.renew(worker, until, epoch.get(), recordedEnd, waitMillis)
                 .thenAcceptAsync(result -> held(result, sentAt), loop);
     }
 
-    private void held(HoldResult result, long sentAt) {
-        holdClock.answered(result.result().clockMillis(), clock.nowMillis());
+    private void held(RenewalResult result, long sentAt) {
+        leaseClock.answered(result.result().clockMillis(), clock.nowMillis());
         boolean answers = result.isDone();
         if (answers != reachable) {
             reachable = answers;
@@ -270,7 +272,7 @@
                     .write();
         }
         if (!answers) {
-            loop.schedule(() -> hold(0), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> renew(0), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
         boolean news = !known || !result.ended().isEmpty();
@@ -278,35 +280,35 @@
         running = result.running();
         ended = result.ended().stream().filter(end -> end.number() > recordedEnd).toList();
         runs.settle(running, ended, sentAt);
-        paceAll();
+        throttleAll();
         if (news) {
             whenChanged.run();
         }
         if (ended.isEmpty()) {
-            hold(WAIT_MILLIS);
+            renew(WAIT_MILLIS);
         } else {
-            loop.schedule(() -> hold(0), RECORD_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(() -> renew(0), RECORD_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
     // -----------------------------------------------------------------------
-    private void paceAll() {
+    private void throttleAll() {
         long now = clock.nowMillis();
-        if (now - pacedAt < PACE_MILLIS) {
+        if (now - throttledAt < THROTTLE_MILLIS) {
             return;
         }
-        pacedAt = now;
+        throttledAt = now;
         Map<String, Double> tails = new HashMap<>();
-        Set<String> filling = new HashSet<>();
+        Set<String> bestEffort = new HashSet<>();
         for (RunProgress progress : running) {
             StartOrder order = runs.findOrder(progress.run());
             if (order != null && order.targetMillis() > 0) {
                 tails.merge(order.image(), progress.figure() / order.targetMillis(), Math::max);
-            } else if (order != null && order.filling()) {
-                filling.add(order.image());
+            } else if (order != null && order.bestEffort()) {
+                bestEffort.add(order.image());
             }
         }
-        pace.decide(tails, filling, now);
-        runs.pace(pace::getShare);
+        throttling.decide(tails, bestEffort, now);
+        runs.throttle(throttling::getShare);
     }
 }
--- a/src/main/java/org/standlink/wire/StartOrder.java
+++ b/src/main/java/org/standlink/wire/StartOrder.java
@@ -28,7 +28,7 @@
  * @param run the run
  * @param specification the job's text
  * @param checkpoint the state to go on from, empty for none
- * @param filling whether the run uses only processors that others leave idle
+ * @param bestEffort whether the run uses only processors that others leave idle
  * @param targetMillis the tail latency that a serving run is to keep, in milliseconds; 0 if none
  * @param image what the run runs, empty if not told
  */
@@ -37,6 +37,6 @@
         RunId run,
         String specification,
         String checkpoint,
-        boolean filling,
+        boolean bestEffort,
         double targetMillis,
         String image) {}
--- a/src/main/java/org/standlink/wire/WorkerReport.java
+++ b/src/main/java/org/standlink/wire/WorkerReport.java
@@ -31,7 +31,7 @@
  *
  * @param worker what the worker said of itself last
  * @param reachable whether the worker answered the last call
- * @param lapsed whether all that ran there is surely over, since the worker's hold has run out
+ * @param lapsed whether all that ran there is surely over, since the worker's lease has run out
  * @param known whether the agent has asked the worker what it runs
  * @param running what runs
  * @param ended the ends that have not been recorded yet
--- a/src/test/java/org/standlink/cell/CellFixtures.java
+++ b/src/test/java/org/standlink/cell/CellFixtures.java
@@ -18,8 +18,8 @@
 import java.util.List;
 import org.standlink.JobId;
 import org.standlink.Resources;
+import org.standlink.job.Configuration;
 import org.standlink.job.JobDefinition;
-import org.standlink.job.Manifest;
 import org.standlink.job.QueueDefinition;
 import org.standlink.job.StepDefinition;
 import org.standlink.job.WorkerDescription;
@@ -29,8 +29,8 @@
 final class CellFixtures {
 
     /** A configuration with one queue, whose tasks may fail twice. */
-    static final Manifest MANIFEST =
-            new Manifest(
+    static final Configuration CONFIGURATION =
+            new Configuration(
                     1,
                     List.of(new QueueDefinition("q", "h", "/q/", "s", 0, 2, 250, 1.5, false)),
                     List.of(),
@@ -52,7 +52,7 @@
         return new JobDefinition(JobId.parse(id), "q", "text", List.of(steps), 0, 0, 0);
     }
 
-    static StepDefinition step(int count, List<Integer> after, int most, boolean perpetual) {
+    static StepDefinition step(int count, List<Integer> after, int most, boolean longRunning) {
         return new StepDefinition(
                 count,
                 new Resources(1000, 100, 0),
@@ -65,7 +65,7 @@
                 "",
                 most,
                 false,
-                perpetual,
+                longRunning,
                 "",
                 0,
                 false,
--- a/src/test/java/org/standlink/cell/TestScheduler.java
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -52,10 +52,10 @@
 
     private List<TaskEntry> schedule(long now) {
         workers.getWorkers().forEach(one -> one.heard(one.getDescription(), null, true, now));
-        return scheduler.schedule(CellFixtures.MANIFEST, now, 0);
+        return scheduler.schedule(CellFixtures.CONFIGURATION, now, 0);
     }
 
-    private static StepDefinition filling(String image, int cores) {
+    private static StepDefinition bestEffort(String image, int cores) {
         return of(image, cores, 0, true, false);
     }
 
@@ -111,7 +111,7 @@
     }
 
     @Test
-    public void aFillingTaskAvoidsTheWorkerWhereItHarms() {
+    public void aBestEffortTaskAvoidsTheWorkerWhereItHarms() {
         WorkerEntry sensitive = worker("i-1", 8);
         WorkerEntry other = worker("i-2", 8);
         add("s", serving("s", 6));
@@ -119,8 +119,8 @@
         WorkerEntry with = sensitive.listTasks().isEmpty() ? other : sensitive;
         harm.tell(List.of(new HarmTable.Entry("s", "bad", 0.9)));
         harm.tell(List.of(new HarmTable.Entry("s", "good", 0.0)));
-        add("b", filling("bad", 2));
-        add("g", filling("good", 2));
+        add("b", bestEffort("bad", 2));
+        add("g", bestEffort("good", 2));
         List<TaskEntry> placed = schedule(NOW);
         assertEquals(2, placed.size());
         assertTrue(!placed.get(0).getWorker().equals(with.getId()));
@@ -134,8 +134,8 @@
         schedule(NOW);
         worker("i-2", 1);
         harm.tell(List.of(new HarmTable.Entry("s", "bad", 0.9)));
-        add("one", filling("bad", 1));
-        add("two", filling("bad", 1));
+        add("one", bestEffort("bad", 1));
+        add("two", bestEffort("bad", 1));
         assertEquals(1, schedule(NOW).size());
     }
 
--- a/src/test/java/org/standlink/gateway/TestJobGateway.java
+++ b/src/test/java/org/standlink/gateway/TestJobGateway.java
@@ -33,9 +33,9 @@
 import org.standlink.StandlinkException;
 import org.standlink.VmId;
 import org.standlink.election.LeaderLink;
+import org.standlink.job.Configuration;
 import org.standlink.job.JobDefinition;
 import org.standlink.job.JobState;
-import org.standlink.job.Manifest;
 import org.standlink.job.QueueDefinition;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.process.ProcessThreads;
@@ -51,8 +51,8 @@
 
     private static final JobId ID = JobId.parse("5c0e7a21d94b36f8");
     private static final JobDefinition JOB = new JobDefinition(ID, "q", "text", List.of(), 0, 0, 0);
-    private static final Manifest MANIFEST =
-            new Manifest(
+    private static final Configuration CONFIGURATION =
+            new Configuration(
                     3,
                     List.of(new QueueDefinition("q", "h", "/q/", "s", 0, 2, 250, 1.5, false)),
                     List.of(),
@@ -67,7 +67,7 @@
 
     @BeforeEach
     public void configure() {
-        gateway.offer(MANIFEST);
+        gateway.offer(CONFIGURATION);
     }
 
     @AfterEach
@@ -175,7 +175,7 @@
 
     @Test
     public void anOlderConfigurationNeverComesBack() {
-        gateway.offer(new Manifest(2, List.of(), List.of(), 0));
+        gateway.offer(new Configuration(2, List.of(), List.of(), 0));
         leadWith(JobAnswer.ofDone(JobState.QUEUED));
         assertEquals(200, ask(JobCall.Kind.SUBMIT).status());
     }
--- a/src/test/java/org/standlink/job/TestManifest.java
+++ b/src/test/java/org/standlink/job/TestConfiguration.java
@@ -22,14 +22,14 @@
 import org.junit.jupiter.api.Test;
 
 /** Tests how requests find their queue. */
-public class TestManifest {
+public class TestConfiguration {
 
     private static QueueDefinition queue(String name, String host, String prefix) {
         return new QueueDefinition(name, host, prefix, "s", 0, 1, 100, 1, false);
     }
 
-    private final Manifest manifest =
-            new Manifest(
+    private final Configuration configuration =
+            new Configuration(
                     3,
                     List.of(
                             queue("short", "h", "/a/"),
@@ -40,15 +40,15 @@
 
     @Test
     public void theLongestPrefixWins() {
-        assertEquals("long", manifest.findQueue("h", "/a/b/1").orElseThrow().name());
-        assertEquals("short", manifest.findQueue("h:80", "/a/1").orElseThrow().name());
-        assertEquals("other", manifest.findQueue("i", "/a/b/1").orElseThrow().name());
+        assertEquals("long", configuration.findQueue("h", "/a/b/1").orElseThrow().name());
+        assertEquals("short", configuration.findQueue("h:80", "/a/1").orElseThrow().name());
+        assertEquals("other", configuration.findQueue("i", "/a/b/1").orElseThrow().name());
     }
 
     @Test
     public void anUnknownHostOrPathHasNone() {
-        assertTrue(manifest.findQueue("x", "/a/1").isEmpty());
-        assertTrue(manifest.findQueue("h", "/b/1").isEmpty());
-        assertTrue(manifest.findQueue(null, "/a/1").isEmpty());
+        assertTrue(configuration.findQueue("x", "/a/1").isEmpty());
+        assertTrue(configuration.findQueue("h", "/b/1").isEmpty());
+        assertTrue(configuration.findQueue(null, "/a/1").isEmpty());
     }
 }
--- a/src/test/java/org/standlink/platform/TestFormats.java
+++ b/src/test/java/org/standlink/platform/TestFormats.java
@@ -25,8 +25,8 @@
 import org.standlink.JobId;
 import org.standlink.Resources;
 import org.standlink.StandlinkException;
+import org.standlink.job.Configuration;
 import org.standlink.job.JobDefinition;
-import org.standlink.job.Manifest;
 import org.standlink.job.QueueDefinition;
 import org.standlink.job.StepDefinition;
 import org.standlink.store.KeyedRecord;
@@ -119,20 +119,20 @@
                         + "\"priority\":2,\"service\":\"s\",\"max_attempts\":4,\"stretch\":1.5}],"
                         + "\"services\":[{\"name\":\"s\",\"enforces_capacity\":false}],"
                         + "\"limits\":{\"max_body_bytes\":262144}}";
-        Manifest manifest =
-                ManifestFormat.decode(new KeyedRecord("config", bytes(text))).orElseThrow();
+        Configuration configuration =
+                ConfigurationFormat.decode(new KeyedRecord("config", bytes(text))).orElseThrow();
         assertEquals(
-                new Manifest(
+                new Configuration(
                         7,
                         List.of(new QueueDefinition("r", "h", "/l/", "s", 2, 4, 250, 1.5, false)),
                         List.of("s"),
                         262144),
-                manifest);
+                configuration);
     }
 
     @Test
     public void otherRecordsOfTheOperatorAreNoConfiguration() {
-        assertTrue(ManifestFormat.decode(new KeyedRecord("wave/1", bytes("{}"))).isEmpty());
-        assertTrue(ManifestFormat.decode(new KeyedRecord("config", new byte[0])).isEmpty());
+        assertTrue(ConfigurationFormat.decode(new KeyedRecord("wave/1", bytes("{}"))).isEmpty());
+        assertTrue(ConfigurationFormat.decode(new KeyedRecord("config", new byte[0])).isEmpty());
     }
 }
--- a/src/test/java/org/standlink/platform/TestHttpWorkerCalls.java
+++ b/src/test/java/org/standlink/platform/TestHttpWorkerCalls.java
@@ -42,7 +42,7 @@
 import org.standlink.process.HttpService;
 import org.standlink.process.ProcessThreads;
 import org.standlink.runner.CallResult;
-import org.standlink.runner.HoldResult;
+import org.standlink.runner.RenewalResult;
 import org.standlink.wire.StartOrder;
 
 /**
@@ -127,7 +127,7 @@
         Object[][] table = {
             {409, "{\"clock_ms\":1,\"reason\":\"fence\"}", CallResult.Kind.FENCED},
             {409, "{\"clock_ms\":1,\"reason\":\"old\"}", CallResult.Kind.SUPERSEDED},
-            {409, "{\"clock_ms\":1,\"reason\":\"late\"}", CallResult.Kind.HOLD_PAST},
+            {409, "{\"clock_ms\":1,\"reason\":\"late\"}", CallResult.Kind.LEASE_PAST},
             {409, "{\"clock_ms\":1,\"reason\":\"room\"}", CallResult.Kind.NO_ROOM},
             {409, "{\"clock_ms\":1,\"reason\":\"ticket\"}", CallResult.Kind.NO_ROOM},
             {400, "{\"error\":\"unknown\"}", CallResult.Kind.INVALID},
@@ -154,7 +154,7 @@
         answer =
                 "{\"clock_ms\":482113,\"running\":[[\"5c0e7a21d94b36f8.0.1.17\",2,\"0b\",41,12]],"
                         + "\"ended\":[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"]]}";
-        HoldResult result = calls.hold(worker, 486000, Epoch.of(7), 57, 400).join();
+        RenewalResult result = calls.renew(worker, 486000, Epoch.of(7), 57, 400).join();
         assertTrue(result.isDone());
         assertEquals(List.of(new RunProgress(RUN, "0b", 41, 12)), result.running());
         RunId other = new RunId(TaskName.parse("5c0e7a21d94b36f8.0.1.9"), 1);
@@ -166,7 +166,7 @@
 
     @Test
     public void aHoldThatProlongsNothingNamesNoTime() {
-        calls.hold(worker, -1, Epoch.of(7), 0, 0).join();
+        calls.renew(worker, -1, Epoch.of(7), 0, 0).join();
         assertFalse(body.has("until_ms"));
         assertFalse(body.has("wait_ms"));
     }
--- a/src/test/java/org/standlink/runner/TestPacePolicy.java
+++ b/src/test/java/org/standlink/runner/TestThrottlePolicy.java
@@ -25,46 +25,46 @@
 import org.standlink.policy.HarmTable;
 
 /** Tests that serving tails are protected with as little pacing as that takes. */
-public class TestPacePolicy {
+public class TestThrottlePolicy {
 
     private final HarmTable harm = new HarmTable();
-    private final PacePolicy pace = new PacePolicy(harm);
+    private final ThrottlePolicy throttling = new ThrottlePolicy(harm);
 
     private long now = 1_000_000;
 
-    private void believe(String serving, String filling, double belief) {
-        harm.tell(List.of(new HarmTable.Entry(serving, filling, belief)));
+    private void believe(String serving, String bestEffort, double belief) {
+        harm.tell(List.of(new HarmTable.Entry(serving, bestEffort, belief)));
     }
 
     @Test
     public void onlyTheSuspectsArePaced() {
         believe("s", "good", 0.05);
         believe("s", "bad", 0.9);
-        pace.decide(Map.of("s", 0.5), Set.of("good", "bad"), now += 400);
-        pace.decide(Map.of("s", 2.0), Set.of("good", "bad"), now += 400);
-        assertEquals(PacePolicy.FULL, pace.getShare("good"));
-        assertTrue(pace.getShare("bad") < 20);
+        throttling.decide(Map.of("s", 0.5), Set.of("good", "bad"), now += 400);
+        throttling.decide(Map.of("s", 2.0), Set.of("good", "bad"), now += 400);
+        assertEquals(ThrottlePolicy.FULL, throttling.getShare("good"));
+        assertTrue(throttling.getShare("bad") < 20);
     }
 
     @Test
     public void allArePacedWhenNobodyIsSuspected() {
         believe("s", "one", 0.05);
         believe("s", "two", 0.05);
-        pace.decide(Map.of("s", 2.0), Set.of("one", "two"), now += 400);
-        assertEquals(40, pace.getShare("one"));
-        assertEquals(40, pace.getShare("two"));
+        throttling.decide(Map.of("s", 2.0), Set.of("one", "two"), now += 400);
+        assertEquals(40, throttling.getShare("one"));
+        assertEquals(40, throttling.getShare("two"));
     }
 
     @Test
     public void sharesComeBackOnceTheTailIsShort() {
         for (int i = 0; i < 3; i++) {
-            pace.decide(Map.of("s", 9.0), Set.of("f"), now += 400);
+            throttling.decide(Map.of("s", 9.0), Set.of("f"), now += 400);
         }
-        assertEquals(6, pace.getShare("f"));
+        assertEquals(6, throttling.getShare("f"));
         for (int i = 0; i < 20; i++) {
-            pace.decide(Map.of("s", 0.3), Set.of("f"), now += 400);
+            throttling.decide(Map.of("s", 0.3), Set.of("f"), now += 400);
         }
-        assertEquals(PacePolicy.FULL, pace.getShare("f"));
+        assertEquals(ThrottlePolicy.FULL, throttling.getShare("f"));
     }
 
     @Test
@@ -72,22 +72,22 @@
         believe("s", "good", 0.05);
         believe("s", "bad", 0.9);
         for (int i = 0; i < 4; i++) {
-            pace.decide(Map.of("s", 1.1), Set.of("good", "bad"), now += 400);
+            throttling.decide(Map.of("s", 1.1), Set.of("good", "bad"), now += 400);
         }
-        assertEquals(PacePolicy.FULL, pace.getShare("good"));
-        assertEquals(0, pace.getShare("bad"));
+        assertEquals(ThrottlePolicy.FULL, throttling.getShare("good"));
+        assertEquals(0, throttling.getShare("bad"));
         for (int i = 0; i < 3; i++) {
-            pace.decide(Map.of("s", 1.1), Set.of("good", "bad"), now += 400);
+            throttling.decide(Map.of("s", 1.1), Set.of("good", "bad"), now += 400);
         }
-        assertEquals(0, pace.getShare("good"));
-        assertEquals(0, pace.getShare("bad"));
-        pace.decide(Map.of("s", 0.5), Set.of("good", "bad"), now += 400);
-        assertTrue(pace.getShare("good") > 0);
+        assertEquals(0, throttling.getShare("good"));
+        assertEquals(0, throttling.getShare("bad"));
+        throttling.decide(Map.of("s", 0.5), Set.of("good", "bad"), now += 400);
+        assertTrue(throttling.getShare("good") > 0);
     }
 
     @Test
     public void withoutServingRunsNothingIsPaced() {
-        pace.decide(Map.of(), Set.of("f"), now += 400);
-        assertEquals(PacePolicy.FULL, pace.getShare("f"));
+        throttling.decide(Map.of(), Set.of("f"), now += 400);
+        assertEquals(ThrottlePolicy.FULL, throttling.getShare("f"));
     }
 }
--- a/src/test/java/org/standlink/runner/TestHoldClock.java
+++ b/src/test/java/org/standlink/runner/TestWorkerLeaseClock.java
@@ -26,36 +26,36 @@
 import org.junit.jupiter.api.Test;
 
 /** Tests that no worker keeps a run longer than its agent believes. */
-public class TestHoldClock {
+public class TestWorkerLeaseClock {
 
     @Property(seed = "4489833508711455555")
     void aSlowClockNeverKeepsARunBeyondTheEnd(
             @ForAll @LongRange(max = 10_000) long lease,
             @ForAll @LongRange(max = 2000) long way,
             @ForAll @DoubleRange(min = 1.0, max = 1.02) double slowness) {
-        HoldClock clock = new HoldClock();
+        WorkerLeaseClock clock = new WorkerLeaseClock();
         // The worker read its clock at time 0; the answer came a while later.
         clock.answered(5000, way);
         long end = way + lease;
-        long until = clock.hold(end);
+        long until = clock.renew(end);
         double killedAt = (until - 5000) * slowness;
         assertTrue(killedAt <= end, () -> "killed at " + killedAt + ", end " + end);
     }
 
     @Test
     public void allIsOverOnlyAfterTheLatestTimeEverTold() {
-        HoldClock clock = new HoldClock();
+        WorkerLeaseClock clock = new WorkerLeaseClock();
         clock.answered(0, 100);
-        clock.hold(6100);
-        clock.hold(4000);
+        clock.renew(6100);
+        clock.renew(4000);
         assertFalse(clock.isOver(6100));
         assertTrue(clock.isOver(6500));
     }
 
     @Test
     public void anEndThatHasPassedIsToldAsTheWorkersTime() {
-        HoldClock clock = new HoldClock();
+        WorkerLeaseClock clock = new WorkerLeaseClock();
         clock.answered(700, 100);
-        assertEquals(700, clock.hold(50));
+        assertEquals(700, clock.renew(50));
     }
 }
--- a/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
+++ b/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
@@ -82,7 +82,7 @@
 
         @Override
         public CompletableFuture<CallResult> start(
-                WorkerDescription to, StartOrder order, long holdUntil, Epoch epoch) {
+                WorkerDescription to, StartOrder order, long leaseUntil, Epoch epoch) {
             seen.add("start " + order.run().number());
             return later(result(starts));
         }
@@ -94,20 +94,20 @@
         }
 
         @Override
-        public CompletableFuture<HoldResult> hold(
+        public CompletableFuture<RenewalResult> renew(
                 WorkerDescription to, long until, Epoch epoch, long recorded, long waitMillis) {
             boolean done = holds == CallResult.Kind.DONE;
             List<RunEnd> unrecorded =
                     ended.stream().filter(end -> end.number() > recorded).toList();
             return later(
-                    new HoldResult(
+                    new RenewalResult(
                             result(holds),
                             done ? running : List.of(),
                             done ? unrecorded : List.of()));
         }
 
         @Override
-        public CompletableFuture<CallResult> pace(
+        public CompletableFuture<CallResult> throttle(
                 WorkerDescription to, RunId run, int percent, Epoch epoch) {
             return later(result(CallResult.Kind.DONE));
         }
