Answer callers until the process of an entry is gone

Ruled out: the grace (4.7 s of 6 had passed); a request in progress at the decision (0). Change: after the last line the entry looks once more and stays while something is in progress, then halts at once; requests at the end of the grace have 1.3 s to be answered. Tests: TestConnectionDrain, two more; the first cannot hold without the second look.

--- a/src/main/java/org/standlink/command/PlatformEntryCommand.java
+++ b/src/main/java/org/standlink/command/PlatformEntryCommand.java
@@ -39,12 +39,6 @@
     /** The threads of the balancer's and the metrics' servers. */
     private static final int SIDE_THREADS = 2;
 
-    /** What is left of the grace for the process to end, in milliseconds. */
-    private static final long END_MILLIS = 700;
-
-    /** The time between two looks at whether callers are quiet, in milliseconds. */
-    private static final long LOOK_MILLIS = 50;
-
     /** The log. */
     private static final EventLog LOG = EventLog.of(PlatformEntryCommand.class);
 
@@ -98,11 +92,11 @@
         LOG.info("stopping").with("in-progress", drain.getInProgress()).write();
         leaving = true;
         drain.leave();
-        long until = System.nanoTime() + (settings.graceMillis() - END_MILLIS) * 1_000_000;
-        while (System.nanoTime() < until && !drain.isQuiet()) {
-            TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
-        }
-        LOG.info("stopped").with("in-progress", drain.getInProgress()).write();
-        TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+        drain.awaitEnd(
+                settings.graceMillis(),
+                TimeUnit.MILLISECONDS::sleep,
+                () -> LOG.info("stopped").with("in-progress", drain.getInProgress()).write());
+        // Whatever the JDK does at an orderly exit would leave a request that comes now unanswered.
+        Runtime.getRuntime().halt(0);
     }
 }
--- a/src/main/java/org/standlink/process/ConnectionDrain.java
+++ b/src/main/java/org/standlink/process/ConnectionDrain.java
@@ -48,6 +48,31 @@
      */
     static final long OPEN_MILLIS = 5000;
 
+    /**
+     * What is left of the grace for what is in progress, in milliseconds: the longest answer that
+     * is waited for, with some to spare.
+     */
+    static final long LAST_ANSWERS_MILLIS = 1500;
+
+    /** What is left of the grace for the process to end, in milliseconds. */
+    static final long END_MILLIS = 200;
+
+    /** The time between two looks at whether callers are quiet, in milliseconds. */
+    private static final long LOOK_MILLIS = 50;
+
+    /** Lets time pass. */
+    @FunctionalInterface
+    public interface Pause {
+
+        /**
+         * Lets time pass.
+         *
+         * @param millis how long, in milliseconds
+         * @throws InterruptedException if the thread is interrupted
+         */
+        void pause(long millis) throws InterruptedException;
+    }
+
     /** The most connections remembered; the descriptors of the largest machine. */
     private static final int MOST_CONNECTIONS = 8192;
 
@@ -141,6 +166,27 @@
                 && untold.values().stream().allMatch(used -> now - used >= OPEN_MILLIS);
     }
 
+    /**
+     * Waits until the server may end: until it is quiet, or the grace is nearly over and nothing is
+     * in progress. The caller must end the process at once.
+     *
+     * @param graceMillis how long the whole may take, in milliseconds
+     * @param pause lets time pass
+     * @param whenQuiet is told before the last look; what it starts may go on during a short pause
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitEnd(long graceMillis, Pause pause, Runnable whenQuiet)
+            throws InterruptedException {
+        long start = clock.nowMillis();
+        while (clock.nowMillis() - start < graceMillis - LAST_ANSWERS_MILLIS && !isQuiet()) {
+            pause.pause(LOOK_MILLIS);
+        }
+        whenQuiet.run();
+        do {
+            pause.pause(LOOK_MILLIS);
+        } while (getInProgress() > 0 && clock.nowMillis() - start < graceMillis - END_MILLIS);
+    }
+
     private void remember(Object connection) {
         long now = clock.nowMillis();
         if (untold.size() >= MOST_CONNECTIONS) {
--- a/src/main/java/org/standlink/standin/RequestLoad.java
+++ b/src/main/java/org/standlink/standin/RequestLoad.java
@@ -44,7 +44,7 @@
     /** How long a request may take. */
     private static final Duration TIMEOUT = Duration.ofSeconds(20);
 
-    /** The most wrong answers that are described, so that the report stays short. */
+    /** The most wrong or unknown answers that are described, so that the report stays short. */
     private static final int MOST_SEEN = 5;
 
     /** The outcome of a request that did not run. */
@@ -105,7 +105,7 @@
     /** Requests with another answer, or none. */
     private final AtomicInteger wrong = new AtomicInteger();
 
-    /** What the caller saw of the first wrong ones. */
+    /** What the caller saw of the first wrong or unknown ones. */
     private final Queue<String> seen = new ConcurrentLinkedQueue<>();
 
     /** Latencies of the right ones, in microseconds; -1 for the others. */
@@ -214,8 +214,12 @@
     }
 
     private void countWrong(int number, String reason) {
-        int count = wrong.incrementAndGet();
-        if (count <= MOST_SEEN) {
+        wrong.incrementAndGet();
+        describe(number, reason);
+    }
+
+    private void describe(int number, String reason) {
+        if (seen.size() < MOST_SEEN) {
             seen.add("request " + number + ": " + reason);
         }
     }
@@ -261,6 +265,7 @@
             notRun.incrementAndGet();
         } else if (outcome.equals("unknown")) {
             unknown.incrementAndGet();
+            describe(number, "unknown: " + response.body().trim());
         } else if (response.body().equals(expected)) {
             latencies[number] = micros;
         } else {
--- a/src/test/java/org/standlink/process/TestConnectionDrain.java
+++ b/src/test/java/org/standlink/process/TestConnectionDrain.java
@@ -73,6 +73,36 @@
         assertTrue(drain.isQuiet());
     }
 
+    @Test
+    public void aRequestThatComesAtTheLastMomentIsAnswered() throws InterruptedException {
+        drain.leave();
+        boolean[] answered = new boolean[1];
+        long[] looks = new long[1];
+        drain.awaitEnd(
+                6000,
+                millis -> {
+                    clock.advance(millis);
+                    looks[0]++;
+                    if (drain.getInProgress() > 0 && looks[0] % 10 == 0) {
+                        answered[0] = true;
+                        drain.end("late");
+                    }
+                },
+                () -> drain.begin("late"));
+        assertTrue(answered[0]);
+    }
+
+    @Test
+    public void aRequestThatNeverEndsHoldsTheProcessNoLongerThanItsGrace()
+            throws InterruptedException {
+        drain.leave();
+        drain.begin("stuck");
+        long start = clock.nowMillis();
+        drain.awaitEnd(6000, clock::advance, () -> {});
+        long took = clock.nowMillis() - start;
+        assertTrue(took >= 6000 - ConnectionDrain.END_MILLIS && took < 6000, "took " + took);
+    }
+
     private boolean serve(String connection) {
         drain.begin(connection);
         boolean told = drain.tell(connection);
