Let the stand-in of an upstream answer until its callers have gone elsewhere

Cause: the stand-in closed its listener 500 ms after SIGTERM. The JDK's server then drops connections that the kernel had accepted, and idle ones that a request is on its way to; the agent lost the answer ('header parser received no bytes') and told the caller 'unknown', which was true. Test: TestUpstreamServer; on the code before, the second request after the stop found the listener closed.

--- a/src/main/java/org/standlink/command/StandInUpstreamCommand.java
+++ b/src/main/java/org/standlink/command/StandInUpstreamCommand.java
@@ -26,8 +26,8 @@
     /** The threads of the server. */
     private static final int THREADS = 32;
 
-    /** How long an ordered stop may take, in milliseconds. */
-    private static final long DRAIN_MILLIS = 1_000;
+    /** How long an ordered stop may take, in milliseconds; the platform's grace is as long. */
+    private static final long DRAIN_MILLIS = 6_000;
 
     /** Where to listen. */
     @Option(name = "--listen", required = true, metaVar = "HOST:PORT", usage = "where to listen")
--- a/src/main/java/org/standlink/standin/UpstreamServer.java
+++ b/src/main/java/org/standlink/standin/UpstreamServer.java
@@ -25,6 +25,8 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
+import org.standlink.lease.MonotonicClock;
+import org.standlink.process.ConnectionDrain;
 import org.standlink.process.HttpService;
 
 /**
@@ -45,9 +47,6 @@
     /** The path of the counts. */
     public static final String COUNTS_PATH = "/stand-in/counts";
 
-    /** How long callers are asked to connect elsewhere, in milliseconds. */
-    private static final long NOTICE_MILLIS = 500;
-
     /** The server. */
     private final HttpServer server;
 
@@ -63,8 +62,8 @@
     /** The most requests that ran at once. */
     private final AtomicInteger mostRunning = new AtomicInteger();
 
-    /** Whether callers are asked to connect elsewhere. */
-    private volatile boolean leaving;
+    /** Tells when the callers have gone elsewhere. */
+    private final ConnectionDrain drain = new ConnectionDrain(MonotonicClock.ofSystem());
 
     /**
      * Constructor, which starts to listen.
@@ -111,16 +110,17 @@
     }
 
     /**
-     * Ends in order: callers are asked to connect elsewhere, then no connection is accepted, and
-     * the requests running end.
+     * Ends in order: callers are asked to close their connections, and requests are answered until
+     * no caller comes any more. An upstream that is stopped as planned has been announced as
+     * leaving before, so callers find another one.
      *
-     * @param mostMillis how long the requests running may take, in milliseconds
+     * @param mostMillis how long the whole may take, in milliseconds
      * @throws InterruptedException if the thread is interrupted
      */
     public void drain(long mostMillis) throws InterruptedException {
-        leaving = true;
-        TimeUnit.MILLISECONDS.sleep(NOTICE_MILLIS);
-        server.stop((int) (mostMillis / 1000));
+        drain.leave();
+        drain.awaitEnd(mostMillis, TimeUnit.MILLISECONDS::sleep, () -> {});
+        close();
     }
 
     @Override
@@ -130,6 +130,15 @@
 
     // -----------------------------------------------------------------------
     private void handle(HttpExchange exchange) throws IOException {
+        drain.begin(exchange.getRemoteAddress());
+        try {
+            run(exchange);
+        } finally {
+            drain.end(exchange.getRemoteAddress());
+        }
+    }
+
+    private void run(HttpExchange exchange) throws IOException {
         int now = running.incrementAndGet();
         mostRunning.accumulateAndGet(now, Math::max);
         try (exchange) {
@@ -141,7 +150,7 @@
             String time = exchange.getRequestHeaders().getFirst(TIME_HEADER);
             TimeUnit.MILLISECONDS.sleep(time == null ? serviceMillis : Long.parseLong(time));
             String start = exchange.getRequestMethod() + " " + exchange.getRequestURI() + "\n";
-            if (leaving) {
+            if (drain.tell(exchange.getRemoteAddress())) {
                 exchange.getResponseHeaders().set("Connection", "close");
             }
             write(exchange, start, body);
