Stop a run on a silent worker by one series of calls, and forget what a lost worker ran

Ruled out: stops that the worker refuses (none); new leaders (the same runs under one epoch). Change: a stop that is being repeated is not begun again; nothing is sent while the worker does not answer; the lists of a worker whose lease ran out are forgotten, and that it lapsed is still told to every leader. Tests: three in TestWorkerSupervisor, all failing before.

--- a/src/main/java/org/standlink/runner/LocalRun.java
+++ b/src/main/java/org/standlink/runner/LocalRun.java
@@ -96,6 +96,15 @@
         return phase;
     }
 
+    /**
+     * Checks whether the worker is being told, or has been told, to stop it.
+     *
+     * @return true if so
+     */
+    boolean isStopOrdered() {
+        return phase == Phase.STOPPING || phase == Phase.STOPPED;
+    }
+
     /**
      * Sets how far it is.
      *
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -205,7 +205,8 @@
         if (run == null) {
             run = new LocalRun(id, null, LocalRun.Phase.STOPPING);
             runs.put(id, run);
-        } else if (run.getPhase() == LocalRun.Phase.STOPPED) {
+        } else if (run.isStopOrdered()) {
+            // Its stop is being repeated already; a second series of calls would add up.
             return;
         }
         run.setPhase(LocalRun.Phase.STOPPING);
@@ -287,6 +288,10 @@
         if (!runs.containsKey(run.getRun())) {
             return;
         }
+        if (!reachable.getAsBoolean()) {
+            loop.schedule(() -> callStop(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
         run.setCalling(true);
         calls.stop(worker.get(), run.getRun(), epoch.get())
                 .thenAcceptAsync(result -> stopped(run, result), loop);
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -108,9 +108,12 @@
     /** Whether the worker answered the last call. */
     private boolean reachable;
 
-    /** Whether the worker has said what runs. */
+    /** Whether the lists of what runs and what has ended are the worker's own and may hold still. */
     private boolean known;
 
+    /** Whether the worker has ever answered, so that its lease is known to this agent. */
+    private boolean answeredOnce;
+
     /** Whether this supervisor is closed. */
     private boolean closed;
 
@@ -229,7 +232,9 @@
     void reported(WorkerReport sent) {
         runs.reported(sent.refused(), sent.gone());
         if (sent.lapsed()) {
+            // The leader has given these runs up, so none may be started any more.
             runs.clear();
+            forgetLists();
         }
     }
 
@@ -243,8 +248,17 @@
     }
 
     // -----------------------------------------------------------------------
+    /** Forgets what a silent worker ran: it is over, and the worker will say anew what it knows. */
+    private void forgetLists() {
+        if (!reachable) {
+            running = List.of();
+            ended = List.of();
+            known = false;
+        }
+    }
+
     private boolean isLapsed() {
-        return known && !reachable && leaseClock.isOver(clock.nowMillis());
+        return answeredOnce && !reachable && leaseClock.isOver(clock.nowMillis());
     }
 
     // -----------------------------------------------------------------------
@@ -277,6 +291,7 @@
         }
         boolean news = !known || !result.ended().isEmpty();
         known = true;
+        answeredOnce = true;
         running = result.running();
         ended = result.ended().stream().filter(end -> end.number() > recordedEnd).toList();
         runs.settle(running, ended, sentAt);
--- a/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
+++ b/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
@@ -200,4 +200,41 @@
         order(List.of(), List.of(), 1);
         assertTrue(supervisor.report().ended().isEmpty());
     }
+
+    @Test
+    public void aWorkerThatIsGoneIsNotSaidToRunWhatItRan() {
+        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        loop.advance(1000);
+        worker.holds = CallResult.Kind.UNKNOWN;
+        loop.advance(LEASE_MILLIS + 1000);
+        assertTrue(supervisor.report().lapsed());
+        supervisor.reported(supervisor.report());
+        assertTrue(supervisor.report().running().isEmpty());
+        assertFalse(supervisor.report().known());
+        assertTrue(supervisor.report().lapsed(), "a new leader has to be told as well");
+    }
+
+    @Test
+    public void repeatedOrdersToStopDoNotMultiplyCalls() {
+        worker.stops = CallResult.Kind.UNKNOWN;
+        for (int i = 0; i < 5; i++) {
+            order(List.of(), List.of(RUN), 0);
+            loop.advance(100);
+        }
+        worker.seen.clear();
+        loop.advance(1000);
+        assertTrue(worker.seen.size() <= 7, () -> worker.seen.toString());
+    }
+
+    @Test
+    public void aStopWaitsForAWorkerThatDoesNotAnswer() {
+        worker.holds = CallResult.Kind.UNKNOWN;
+        loop.advance(1000);
+        order(List.of(), List.of(RUN), 0);
+        loop.advance(1000);
+        assertTrue(worker.seen.isEmpty(), () -> worker.seen.toString());
+        worker.holds = CallResult.Kind.DONE;
+        loop.advance(1000);
+        assertEquals(List.of("stop 1"), worker.seen);
+    }
 }
