--- a/src/main/java/org/standlink/cell/CallerDesk.java
+++ b/src/main/java/org/standlink/cell/CallerDesk.java
@@ -16,6 +16,7 @@
 package org.standlink.cell;
 
 import java.util.function.Consumer;
+import java.util.function.LongSupplier;
 import org.standlink.JobId;
 import org.standlink.job.JobDefinition;
 import org.standlink.job.JobState;
@@ -48,6 +49,9 @@
     /** The clock. */
     private final MonotonicClock clock;
 
+    /** The time of day, in milliseconds since 1970. */
+    private final LongSupplier wallClock;
+
     /** Is told of jobs that have become final. */
     private final Consumer<JobEntry> whenFinal;
 
@@ -57,16 +61,19 @@
      * @param board the jobs
      * @param commits keeps changes
      * @param clock the clock
+     * @param wallClock the time of day, in milliseconds since 1970
      * @param whenFinal is told of jobs that have become final
      */
     CallerDesk(
             JobBoard board,
             CommitQueue commits,
             MonotonicClock clock,
+            LongSupplier wallClock,
             Consumer<JobEntry> whenFinal) {
         this.board = board;
         this.commits = commits;
         this.clock = clock;
+        this.wallClock = wallClock;
         this.whenFinal = whenFinal;
     }
 
@@ -111,7 +118,7 @@
                 .write();
         JobEntry entry = known == null ? board.add(job) : known;
         if (known == null) {
-            entry.setAcceptedAt(clock.nowMillis());
+            entry.accept(clock.nowMillis(), wallClock.getAsLong());
         }
         long start = clock.nowMillis();
         commits.afterCommit(
--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -153,7 +153,7 @@
                 new CommitQueue(
                         store, epoch, List.of(board, workers), clock, loop, loop, this::depose);
         this.orders = new OrderDesk(epoch, board, workers, commits);
-        this.callers = new CallerDesk(board, commits, clock, this::noteFinal);
+        this.callers = new CallerDesk(board, commits, clock, wallClock, this::noteFinal);
         this.reports = new ReportDesk(board, workers, orders, this::mostAttempts, clock, harm);
     }
 
@@ -223,7 +223,7 @@
         board.restore(state.records());
         workers.restore(state.records(), now + times.waitAfterFenceMillis());
         for (JobEntry job : board.getJobs()) {
-            job.setAcceptedAt(now);
+            job.resume(now, wallClock.getAsLong());
             noteFinal(job);
             job.allTasks()
                     .filter(task -> task.getWorker() != null)
--- a/src/main/java/org/standlink/cell/JobEntry.java
+++ b/src/main/java/org/standlink/cell/JobEntry.java
@@ -31,6 +31,12 @@
  */
 final class JobEntry {
 
+    /**
+     * The greatest age that a new leader believes, in milliseconds: clocks of machines differ, and
+     * no job is of use to its caller after so long.
+     */
+    private static final long MOST_AGE_MILLIS = 600_000;
+
     /** The definition. */
     private final JobDefinition definition;
 
@@ -49,9 +55,12 @@
     /** The state that was kept last; callers are told no other. */
     private JobState keptState = JobState.QUEUED;
 
-    /** When the job was accepted or read, on the leader's clock. */
+    /** When the job was accepted, on the leader's clock. */
     private long acceptedAt;
 
+    /** When the job was accepted, in milliseconds since 1970 by its leader's clock. */
+    private long acceptedWallMillis;
+
     /** When the job became final, on the leader's clock; negative before. */
     private long finalAt = -1;
 
@@ -92,6 +101,7 @@
         state = record.state();
         sentState = state;
         keptState = state;
+        acceptedWallMillis = record.acceptedWallMillis();
         List<TaskEntry> all = allTasks().toList();
         for (int i = 0; i < Math.min(all.size(), record.tasks().size()); i++) {
             all.get(i).restore(record.tasks().get(i));
@@ -105,7 +115,8 @@
      */
     JobRecord toRecord() {
         sentState = state;
-        return new JobRecord(order, state, allTasks().map(TaskEntry::toRecord).toList());
+        List<TaskRecord> records = allTasks().map(TaskEntry::toRecord).toList();
+        return new JobRecord(order, state, records, acceptedWallMillis);
     }
 
     /**
@@ -128,7 +139,7 @@
             state = JobState.FAILED;
         } else if (allTasks().allMatch(TaskEntry::isDone)) {
             state = JobState.COMPLETED;
-        } else if (allTasks().anyMatch(TaskEntry::hasBegun)) {
+        } else if (hasBegun()) {
             state = JobState.RUNNING;
         }
     }
@@ -182,6 +193,32 @@
         return longest;
     }
 
+    /**
+     * Works out how much of the work is left, by what the caller guessed.
+     *
+     * @return the share, 0 to 1; 1 if the caller guessed nothing
+     */
+    double remainingShare() {
+        double all = 0;
+        double left = 0;
+        for (TaskEntry task : allTasks().toList()) {
+            StepDefinition step = task.getStep();
+            double work = (double) step.demand().milliCores() * step.estimatedMillis();
+            all += work;
+            left += task.isDone() ? 0 : work;
+        }
+        return all == 0 ? 1 : left / all;
+    }
+
+    /**
+     * Checks whether a run of any task was ever ordered.
+     *
+     * @return true if so
+     */
+    boolean hasBegun() {
+        return allTasks().anyMatch(TaskEntry::hasBegun);
+    }
+
     private long dueMillis(int repetition) {
         return definition.firstStartMillis() + repetition * definition.intervalMillis();
     }
@@ -278,21 +315,34 @@
     }
 
     /**
-     * Gets when the job was accepted or read.
+     * Gets when the job was accepted.
      *
-     * @return the time on the leader's clock
+     * @return the time on the leader's clock; before its start for a job of an earlier leader
      */
     long getAcceptedAt() {
         return acceptedAt;
     }
 
     /**
-     * Sets when the job was accepted or read.
+     * Takes note that the job is accepted.
      *
-     * @param millis the time on the leader's clock
+     * @param now the time on the leader's clock
+     * @param wallMillis the time of day, in milliseconds since 1970
+     */
+    void accept(long now, long wallMillis) {
+        acceptedAt = now;
+        acceptedWallMillis = wallMillis;
+    }
+
+    /**
+     * Works out when a job that was read had been accepted.
+     *
+     * @param now the time on the leader's clock
+     * @param wallMillis the time of day, in milliseconds since 1970
      */
-    void setAcceptedAt(long millis) {
-        acceptedAt = millis;
+    void resume(long now, long wallMillis) {
+        long age = Math.min(MOST_AGE_MILLIS, wallMillis - acceptedWallMillis);
+        acceptedAt = now - Math.max(0, age);
     }
 
     /**
--- a/src/main/java/org/standlink/cell/JobOutlook.java
+++ b/src/main/java/org/standlink/cell/JobOutlook.java
@@ -18,44 +18,86 @@
 import org.standlink.job.QueueDefinition;
 
 /**
- * What a job can still reach, by its age and the work that is left. Jobs that can be on time come
- * first, so that a crowd makes some jobs late and not all; none is given up.
+ * What a job is still worth to its caller, for each part of its work that is left. What is worth
+ * most comes first, so that a crowd makes some jobs late and not all, and what has begun is
+ * finished; none is given up.
+ *
+ * <p>{@code JobOutlook} is thread-safe and immutable.
+ *
+ * @param punctuality whether the job can be on time
+ * @param worthPerWork its worth, as a share of its full worth, by the share of its work that is
+ *     left
  */
-enum JobOutlook {
-    /** It can be on time. */
-    ON_TIME,
-    /** It will be late, but still of some use to its caller. */
-    LATE,
-    /** It comes too late to be of use. */
-    TOO_LATE;
+record JobOutlook(Punctuality punctuality, double worthPerWork) implements Comparable<JobOutlook> {
+
+    /** Whether a job can be on time. */
+    enum Punctuality {
+        /** It can be on time. */
+        ON_TIME(1),
+        /** It will be late, but still of some use to its caller. */
+        LATE(0.15),
+        /** It comes too late to be of use. */
+        TOO_LATE(0);
+
+        /** What the job is worth, as a share of its full worth; the operators' sheets say so. */
+        private final double worth;
+
+        Punctuality(double worth) {
+            this.worth = worth;
+        }
+    }
 
     /**
-     * The share of the guessed work that is taken to be left at least, since guesses are off by
-     * half either way: a job is only put back when even then it would be late.
+     * The share of the guessed work that is taken to be left at least of a job that has begun,
+     * since guesses are off by half either way: it is only put back when even then it would be
+     * late.
      */
-    private static final double LEAST_WORK = 0.8;
+    private static final double BEGUN_WORK = 0.8;
+
+    /**
+     * The same for a job that has not begun, with some to spare for failures and for waiting
+     * between its steps: a job that is begun with none is late all the same and takes the place of
+     * another.
+     */
+    private static final double NEW_WORK = 1.2;
 
     /** How many times its target a job may take to be of some use, as the operators count it. */
     private static final int USEFUL_TARGETS = 3;
 
+    /** The least share of its work that counts as left, so that worth by work has a bound. */
+    private static final double LEAST_LEFT = 0.02;
+
     /**
      * Judges a job.
      *
      * @param job the job
      * @param queue its queue
      * @param now the time on the leader's clock
-     * @return what it can still reach; a job that lasts or has times can always be on time
+     * @return what it can still reach; a job that lasts or has times is worth most
      */
     static JobOutlook of(JobEntry job, QueueDefinition queue, long now) {
         boolean lasts = job.getDefinition().steps().stream().anyMatch(step -> step.longRunning());
         if (lasts || job.getDefinition().isTimed()) {
-            return ON_TIME;
+            return new JobOutlook(Punctuality.ON_TIME, 1 / LEAST_LEFT);
         }
+        Punctuality punctuality = punctuality(job, queue, now);
+        double left = Math.max(LEAST_LEFT, job.remainingShare());
+        return new JobOutlook(punctuality, punctuality.worth / left);
+    }
+
+    private static Punctuality punctuality(JobEntry job, QueueDefinition queue, long now) {
         double target = queue.targetMillis() + queue.stretch() * job.chainMillis(false);
-        double ready = now - job.getAcceptedAt() + LEAST_WORK * job.chainMillis(true);
+        double work = (job.hasBegun() ? BEGUN_WORK : NEW_WORK) * job.chainMillis(true);
+        double ready = now - job.getAcceptedAt() + work;
         if (ready <= target) {
-            return ON_TIME;
+            return Punctuality.ON_TIME;
         }
-        return ready <= USEFUL_TARGETS * target ? LATE : TOO_LATE;
+        return ready <= USEFUL_TARGETS * target ? Punctuality.LATE : Punctuality.TOO_LATE;
+    }
+
+    // -----------------------------------------------------------------------
+    @Override
+    public int compareTo(JobOutlook other) {
+        return Double.compare(other.worthPerWork, worthPerWork);
     }
 }
--- a/src/main/java/org/standlink/cell/JobRecord.java
+++ b/src/main/java/org/standlink/cell/JobRecord.java
@@ -29,6 +29,8 @@
  * @param order the place in the order of acceptance
  * @param state the state
  * @param tasks the tasks, in the order of repetition, step and index
+ * @param acceptedWallMillis when the job was accepted, in milliseconds since 1970 by the clock of
+ *     the leader of that time; good for an age, not for a rule
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
-record JobRecord(long order, JobState state, List<TaskRecord> tasks) {}
+record JobRecord(long order, JobState state, List<TaskRecord> tasks, long acceptedWallMillis) {}
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -108,7 +108,9 @@
     /** Whether the worker answered the last call. */
     private boolean reachable;
 
-    /** Whether the lists of what runs and what has ended are the worker's own and may hold still. */
+    /**
+     * Whether the lists of what runs and what has ended are the worker's own and may hold still.
+     */
     private boolean known;
 
     /** Whether the worker has ever answered, so that its lease is known to this agent. */
--- a/src/test/java/org/standlink/cell/TestScheduler.java
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -22,6 +22,7 @@
 import org.junit.jupiter.api.Test;
 import org.standlink.Incarnation;
 import org.standlink.Resources;
+import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.StepDefinition;
 import org.standlink.policy.HarmTable;
@@ -46,7 +47,7 @@
 
     private JobEntry add(String id, StepDefinition... steps) {
         JobEntry job = board.add(CellFixtures.of(id, steps));
-        job.setAcceptedAt(NOW);
+        job.accept(NOW, 0);
         return job;
     }
 
@@ -146,8 +147,7 @@
         add("a", CellFixtures.step(1, List.of(), 0, false));
         TaskEntry task = schedule(NOW).get(0);
         assertEquals(one.getId(), task.getWorker());
-        task.end(
-                one.getId(), new org.standlink.job.RunEnd(1, task.getRun(), RunEndKind.FAILED, ""));
+        task.end(one.getId(), new RunEnd(1, task.getRun(), RunEndKind.FAILED, ""));
         workers.vacate(task, one.getId());
         assertEquals(two.getId(), schedule(NOW).get(0).getWorker());
     }
@@ -158,7 +158,46 @@
         JobEntry old = add("old", CellFixtures.step(1, List.of(), 0, false));
         JobEntry young = add("young", CellFixtures.step(1, List.of(), 0, false));
         // The target is 250 ms and 1.5 times 500 ms of work.
-        old.setAcceptedAt(NOW - 2000);
+        old.accept(NOW - 2000, 0);
         assertEquals(young.getId(), schedule(NOW).get(0).getName().job());
     }
+
+    @Test
+    public void aJobThatHasBegunIsFinishedBeforeAnotherIsBegun() {
+        WorkerEntry one = worker("i-1", 1);
+        add("first", CellFixtures.step(1, List.of(), 0, false));
+        JobEntry begun =
+                add(
+                        "begun",
+                        CellFixtures.step(1, List.of(), 0, false),
+                        CellFixtures.step(1, List.of(0), 0, false));
+        TaskEntry task = begun.readyTasks(0).get(0);
+        task.assign(one.getId());
+        task.end(one.getId(), new RunEnd(1, task.getRun(), RunEndKind.DONE, ""));
+        assertEquals(begun.getId(), schedule(NOW).get(0).getName().job());
+    }
+
+    @Test
+    public void aJobIsNotBegunWithNothingToSpare() {
+        worker("i-1", 1);
+        JobEntry tight = add("tight", CellFixtures.step(1, List.of(), 0, false));
+        JobEntry young = add("young", CellFixtures.step(1, List.of(), 0, false));
+        // The target is 250 ms and 1.5 times 500 ms of work; 490 ms are left of it.
+        tight.accept(NOW - 510, 0);
+        assertEquals(young.getId(), schedule(NOW).get(0).getName().job());
+    }
+
+    @Test
+    public void aNewLeaderKnowsHowOldAJobIs() {
+        JobEntry job = add("a", CellFixtures.step(1, List.of(), 0, false));
+        job.accept(NOW, 50_000);
+        JobBoard other = new JobBoard();
+        other.restore(board.takeChanges());
+        JobEntry restored = other.find(job.getId());
+        restored.resume(7000, 52_500);
+        assertEquals(4500, restored.getAcceptedAt());
+        restored.resume(7000, 40_000);
+        assertEquals(
+                7000, restored.getAcceptedAt(), "a clock that was put back makes no job young");
+    }
 }
