Decide once for all messages of a few milliseconds; keep sums of what is asked of a worker

Change: decisions are gathered for 4 ms; workers keep running sums; of the tasks of a step only the first that finds no worker is tried.

--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -53,6 +53,12 @@
     /** The time between two looks at leases and at jobs that have become due, in milliseconds. */
     private static final long TICK_MILLIS = 100;
 
+    /**
+     * How long messages are gathered before the next decision, in milliseconds; an append takes
+     * twice as long.
+     */
+    private static final long GATHER_MILLIS = 4;
+
     /** The pause before a failed step of taking over is repeated, in milliseconds. */
     private static final long PAUSE_MILLIS = 150;
 
@@ -116,6 +122,9 @@
     /** Whether another process leads, or this one has stopped. */
     private volatile boolean closed;
 
+    /** Whether a decision is due soon. */
+    private boolean deciding;
+
     /** The timer of the loop. */
     private ScheduledFuture<?> ticks;
 
@@ -267,12 +276,35 @@
             List<TaskEntry> assigned =
                     scheduler.schedule(
                             configuration.get(), clock.nowMillis(), wallClock.getAsLong());
-            assigned.forEach(task -> board.find(task.getName().job()).refresh(Integer.MAX_VALUE));
+            assigned.stream()
+                    .map(task -> board.find(task.getName().job()))
+                    .distinct()
+                    .forEach(job -> job.refresh(Integer.MAX_VALUE));
             orders.startAfterCommit(assigned);
         }
         commits.pump();
     }
 
+    /** Decides once for all messages that come within a few milliseconds. */
+    private void decideSoon() {
+        if (!deciding) {
+            deciding = true;
+            loop.schedule(this::decideNow, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    private void decideNow() {
+        deciding = false;
+        if (closed) {
+            return;
+        }
+        try {
+            decide();
+        } catch (RuntimeException defect) {
+            LOG.error("defect-in-decision").with("cause", defect).write();
+        }
+    }
+
     // -----------------------------------------------------------------------
     private void handleOnLoop(Connection connection, long call, Message message) {
         if (closed) {
@@ -290,7 +322,7 @@
                 callers.handle(connection, call, message);
             }
             if (active) {
-                decide();
+                decideSoon();
             }
         } catch (RuntimeException defect) {
             LOG.error("defect-in-message").with("message", message).with("cause", defect).write();
--- a/src/main/java/org/standlink/cell/LeastAskedPlacement.java
+++ b/src/main/java/org/standlink/cell/LeastAskedPlacement.java
@@ -108,13 +108,9 @@
     }
 
     private static long idleMilliCores(WorkerEntry worker) {
-        long idle = worker.getDescription().capacity().milliCores();
-        for (TaskEntry task : worker.listTasks()) {
-            StepDefinition step = task.getStep();
-            long asked = step.demand().milliCores();
-            idle -= step.longRunning() ? asked * SERVING_PERCENT / 100 : asked;
-        }
-        return idle;
+        long capacity = worker.getDescription().capacity().milliCores();
+        long serving = worker.getServingMilliCores() * SERVING_PERCENT / 100;
+        return capacity - serving - worker.getBatchMilliCores();
     }
 
     private static List<StepDefinition> serving(WorkerEntry worker) {
@@ -133,12 +129,10 @@
     }
 
     private long apartScore(TaskEntry task, WorkerEntry worker) {
-        List<StepDefinition> serving = serving(worker);
         if (task.getStep().longRunning()) {
-            long asked = serving.stream().mapToLong(step -> step.demand().milliCores()).sum();
-            return asked * TOGETHER_WEIGHT;
+            return worker.getServingMilliCores() * TOGETHER_WEIGHT;
         }
-        if (!task.getStep().bestEffort() || serving.isEmpty()) {
+        if (!task.getStep().bestEffort() || worker.getServingMilliCores() == 0) {
             return 0;
         }
         double belief = harm(task, worker);
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -346,7 +346,7 @@
         List<RunId> present = new ArrayList<>();
         List<RunId> stray = new ArrayList<>();
         for (RunProgress progress : part.running()) {
-            TaskEntry task = worker.getTasks().get(progress.run().task());
+            TaskEntry task = worker.findTask(progress.run().task());
             boolean expected = task != null && task.getRun().equals(progress.run());
             (expected ? present : stray).add(progress.run());
         }
--- a/src/main/java/org/standlink/cell/Scheduler.java
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -22,6 +22,7 @@
 import java.util.Map;
 import org.standlink.job.Configuration;
 import org.standlink.job.QueueDefinition;
+import org.standlink.job.TaskName;
 import org.standlink.process.EventLog;
 
 /**
@@ -126,9 +127,13 @@
 
     private void assign(
             JobEntry job, List<WorkerEntry> fit, long wallMillis, List<TaskEntry> assigned) {
+        TaskName full = null;
         for (TaskEntry task : job.readyTasks(wallMillis)) {
-            WorkerEntry worker = placement.choose(task, fit);
+            // The tasks of a step are alike: if one finds no worker, the next does not, either.
+            boolean waits = full != null && full.isOfSameStep(task.getName());
+            WorkerEntry worker = waits ? null : placement.choose(task, fit);
             if (worker == null) {
+                full = task.getName();
                 waiting.merge(job.getId().toString(), 1, Integer::sum);
                 continue;
             }
--- a/src/main/java/org/standlink/cell/WorkerBoard.java
+++ b/src/main/java/org/standlink/cell/WorkerBoard.java
@@ -146,7 +146,7 @@
      * @param mayRunUntil until when the worker's runs may go on, if it is new
      */
     void place(TaskEntry task, long mayRunUntil) {
-        get(task.getWorker(), mayRunUntil).getTasks().put(task.getName(), task);
+        get(task.getWorker(), mayRunUntil).add(task);
     }
 
     /**
@@ -158,7 +158,7 @@
     void vacate(TaskEntry task, WorkerId id) {
         WorkerEntry worker = workers.get(id);
         if (worker != null) {
-            worker.getTasks().remove(task.getName());
+            worker.remove(task);
         }
     }
 
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -20,6 +20,7 @@
 import java.util.Map;
 import org.standlink.Incarnation;
 import org.standlink.Resources;
+import org.standlink.job.StepDefinition;
 import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
@@ -41,6 +42,15 @@
     /** The tasks whose last run may be there. */
     private final Map<TaskName, TaskEntry> tasks = new LinkedHashMap<>();
 
+    /** What these take of its room. */
+    private Resources taken = Resources.NONE;
+
+    /** What those ask for that run until their job is cancelled, in thousandths of a core. */
+    private long servingMilliCores;
+
+    /** What the others ask for, in thousandths of a core. */
+    private long batchMilliCores;
+
     /** What the worker said of itself, null until an agent has told. */
     private WorkerDescription description;
 
@@ -114,28 +124,64 @@
         mayRunUntil = Math.max(mayRunUntil, until);
     }
 
+    /**
+     * Takes note that a task's last run may be here.
+     *
+     * @param task the task
+     */
+    void add(TaskEntry task) {
+        if (tasks.put(task.getName(), task) == null) {
+            count(task, 1);
+        }
+    }
+
+    /**
+     * Takes note that a task's last run is not here any more.
+     *
+     * @param task the task
+     */
+    void remove(TaskEntry task) {
+        if (tasks.remove(task.getName()) != null) {
+            count(task, -1);
+        }
+    }
+
+    private void count(TaskEntry task, int sign) {
+        StepDefinition step = task.getStep();
+        taken = sign > 0 ? taken.plus(step.room()) : taken.minus(step.room());
+        long asked = sign * step.demand().milliCores();
+        if (step.longRunning()) {
+            servingMilliCores += asked;
+        } else {
+            batchMilliCores += asked;
+        }
+    }
+
     /**
      * Works out what is free.
      *
      * @return the free room; may be negative in parts on a worker that does not guard its room
      */
     Resources free() {
-        Resources free = description.capacity();
-        for (TaskEntry task : tasks.values()) {
-            free = free.minus(task.getStep().room());
-        }
-        return free;
+        return description.capacity().minus(taken);
     }
 
     /**
-     * Works out how many processors are asked for, those of best-effort tasks included.
+     * Gets how many processors tasks ask for that run until their job is cancelled.
      *
      * @return the sum, in thousandths of a core
      */
-    long askedMilliCores() {
-        return tasks.values().stream()
-                .mapToLong(task -> task.getStep().demand().milliCores())
-                .sum();
+    long getServingMilliCores() {
+        return servingMilliCores;
+    }
+
+    /**
+     * Gets how many processors all other tasks ask for, best-effort ones included.
+     *
+     * @return the sum, in thousandths of a core
+     */
+    long getBatchMilliCores() {
+        return batchMilliCores;
     }
 
     /**
@@ -145,13 +191,7 @@
      * @return how many of them may be here
      */
     long countOf(TaskName name) {
-        return tasks.keySet().stream()
-                .filter(
-                        other ->
-                                other.job().equals(name.job())
-                                        && other.step() == name.step()
-                                        && other.repetition() == name.repetition())
-                .count();
+        return tasks.keySet().stream().filter(name::isOfSameStep).count();
     }
 
     /**
@@ -189,12 +229,13 @@
     }
 
     /**
-     * Gets the tasks whose last run may be there.
+     * Finds a task whose last run may be there.
      *
-     * @return the tasks, by name
+     * @param name the name
+     * @return the task, null if it is not there
      */
-    Map<TaskName, TaskEntry> getTasks() {
-        return tasks;
+    TaskEntry findTask(TaskName name) {
+        return tasks.get(name);
     }
 
     /**
--- a/src/main/java/org/standlink/job/TaskName.java
+++ b/src/main/java/org/standlink/job/TaskName.java
@@ -70,6 +70,16 @@
                 cause);
     }
 
+    /**
+     * Checks whether another task is of the same step and repetition.
+     *
+     * @param other the name of the other task
+     * @return true if so
+     */
+    public boolean isOfSameStep(TaskName other) {
+        return job.equals(other.job) && step == other.step && repetition == other.repetition;
+    }
+
     // -----------------------------------------------------------------------
     @JsonValue
     @Override
