--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -15,11 +15,7 @@
  */
 package org.standlink.runner;
 
-import java.util.HashMap;
-import java.util.HashSet;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
@@ -31,7 +27,6 @@
 import org.standlink.policy.HarmTable;
 import org.standlink.process.EventLog;
 import org.standlink.wire.RunOrders;
-import org.standlink.wire.StartOrder;
 import org.standlink.wire.WorkerReport;
 
 /**
@@ -55,11 +50,6 @@
     /** How long recorded ends are waited for before the next renewal, in milliseconds. */
     private static final long RECORD_MILLIS = 100;
 
-    /**
-     * The time between two decisions on throttling, in milliseconds; a figure covers half a second.
-     */
-    private static final long THROTTLE_MILLIS = 350;
-
     /** The log. */
     private static final EventLog LOG = EventLog.of(WorkerSupervisor.class);
 
@@ -88,10 +78,7 @@
     private final WorkerLeaseClock leaseClock = new WorkerLeaseClock();
 
     /** Throttles best-effort runs. */
-    private final ThrottlePolicy throttling;
-
-    /** When throttling was decided on last. */
-    private long throttledAt;
+    private final WorkerThrottle throttle;
 
     /** What the worker said of itself. */
     private WorkerDescription worker;
@@ -147,7 +134,7 @@
         this.leaseEnd = leaseEnd;
         this.epoch = epoch;
         this.whenChanged = whenChanged;
-        this.throttling = new ThrottlePolicy(harm);
+        this.throttle = new WorkerThrottle(harm);
         this.runs =
                 new RunTable(
                         () -> this.worker,
@@ -297,7 +284,7 @@
         running = result.running();
         ended = result.ended().stream().filter(end -> end.number() > recordedEnd).toList();
         runs.settle(running, ended, sentAt);
-        throttleAll();
+        throttle.apply(worker.id(), running, runs, clock.nowMillis());
         if (news) {
             whenChanged.run();
         }
@@ -307,25 +294,4 @@
             loop.schedule(() -> renew(0), RECORD_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
-
-    // -----------------------------------------------------------------------
-    private void throttleAll() {
-        long now = clock.nowMillis();
-        if (now - throttledAt < THROTTLE_MILLIS) {
-            return;
-        }
-        throttledAt = now;
-        Map<String, Double> tails = new HashMap<>();
-        Set<String> bestEffort = new HashSet<>();
-        for (RunProgress progress : running) {
-            StartOrder order = runs.findOrder(progress.run());
-            if (order != null && order.targetMillis() > 0) {
-                tails.merge(order.image(), progress.figure() / order.targetMillis(), Math::max);
-            } else if (order != null && order.bestEffort()) {
-                bestEffort.add(order.image());
-            }
-        }
-        throttling.decide(tails, bestEffort, now);
-        runs.throttle(throttling::getShare);
-    }
 }
