Move best-effort runs that are throttled to workers where they harm nobody

A job ends with its slowest task. Change: agents tell which images they throttle; a run held back for 600 ms that saves its state is stopped and goes on elsewhere, if the placement knows a worker where it is gentle; nothing that may harm is put beside a tail over 0.8 of its target. Tests: TestMoveDesk.

--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -110,6 +110,9 @@
     /** Tells agents what to do. */
     private final OrderDesk orders;
 
+    /** Moves throttled runs. */
+    private final MoveDesk moves;
+
     /** Handles reports of agents. */
     private final ReportDesk reports;
 
@@ -157,11 +160,13 @@
         this.configuration = configuration;
         this.loop = loop;
         this.whenDeposed = whenDeposed;
-        this.scheduler = new Scheduler(board, workers, new LeastAskedPlacement(harm));
+        Placement placement = new LeastAskedPlacement(harm);
+        this.scheduler = new Scheduler(board, workers, placement);
         this.commits =
                 new CommitQueue(
                         store, epoch, List.of(board, workers), clock, loop, loop, this::depose);
         this.orders = new OrderDesk(epoch, board, workers, commits);
+        this.moves = new MoveDesk(workers, placement, orders);
         this.callers = new CallerDesk(board, commits, clock, wallClock, this::noteFinal);
         this.reports = new ReportDesk(board, workers, orders, this::mostAttempts, clock, harm);
     }
@@ -247,6 +252,7 @@
         try {
             expire();
             reports.stopStalled();
+            moves.move(clock.nowMillis());
             decide();
         } catch (RuntimeException defect) {
             LOG.error("defect-in-tick").with("cause", defect).write();
--- a/src/main/java/org/standlink/cell/LeastAskedPlacement.java
+++ b/src/main/java/org/standlink/cell/LeastAskedPlacement.java
@@ -57,6 +57,12 @@
     /** The share of a best-effort task's wish that must be free for it to start, in hundredths. */
     private static final long BEST_EFFORT_PERCENT = 70;
 
+    /**
+     * The tail of serving runs, as a share of their target, above which nothing is put beside them
+     * that may harm them; throttling begins at 0.9.
+     */
+    private static final double TIGHT_TAIL = 0.8;
+
     /** What is believed of images. */
     private final HarmTable harm;
 
@@ -89,6 +95,13 @@
         return best;
     }
 
+    @Override
+    public boolean isGentle(TaskEntry task, WorkerEntry worker) {
+        double belief = harm(task, worker);
+        boolean tight = worker.getWorstTail() > TIGHT_TAIL && belief >= HarmTable.HARMLESS;
+        return !tight && belief < HarmTable.HARMFUL;
+    }
+
     // -----------------------------------------------------------------------
     private boolean isFit(TaskEntry task, WorkerEntry worker, boolean choosy) {
         if (!Placement.isAllowed(task, worker)) {
@@ -98,7 +111,7 @@
             return true;
         }
         return idleMilliCores(worker) >= wanted(task.getStep(), worker)
-                && !(choosy && harm(task, worker) >= HarmTable.HARMFUL);
+                && (!choosy || isGentle(task, worker));
     }
 
     private static long wanted(StepDefinition step, WorkerEntry worker) {
--- /dev/null
+++ b/src/main/java/org/standlink/cell/MoveDesk.java
@@ -0,0 +1,136 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.ArrayList;
+import java.util.HashSet;
+import java.util.List;
+import java.util.Set;
+import org.standlink.job.StepDefinition;
+import org.standlink.process.EventLog;
+
+/**
+ * Moves best-effort runs that are throttled for the sake of serving ones to workers where they harm
+ * nobody. A job ends with its slowest task, and a run that saves its state loses little by a stop.
+ *
+ * <p>{@code MoveDesk} is not thread-safe; the leader's loop owns it.
+ */
+final class MoveDesk {
+
+    /**
+     * How long a run must have been held back before it is moved, in milliseconds; two decisions on
+     * throttling, so that one rough figure moves nothing.
+     */
+    private static final long HELD_BACK_MILLIS = 600;
+
+    /**
+     * The time between two rounds of moves, in milliseconds; a stop is listed within half of it.
+     */
+    private static final long ROUND_MILLIS = 500;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(MoveDesk.class);
+
+    /** The workers. */
+    private final WorkerBoard workers;
+
+    /** Chooses workers. */
+    private final Placement placement;
+
+    /** Tells agents what to do. */
+    private final OrderDesk orders;
+
+    /** When the last round was, on the leader's clock. */
+    private long roundAt;
+
+    /**
+     * Constructor.
+     *
+     * @param workers the workers
+     * @param placement chooses workers
+     * @param orders tells agents what to do
+     */
+    MoveDesk(WorkerBoard workers, Placement placement, OrderDesk orders) {
+        this.workers = workers;
+        this.placement = placement;
+        this.orders = orders;
+    }
+
+    /**
+     * Stops runs that can go on elsewhere, if it is time to; the scheduler starts them there. Each
+     * worker is the aim of one move a round, so that no crowd forms.
+     *
+     * @param now the time on the leader's clock, in milliseconds
+     */
+    void move(long now) {
+        if (now - roundAt < ROUND_MILLIS) {
+            return;
+        }
+        roundAt = now;
+        List<TaskEntry> moved = new ArrayList<>();
+        Set<WorkerEntry> taken = new HashSet<>();
+        for (WorkerEntry worker : workers.getWorkers()) {
+            if (worker.getDescription() != null) {
+                moveFrom(worker, now, taken, moved);
+            }
+        }
+        orders.stopAfterCommit(moved);
+    }
+
+    // -----------------------------------------------------------------------
+    private void moveFrom(
+            WorkerEntry worker, long now, Set<WorkerEntry> taken, List<TaskEntry> moved) {
+        for (TaskEntry task : worker.listTasks()) {
+            if (!isMovable(task, worker, now)) {
+                continue;
+            }
+            List<WorkerEntry> others = new ArrayList<>(usable(worker, now));
+            others.removeAll(taken);
+            WorkerEntry target = placement.choose(task, others);
+            boolean better =
+                    target != null
+                            && placement.isGentle(task, target)
+                            && !target.isHeldBack(task.getStep().image(), now, 0);
+            if (!better) {
+                continue;
+            }
+            task.beginMoveAway();
+            taken.add(target);
+            moved.add(task);
+            LOG.info("moving-throttled")
+                    .with("run", task.getRun())
+                    .with("worker", worker.getId())
+                    .with("aim", target.getId())
+                    .with("worst-tail", Math.round(worker.getWorstTail() * 100))
+                    .write();
+        }
+    }
+
+    private List<WorkerEntry> usable(WorkerEntry worker, long now) {
+        return workers.usable(worker.getDescription().service(), now).stream()
+                .filter(other -> other != worker)
+                .toList();
+    }
+
+    private static boolean isMovable(TaskEntry task, WorkerEntry worker, long now) {
+        StepDefinition step = task.getStep();
+        return step.bestEffort()
+                && step.checkpointing()
+                && !step.gang()
+                && task.isAtWork()
+                && worker.isHeldBack(step.image(), now, HELD_BACK_MILLIS);
+    }
+}
--- a/src/main/java/org/standlink/cell/Placement.java
+++ b/src/main/java/org/standlink/cell/Placement.java
@@ -23,7 +23,6 @@
  *
  * <p>Implementations are immutable and decide from their arguments only.
  */
-@FunctionalInterface
 interface Placement {
 
     /**
@@ -35,6 +34,16 @@
      */
     WorkerEntry choose(TaskEntry task, Collection<WorkerEntry> workers);
 
+    /**
+     * Checks whether a best-effort task is not expected to lengthen the tails of serving runs
+     * beyond their targets.
+     *
+     * @param task the task
+     * @param worker the worker
+     * @return true if it may work there all the time, as far as is known
+     */
+    boolean isGentle(TaskEntry task, WorkerEntry worker);
+
     /**
      * Checks what holds for every placement: room, label and the most tasks of the step.
      *
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -188,6 +188,7 @@
             releaseAll(worker, "lease-lapsed");
         }
         part.running().forEach(this::saveProgress);
+        worker.throttled(part.throttled(), clock.nowMillis());
         learn(worker, part.running());
         handleEnds(worker, part.ended());
         for (StartRefusal refusal : part.refused()) {
@@ -223,6 +224,8 @@
                 used.merge(step.image(), progress.figure(), Long::sum);
             }
         }
+        worker.setWorstTail(
+                tails.values().stream().mapToDouble(Double::doubleValue).max().orElse(0));
         tails.forEach((image, ratio) -> harm.observe(image, ratio, used));
     }
 
--- a/src/main/java/org/standlink/cell/TaskEntry.java
+++ b/src/main/java/org/standlink/cell/TaskEntry.java
@@ -53,7 +53,10 @@
     /** The state that was saved last, empty if none. */
     private String checkpoint = "";
 
-    /** Where the last run that failed or stood still was, null if none; not kept in the store. */
+    /**
+     * Where the last run that failed, stood still or was held back was, null if none; not kept in
+     * the store.
+     */
     private WorkerId failedOn;
 
     /** How much of the last run's work is done, in percent; negative if not told. */
@@ -204,6 +207,28 @@
         return begins;
     }
 
+    /**
+     * Takes note that the last run is to go on elsewhere, since it is held back where it is.
+     *
+     * @return false if it is being stopped already
+     */
+    boolean beginMoveAway() {
+        boolean begins = beginMove();
+        if (begins) {
+            failedOn = worker;
+        }
+        return begins;
+    }
+
+    /**
+     * Checks whether the last run is known to be at work, and not being stopped.
+     *
+     * @return true if so
+     */
+    boolean isAtWork() {
+        return worker != null && percent >= 0 && !stopping;
+    }
+
     // -----------------------------------------------------------------------
     /**
      * Gets the name.
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -16,7 +16,9 @@
 package org.standlink.cell;
 
 import java.util.Collection;
+import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.List;
 import java.util.Map;
 import org.standlink.Incarnation;
 import org.standlink.Resources;
@@ -25,6 +27,7 @@
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
 import org.standlink.wire.Connection;
+import org.standlink.wire.ImageShare;
 
 /**
  * What the leader knows of one life of a worker.
@@ -33,6 +36,9 @@
  */
 final class WorkerEntry {
 
+    /** The share up to which throttled runs count as held back, in percent. */
+    private static final int HELD_BACK_PERCENT = 50;
+
     /** The life of the worker. */
     private final WorkerId id;
 
@@ -75,6 +81,12 @@
     /** The last end whose record has been kept. */
     private long recordedEnd;
 
+    /** The longest tail of a serving run there, as a share of its target; 0 if none serves. */
+    private double worstTail;
+
+    /** Since when the runs of each image there have been throttled, on the leader's clock. */
+    private final Map<String, Long> throttledSince = new HashMap<>();
+
     /** When its figures were learned from last, on the leader's clock. */
     private long sampledAt;
 
@@ -209,6 +221,53 @@
         return fresh;
     }
 
+    /**
+     * Takes note of which images are throttled there.
+     *
+     * @param shares the images whose runs may not work all the time
+     * @param now the time on the leader's clock
+     */
+    void throttled(List<ImageShare> shares, long now) {
+        List<String> held =
+                shares.stream()
+                        .filter(share -> share.percent() <= HELD_BACK_PERCENT)
+                        .map(ImageShare::image)
+                        .toList();
+        throttledSince.keySet().retainAll(held);
+        held.forEach(image -> throttledSince.putIfAbsent(image, now));
+    }
+
+    /**
+     * Checks whether the runs of an image have been held back there for a while.
+     *
+     * @param image the image
+     * @param now the time on the leader's clock
+     * @param millis how long a while is, in milliseconds
+     * @return true if so
+     */
+    boolean isHeldBack(String image, long now, long millis) {
+        Long since = throttledSince.get(image);
+        return since != null && now - since >= millis;
+    }
+
+    /**
+     * Gets the longest tail of a serving run there.
+     *
+     * @return as a share of its target; 0 if none serves
+     */
+    double getWorstTail() {
+        return worstTail;
+    }
+
+    /**
+     * Sets the longest tail of a serving run there.
+     *
+     * @param share as a share of its target; 0 if none serves
+     */
+    void setWorstTail(double share) {
+        worstTail = share;
+    }
+
     /**
      * Takes note of how a run there ended.
      *
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -210,7 +210,8 @@
                 running,
                 ended,
                 runs.getRefused(),
-                runs.getGone());
+                runs.getGone(),
+                throttle.listThrottled());
     }
 
     /**
--- a/src/main/java/org/standlink/runner/WorkerThrottle.java
+++ b/src/main/java/org/standlink/runner/WorkerThrottle.java
@@ -19,11 +19,13 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.Map;
+import java.util.Set;
 import java.util.TreeMap;
 import org.standlink.job.RunProgress;
 import org.standlink.job.WorkerId;
 import org.standlink.policy.HarmTable;
 import org.standlink.process.EventLog;
+import org.standlink.wire.ImageShare;
 import org.standlink.wire.StartOrder;
 
 /**
@@ -48,6 +50,9 @@
     /** Decides. */
     private final ThrottlePolicy policy;
 
+    /** The best-effort images there when throttling was decided on last. */
+    private Set<String> bestEffort = Set.of();
+
     /** When throttling was decided on last. */
     private long decidedAt;
 
@@ -86,11 +91,24 @@
                 used.merge(order.image(), progress.figure(), Long::sum);
             }
         }
-        policy.decide(tails, used.keySet(), now);
+        bestEffort = Set.copyOf(used.keySet());
+        policy.decide(tails, bestEffort, now);
         runs.throttle(policy::getShare);
         tell(worker, tails, used, now);
     }
 
+    /**
+     * Lists the images whose runs may not work all the time.
+     *
+     * @return the images and their shares
+     */
+    List<ImageShare> listThrottled() {
+        return bestEffort.stream()
+                .map(image -> new ImageShare(image, policy.getShare(image)))
+                .filter(share -> share.percent() < ThrottlePolicy.FULL)
+                .toList();
+    }
+
     private void tell(
             WorkerId worker, Map<String, Double> tails, Map<String, Long> used, long now) {
         if (now - toldAt < TELL_MILLIS || tails.isEmpty() && used.isEmpty()) {
--- a/src/main/java/org/standlink/wire/WorkerReport.java
+++ b/src/main/java/org/standlink/wire/WorkerReport.java
@@ -37,6 +37,7 @@
  * @param ended the ends that have not been recorded yet
  * @param refused runs that were surely not started
  * @param gone runs that were stopped and are not there any more, without an end
+ * @param throttled the best-effort images whose runs may not work all the time
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record WorkerReport(
@@ -47,4 +48,5 @@
         List<RunProgress> running,
         List<RunEnd> ended,
         List<StartRefusal> refused,
-        List<RunId> gone) {}
+        List<RunId> gone,
+        List<ImageShare> throttled) {}
--- a/src/test/java/org/standlink/cell/CellFixtures.java
+++ b/src/test/java/org/standlink/cell/CellFixtures.java
@@ -72,6 +72,35 @@
                 0);
     }
 
+    static StepDefinition bestEffort(String image, int cores) {
+        return of(image, cores, 0, true, false);
+    }
+
+    static StepDefinition serving(String image, int cores) {
+        return of(image, cores, 20, false, true);
+    }
+
+    private static StepDefinition of(
+            String image, int cores, double target, boolean fills, boolean lasts) {
+        return new StepDefinition(
+                1,
+                new Resources(cores * 1000L, 100, 0),
+                500,
+                List.of(),
+                true,
+                false,
+                false,
+                "",
+                "",
+                0,
+                false,
+                lasts,
+                image,
+                target,
+                fills,
+                0);
+    }
+
     static WorkerDescription worker(String id, int cores) {
         return new WorkerDescription(
                 WorkerId.parse(id),
--- /dev/null
+++ b/src/test/java/org/standlink/cell/TestMoveDesk.java
@@ -0,0 +1,132 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.FakeLoop;
+import org.standlink.Incarnation;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
+import org.standlink.policy.HarmTable;
+import org.standlink.store.FakeKeyedStore;
+import org.standlink.wire.ImageShare;
+
+/** Tests when a throttled run is moved, and where it goes. */
+public class TestMoveDesk {
+
+    private final FakeClock clock = new FakeClock();
+    private final FakeLoop loop = new FakeLoop(clock);
+    private final JobBoard board = new JobBoard();
+    private final WorkerBoard workers = new WorkerBoard();
+    private final HarmTable harm = new HarmTable();
+    private final Placement placement = new LeastAskedPlacement(harm);
+    private final Scheduler scheduler = new Scheduler(board, workers, placement);
+    private final CommitQueue commits =
+            new CommitQueue(
+                    new FakeKeyedStore(),
+                    Epoch.of(1),
+                    List.of(board, workers),
+                    clock,
+                    loop,
+                    loop,
+                    () -> {});
+    private final OrderDesk orders = new OrderDesk(Epoch.of(1), board, workers, commits);
+    private final MoveDesk moves = new MoveDesk(workers, placement, orders);
+
+    private WorkerEntry serving;
+    private TaskEntry task;
+
+    private WorkerEntry worker(String id, int cores) {
+        WorkerEntry worker =
+                workers.get(CellFixtures.worker(id, cores).id(), clock.nowMillis() + 60_000);
+        worker.heard(CellFixtures.worker(id, cores), null, true, clock.nowMillis());
+        worker.setSynced(Incarnation.of(1));
+        return worker;
+    }
+
+    @BeforeEach
+    public void throttle() {
+        clock.advance(100_000);
+        serving = worker("i-1", 8);
+        board.add(CellFixtures.of("s", CellFixtures.serving("s", 6)));
+        board.add(CellFixtures.of("b", CellFixtures.bestEffort("b", 2)));
+        List<TaskEntry> placed =
+                scheduler.schedule(CellFixtures.CONFIGURATION, clock.nowMillis(), 0);
+        task = placed.stream().filter(one -> one.getStep().bestEffort()).findFirst().orElseThrow();
+        task.progress(10, clock.nowMillis());
+        serving.setWorstTail(1.2);
+        tellShare(5);
+    }
+
+    private void tellShare(int percent) {
+        serving.throttled(List.of(new ImageShare("b", percent)), clock.nowMillis());
+    }
+
+    private boolean isStopped() {
+        return !task.isAtWork();
+    }
+
+    @Test
+    public void aRunThatIsHeldBackGoesWhereItHarmsNobody() {
+        WorkerEntry free = worker("i-2", 4);
+        clock.advance(1000);
+        worker("i-2", 4);
+        moves.move(clock.nowMillis());
+        assertTrue(isStopped());
+        RunId run = task.getRun();
+        task.end(serving.getId(), new RunEnd(1, run, RunEndKind.STOPPED, "half"));
+        workers.vacate(task, serving.getId());
+        scheduler.schedule(CellFixtures.CONFIGURATION, clock.nowMillis(), 0);
+        assertEquals(free.getId(), task.getWorker());
+        assertEquals("half", task.getCheckpoint());
+        assertEquals(0, task.getFailures());
+    }
+
+    @Test
+    public void oneRoughFigureMovesNothing() {
+        worker("i-2", 4);
+        clock.advance(300);
+        moves.move(clock.nowMillis());
+        assertTrue(task.isAtWork());
+        tellShare(100);
+        clock.advance(1000);
+        tellShare(5);
+        worker("i-2", 4);
+        moves.move(clock.nowMillis());
+        assertTrue(task.isAtWork());
+    }
+
+    @Test
+    public void itStaysWhereNoOtherWorkerIsBetter() {
+        WorkerEntry other = worker("i-2", 8);
+        board.add(CellFixtures.of("s2", CellFixtures.serving("s", 6)));
+        scheduler.schedule(CellFixtures.CONFIGURATION, clock.nowMillis(), 0);
+        harm.tell(List.of(new HarmTable.Entry("s", "b", 0.9)));
+        clock.advance(1000);
+        worker("i-2", 8);
+        assertEquals(1, other.listTasks().size());
+        moves.move(clock.nowMillis());
+        assertTrue(task.isAtWork());
+    }
+}
--- a/src/test/java/org/standlink/cell/TestReportDesk.java
+++ b/src/test/java/org/standlink/cell/TestReportDesk.java
@@ -76,6 +76,7 @@
                         running,
                         List.of(ended),
                         List.of(),
+                        List.of(),
                         List.of());
         AgentReport report =
                 new AgentReport(
@@ -143,7 +144,8 @@
                         0);
         WorkerReport part =
                 new WorkerReport(
-                        other, true, false, true, List.of(), List.of(), List.of(), List.of());
+                        other, true, false, true, List.of(), List.of(), List.of(), List.of(),
+                        List.of());
         next.handle(
                 null,
                 new AgentReport(
--- a/src/test/java/org/standlink/cell/TestScheduler.java
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -21,7 +21,6 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.standlink.Incarnation;
-import org.standlink.Resources;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.StepDefinition;
@@ -56,35 +55,6 @@
         return scheduler.schedule(CellFixtures.CONFIGURATION, now, 0);
     }
 
-    private static StepDefinition bestEffort(String image, int cores) {
-        return of(image, cores, 0, true, false);
-    }
-
-    private static StepDefinition serving(String image, int cores) {
-        return of(image, cores, 20, false, true);
-    }
-
-    private static StepDefinition of(
-            String image, int cores, double target, boolean fills, boolean lasts) {
-        return new StepDefinition(
-                1,
-                new Resources(cores * 1000L, 100, 0),
-                500,
-                List.of(),
-                true,
-                false,
-                false,
-                "",
-                "",
-                0,
-                false,
-                lasts,
-                image,
-                target,
-                fills,
-                0);
-    }
-
     @Test
     public void noWorkerIsEverGivenMoreThanItHas() {
         worker("i-1", 4);
@@ -115,13 +85,13 @@
     public void aBestEffortTaskAvoidsTheWorkerWhereItHarms() {
         WorkerEntry sensitive = worker("i-1", 8);
         WorkerEntry other = worker("i-2", 8);
-        add("s", serving("s", 6));
+        add("s", CellFixtures.serving("s", 6));
         schedule(NOW);
         WorkerEntry with = sensitive.listTasks().isEmpty() ? other : sensitive;
         harm.tell(List.of(new HarmTable.Entry("s", "bad", 0.9)));
         harm.tell(List.of(new HarmTable.Entry("s", "good", 0.0)));
-        add("b", bestEffort("bad", 2));
-        add("g", bestEffort("good", 2));
+        add("b", CellFixtures.bestEffort("bad", 2));
+        add("g", CellFixtures.bestEffort("good", 2));
         List<TaskEntry> placed = schedule(NOW);
         assertEquals(2, placed.size());
         assertTrue(!placed.get(0).getWorker().equals(with.getId()));
@@ -131,12 +101,12 @@
     @Test
     public void aHarmfulTaskWaitsForAWorkerWhereItHarmsNobody() {
         worker("i-1", 8);
-        add("s", serving("s", 6));
+        add("s", CellFixtures.serving("s", 6));
         schedule(NOW);
         worker("i-2", 1);
         harm.tell(List.of(new HarmTable.Entry("s", "bad", 0.9)));
-        add("one", bestEffort("bad", 1));
-        add("two", bestEffort("bad", 1));
+        add("one", CellFixtures.bestEffort("bad", 1));
+        add("two", CellFixtures.bestEffort("bad", 1));
         assertEquals(1, schedule(NOW).size());
     }
 
