--- a/src/main/java/org/standlink/cell/LeastAskedPlacement.java
+++ b/src/main/java/org/standlink/cell/LeastAskedPlacement.java
@@ -98,7 +98,8 @@
     @Override
     public boolean isGentle(TaskEntry task, WorkerEntry worker) {
         double belief = harm(task, worker);
-        boolean tight = worker.getWorstTail() > TIGHT_TAIL && belief >= HarmTable.HARMLESS;
+        boolean tight =
+                worker.getFigures().getWorstTail() > TIGHT_TAIL && belief >= HarmTable.HARMLESS;
         return !tight && belief < HarmTable.HARMFUL;
     }
 
--- a/src/main/java/org/standlink/cell/MoveDesk.java
+++ b/src/main/java/org/standlink/cell/MoveDesk.java
@@ -103,7 +103,7 @@
             boolean better =
                     target != null
                             && placement.isGentle(task, target)
-                            && !target.isHeldBack(task.getStep().image(), now, 0);
+                            && !target.getFigures().isHeldBack(task.getStep().image(), now, 0);
             if (!better) {
                 continue;
             }
@@ -114,7 +114,7 @@
                     .with("run", task.getRun())
                     .with("worker", worker.getId())
                     .with("aim", target.getId())
-                    .with("worst-tail", Math.round(worker.getWorstTail() * 100))
+                    .with("worst-tail", Math.round(worker.getFigures().getWorstTail() * 100))
                     .write();
         }
     }
@@ -131,6 +131,6 @@
                 && step.checkpointing()
                 && !step.gang()
                 && task.isAtWork()
-                && worker.isHeldBack(step.image(), now, HELD_BACK_MILLIS);
+                && worker.getFigures().isHeldBack(step.image(), now, HELD_BACK_MILLIS);
     }
 }
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -188,7 +188,7 @@
             releaseAll(worker, "lease-lapsed");
         }
         part.running().forEach(this::saveProgress);
-        worker.throttled(part.throttled(), clock.nowMillis());
+        worker.getFigures().throttled(part.throttled(), clock.nowMillis());
         learn(worker, part.running());
         handleEnds(worker, part.ended());
         for (StartRefusal refusal : part.refused()) {
@@ -207,7 +207,7 @@
 
     /** Learns from the figures of a worker, once for each half second that they cover. */
     private void learn(WorkerEntry worker, List<RunProgress> running) {
-        if (!worker.beginSample(clock.nowMillis(), SAMPLE_MILLIS)) {
+        if (!worker.getFigures().beginSample(clock.nowMillis(), SAMPLE_MILLIS)) {
             return;
         }
         Map<String, Double> tails = new HashMap<>();
@@ -224,8 +224,9 @@
                 used.merge(step.image(), progress.figure(), Long::sum);
             }
         }
-        worker.setWorstTail(
-                tails.values().stream().mapToDouble(Double::doubleValue).max().orElse(0));
+        worker.getFigures()
+                .setWorstTail(
+                        tails.values().stream().mapToDouble(Double::doubleValue).max().orElse(0));
         tails.forEach((image, ratio) -> harm.observe(image, ratio, used));
     }
 
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -16,9 +16,7 @@
 package org.standlink.cell;
 
 import java.util.Collection;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
-import java.util.List;
 import java.util.Map;
 import org.standlink.Incarnation;
 import org.standlink.Resources;
@@ -27,7 +25,6 @@
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
 import org.standlink.wire.Connection;
-import org.standlink.wire.ImageShare;
 
 /**
  * What the leader knows of one life of a worker.
@@ -36,9 +33,6 @@
  */
 final class WorkerEntry {
 
-    /** The share up to which throttled runs count as held back, in percent. */
-    private static final int HELD_BACK_PERCENT = 50;
-
     /** The life of the worker. */
     private final WorkerId id;
 
@@ -81,14 +75,8 @@
     /** The last end whose record has been kept. */
     private long recordedEnd;
 
-    /** The longest tail of a serving run there, as a share of its target; 0 if none serves. */
-    private double worstTail;
-
-    /** Since when the runs of each image there have been throttled, on the leader's clock. */
-    private final Map<String, Long> throttledSince = new HashMap<>();
-
-    /** When its figures were learned from last, on the leader's clock. */
-    private long sampledAt;
+    /** What it reported of its runs' figures. */
+    private final WorkerFigures figures = new WorkerFigures();
 
     /** How many runs have failed there without one that ended well. */
     private int failuresInRow;
@@ -206,68 +194,6 @@
         return tasks.keySet().stream().filter(name::isOfSameStep).count();
     }
 
-    /**
-     * Decides whether its figures are new enough to learn from.
-     *
-     * @param now the time on the leader's clock
-     * @param millis the time that figures cover, in milliseconds
-     * @return true if they are
-     */
-    boolean beginSample(long now, long millis) {
-        boolean fresh = now - sampledAt >= millis;
-        if (fresh) {
-            sampledAt = now;
-        }
-        return fresh;
-    }
-
-    /**
-     * Takes note of which images are throttled there.
-     *
-     * @param shares the images whose runs may not work all the time
-     * @param now the time on the leader's clock
-     */
-    void throttled(List<ImageShare> shares, long now) {
-        List<String> held =
-                shares.stream()
-                        .filter(share -> share.percent() <= HELD_BACK_PERCENT)
-                        .map(ImageShare::image)
-                        .toList();
-        throttledSince.keySet().retainAll(held);
-        held.forEach(image -> throttledSince.putIfAbsent(image, now));
-    }
-
-    /**
-     * Checks whether the runs of an image have been held back there for a while.
-     *
-     * @param image the image
-     * @param now the time on the leader's clock
-     * @param millis how long a while is, in milliseconds
-     * @return true if so
-     */
-    boolean isHeldBack(String image, long now, long millis) {
-        Long since = throttledSince.get(image);
-        return since != null && now - since >= millis;
-    }
-
-    /**
-     * Gets the longest tail of a serving run there.
-     *
-     * @return as a share of its target; 0 if none serves
-     */
-    double getWorstTail() {
-        return worstTail;
-    }
-
-    /**
-     * Sets the longest tail of a serving run there.
-     *
-     * @param share as a share of its target; 0 if none serves
-     */
-    void setWorstTail(double share) {
-        worstTail = share;
-    }
-
     /**
      * Takes note of how a run there ended.
      *
@@ -278,6 +204,15 @@
     }
 
     // -----------------------------------------------------------------------
+    /**
+     * Gets what it reported of its runs' figures.
+     *
+     * @return the figures, which change with each report
+     */
+    WorkerFigures getFigures() {
+        return figures;
+    }
+
     /**
      * Gets the life of the worker.
      *
--- a/src/test/java/org/standlink/cell/TestMoveDesk.java
+++ b/src/test/java/org/standlink/cell/TestMoveDesk.java
@@ -75,12 +75,12 @@
                 scheduler.schedule(CellFixtures.CONFIGURATION, clock.nowMillis(), 0);
         task = placed.stream().filter(one -> one.getStep().bestEffort()).findFirst().orElseThrow();
         task.progress(10, clock.nowMillis());
-        serving.setWorstTail(1.2);
+        serving.getFigures().setWorstTail(1.2);
         tellShare(5);
     }
 
     private void tellShare(int percent) {
-        serving.throttled(List.of(new ImageShare("b", percent)), clock.nowMillis());
+        serving.getFigures().throttled(List.of(new ImageShare("b", percent)), clock.nowMillis());
     }
 
     private boolean isStopped() {
