Claim at once when the leader's address is this process's own

Change: whoever led at this process's address is gone; the claim stays conditional and the old epoch fenced. Test: TestCandidate, failing before.

--- a/src/main/java/org/standlink/election/Candidate.java
+++ b/src/main/java/org/standlink/election/Candidate.java
@@ -160,6 +160,11 @@
                 claim("no leader");
                 return;
             }
+            if (newest.address().equals(address)) {
+                // Whoever held it at this address is gone, since this process has the address now.
+                claim("the leader was at this address");
+                return;
+            }
         }
         store.readEnd(Topic.CELL).whenComplete(this::judge);
     }
--- a/src/test/java/org/standlink/election/TestCandidate.java
+++ b/src/test/java/org/standlink/election/TestCandidate.java
@@ -137,4 +137,13 @@
         late.tick();
         assertEquals(List.of(OTHER.toRecord()), store.records(Topic.CLAIMS));
     }
+
+    @Test
+    public void claimsAtOnceWhenAnEarlierProcessLedAtItsAddress() {
+        Claim mine = new Claim(Epoch.of(2), "10.0.0.1:1", Incarnation.of(7));
+        store.records(Topic.CLAIMS).add(mine.toRecord());
+        candidate.claimed(mine);
+        candidate.tick();
+        assertEquals(3, claims());
+    }
 }
