Give a run its share anew when an earlier process of the agent may have throttled it

Cause, by reading: a restarted agent took every run for unthrottled, so one that was throttled to 5% before stayed so for good. Test: TestWorkerSupervisor, failing before.

--- a/src/main/java/org/standlink/runner/LocalRun.java
+++ b/src/main/java/org/standlink/runner/LocalRun.java
@@ -25,6 +25,9 @@
  */
 final class LocalRun {
 
+    /** The share of a run that another process may have throttled. */
+    static final int UNKNOWN_SHARE = -1;
+
     /** How far it is. */
     enum Phase {
         /** The worker has not said yet that it runs. */
@@ -52,8 +55,8 @@
     /** When the worker said that it will stop it. */
     private long stoppedAt;
 
-    /** The share of time for which it works, in percent. */
-    private int share = 100;
+    /** The share of time for which it works, in percent; {@link #UNKNOWN_SHARE} if not known. */
+    private int share = ThrottlePolicy.FULL;
 
     /**
      * Constructor.
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -192,6 +192,10 @@
         }
         LocalRun run = new LocalRun(order.run(), order, LocalRun.Phase.STARTING);
         runs.put(order.run(), run);
+        if (isListed(order.run())) {
+            // It was started by an earlier process of this agent, which may have throttled it.
+            run.setShare(LocalRun.UNKNOWN_SHARE);
+        }
         callStart(run);
     }
 
@@ -274,13 +278,16 @@
 
     private void reportIfGone(LocalRun run) {
         boolean listed = ended.stream().anyMatch(end -> end.run().equals(run.getRun()));
-        boolean there = running.stream().anyMatch(one -> one.run().equals(run.getRun()));
-        if (!listed && !there) {
+        if (!listed && !isListed(run.getRun())) {
             gone.add(run.getRun());
             whenChanged.run();
         }
     }
 
+    private boolean isListed(RunId run) {
+        return running.stream().anyMatch(one -> one.run().equals(run));
+    }
+
     private void callStop(LocalRun run) {
         if (run.isCalling() || run.getPhase() != LocalRun.Phase.STOPPING) {
             return;
@@ -340,7 +347,7 @@
             boolean over =
                     run.getPhase() == LocalRun.Phase.STOPPED
                             && sentAt - run.getStoppedAt() > STOP_MILLIS;
-            if (over && running.stream().noneMatch(one -> one.run().equals(run.getRun()))) {
+            if (over && !isListed(run.getRun())) {
                 runs.remove(run.getRun());
                 gone.add(run.getRun());
                 whenChanged.run();
--- a/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
+++ b/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
@@ -109,6 +109,7 @@
         @Override
         public CompletableFuture<CallResult> throttle(
                 WorkerDescription to, RunId run, int percent, Epoch epoch) {
+            seen.add("share " + percent);
             return later(result(CallResult.Kind.DONE));
         }
     }
@@ -237,4 +238,13 @@
         loop.advance(1000);
         assertEquals(List.of("stop 1"), worker.seen);
     }
+
+    @Test
+    public void aRunThatAnEarlierProcessMayHaveThrottledIsGivenItsShareAnew() {
+        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        loop.advance(1000);
+        order(List.of(new StartOrder(RUN, "text", "", true, 0, "image")), List.of(), 0);
+        loop.advance(1000);
+        assertTrue(worker.seen.contains("share 100"), () -> worker.seen.toString());
+    }
 }
