--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -101,6 +101,9 @@
     /** What is believed of images. */
     private final HarmTable harm = new HarmTable();
 
+    /** Keeps what is believed of images. */
+    private final BeliefKeeper beliefs;
+
     /** Assigns tasks. */
     private final Scheduler scheduler;
 
@@ -162,9 +165,16 @@
         this.whenDeposed = whenDeposed;
         Placement placement = new LeastAskedPlacement(harm);
         this.scheduler = new Scheduler(board, workers, placement);
+        this.beliefs = new BeliefKeeper(harm, clock);
         this.commits =
                 new CommitQueue(
-                        store, epoch, List.of(board, workers), clock, loop, loop, this::depose);
+                        store,
+                        epoch,
+                        List.of(board, workers, beliefs),
+                        clock,
+                        loop,
+                        loop,
+                        this::depose);
         this.orders = new OrderDesk(epoch, board, workers, commits);
         this.moves = new MoveDesk(workers, placement, orders);
         this.callers = new CallerDesk(board, commits, clock, wallClock, this::noteFinal);
@@ -236,6 +246,7 @@
         long now = clock.nowMillis();
         board.restore(state.records());
         workers.restore(state.records(), now + times.waitAfterFenceMillis());
+        beliefs.restore(state.records());
         for (JobEntry job : board.getJobs()) {
             job.resume(now, wallClock.getAsLong());
             noteFinal(job);
--- a/src/main/java/org/standlink/policy/HarmTable.java
+++ b/src/main/java/org/standlink/policy/HarmTable.java
@@ -15,6 +15,7 @@
  */
 package org.standlink.policy;
 
+import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
@@ -73,6 +74,7 @@
      * @param bestEffort the best-effort image
      * @param belief 0 for harmless to 1 for harmful
      */
+    @JsonFormat(shape = JsonFormat.Shape.ARRAY)
     public record Entry(String serving, String bestEffort, double belief) {}
 
     /** The beliefs, by serving and then best-effort image; guarded by this. */
