Judge a stall by what was heard, and put little trust in workers that fail

A worker that fails all that it starts is always idle, so it was chosen first, three failures at a time, and after its pause took a whole crowd again; two attempts of a task could both end there. Change: stalls are counted to when the agent was heard, 1.5 s, throttled images apart; failures in a row cost a worker places, ten times as much for a task that has failed; a worker set aside is tried with one task. Tests: TestScheduler (2), TestReportDesk (3).

--- a/src/main/java/org/standlink/cell/LeastAskedPlacement.java
+++ b/src/main/java/org/standlink/cell/LeastAskedPlacement.java
@@ -36,6 +36,15 @@
     /** What a worker where the task failed last costs, in thousandths of a core. */
     private static final long FAILED_PENALTY = 1_000_000;
 
+    /**
+     * What each failure in a row on a worker costs, in thousandths of a core: half the idle room of
+     * a common worker, since a worker that fails all that it starts is always idle.
+     */
+    private static final long FAILURE_PENALTY = 15_000;
+
+    /** By how much that counts more for a task that has failed before and has few runs left. */
+    private static final long LAST_CHANCE_FACTOR = 10;
+
     /** How much a serving task seeks others, for each core that they ask for. */
     private static final long TOGETHER_WEIGHT = 4;
 
@@ -153,6 +162,11 @@
         return belief < HarmTable.HARMLESS ? BESIDE_BONUS : -(long) (belief * HARM_PENALTY);
     }
 
+    private static long failurePenalty(TaskEntry task, WorkerEntry worker) {
+        long penalty = worker.getFailuresInRow() * FAILURE_PENALTY;
+        return task.getFailures() > 0 ? penalty * LAST_CHANCE_FACTOR : penalty;
+    }
+
     private long score(TaskEntry task, WorkerEntry worker) {
         String rack = task.getStep().dataRack();
         boolean near = !rack.isEmpty() && worker.getDescription().labels().contains(rack);
@@ -160,6 +174,7 @@
         return idleMilliCores(worker)
                 + apartScore(task, worker)
                 + (near ? NEAR_BONUS : 0)
-                - (failedHere ? FAILED_PENALTY : 0);
+                - (failedHere ? FAILED_PENALTY : 0)
+                - failurePenalty(task, worker);
     }
 }
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -48,10 +48,10 @@
     private static final long UNWELL_MILLIS = 1500;
 
     /**
-     * How long a run may stand still, in milliseconds: a run of the longest kind on the sheets,
-     * throttled to 5%, shows a further percent within half of it.
+     * How long a run may stand still, in milliseconds: a run of the longest kind on the sheets, on
+     * a worker slowed sixfold and crowded twofold, shows a further percent within half of it.
      */
-    private static final long STALL_MILLIS = 3000;
+    private static final long STALL_MILLIS = 1500;
 
     /** The time that a worker's figures cover, in milliseconds. */
     private static final long SAMPLE_MILLIS = 450;
@@ -167,9 +167,14 @@
     void stopStalled() {
         long now = clock.nowMillis();
         for (WorkerEntry worker : workers.getWorkers()) {
+            if (!worker.isReachable()) {
+                // Its figures are old; its lease decides what becomes of its runs.
+                continue;
+            }
             List<TaskEntry> stalled =
                     worker.listTasks().stream()
-                            .filter(task -> task.isStalled(now, STALL_MILLIS))
+                            .filter(task -> !isHeldBack(task, worker, now))
+                            .filter(task -> task.isStalled(worker.getHeardAt(), STALL_MILLIS))
                             .toList();
             for (TaskEntry task : stalled) {
                 LOG.info("stalled")
@@ -182,6 +187,11 @@
         }
     }
 
+    /** A run that is throttled stands still on purpose. */
+    private static boolean isHeldBack(TaskEntry task, WorkerEntry worker, long now) {
+        return worker.getFigures().isHeldBack(task.getStep().image(), now, 0);
+    }
+
     // -----------------------------------------------------------------------
     private void handleWorker(WorkerEntry worker, WorkerReport part, AgentReport report) {
         if (part.lapsed()) {
--- a/src/main/java/org/standlink/cell/Scheduler.java
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -86,7 +86,7 @@
             List<WorkerEntry> fit =
                     usable.computeIfAbsent(service, name -> workers.usable(name, now));
             if (!fit.isEmpty()) {
-                assign(candidate.job(), fit, wallMillis, assigned);
+                assign(candidate.job(), fit, now, wallMillis, assigned);
             }
         }
         tellWaiting(now);
@@ -126,7 +126,11 @@
     }
 
     private void assign(
-            JobEntry job, List<WorkerEntry> fit, long wallMillis, List<TaskEntry> assigned) {
+            JobEntry job,
+            List<WorkerEntry> fit,
+            long now,
+            long wallMillis,
+            List<TaskEntry> assigned) {
         TaskName full = null;
         for (TaskEntry task : job.readyTasks(wallMillis)) {
             // The tasks of a step are alike: if one finds no worker, the next does not, either.
@@ -139,6 +143,9 @@
             }
             task.assign(worker.getId());
             workers.place(task, worker.getMayRunUntil());
+            if (!workers.given(worker, now)) {
+                fit.remove(worker);
+            }
             board.markChanged(job);
             assigned.add(task);
             LOG.info("assigned")
--- a/src/main/java/org/standlink/cell/TaskEntry.java
+++ b/src/main/java/org/standlink/cell/TaskEntry.java
@@ -182,13 +182,13 @@
     /**
      * Checks whether the last run has stood still for a while; tells so once.
      *
-     * @param now the time on the leader's clock
+     * @param heardAt when its worker's agent was heard last, on the leader's clock
      * @param millis how long a run may stand still, in milliseconds
      * @return true if it is to be stopped
      */
-    boolean isStalled(long now, long millis) {
+    boolean isStalled(long heardAt, long millis) {
         boolean judged = worker != null && percent >= 0 && !step.longRunning() && !step.gang();
-        if (!judged || stopping || now - progressAt < millis) {
+        if (!judged || stopping || heardAt - progressAt < millis) {
             return false;
         }
         stopping = true;
--- a/src/main/java/org/standlink/cell/WorkerBoard.java
+++ b/src/main/java/org/standlink/cell/WorkerBoard.java
@@ -40,6 +40,12 @@
     /** For how long a worker that fails is set aside before it is tried again, in milliseconds. */
     private static final long ASIDE_MILLIS = 3000;
 
+    /**
+     * How long a worker that was set aside gets nothing more after the task that tries it, in
+     * milliseconds; most tasks that fail do so within it.
+     */
+    private static final long TRIAL_MILLIS = 1500;
+
     /** How long ago an agent may have been heard for its workers to be used, in milliseconds. */
     private static final long SILENT_MILLIS = 1500;
 
@@ -180,6 +186,22 @@
         }
     }
 
+    /**
+     * Takes note that a worker was given a run; one that failed too often gets only this one for a
+     * while.
+     *
+     * @param worker the worker
+     * @param now the time on the leader's clock
+     * @return true if it may be given more
+     */
+    boolean given(WorkerEntry worker, long now) {
+        boolean trusted = worker.getFailuresInRow() < MOST_FAILURES;
+        if (!trusted) {
+            worker.avoidUntil(now + TRIAL_MILLIS);
+        }
+        return trusted;
+    }
+
     /**
      * Lists the workers that may be given new runs.
      *
--- a/src/test/java/org/standlink/cell/TestReportDesk.java
+++ b/src/test/java/org/standlink/cell/TestReportDesk.java
@@ -35,6 +35,7 @@
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.store.Topic;
 import org.standlink.wire.AgentReport;
+import org.standlink.wire.ImageShare;
 import org.standlink.wire.WorkerReport;
 
 /** Tests what reports of agents do to the state, and what agents are told and when. */
@@ -166,4 +167,42 @@
         assertNull(tasks.get(0).getWorker());
         assertNull(workers.find(id));
     }
+
+    private List<RunProgress> progress() {
+        return tasks.stream().map(task -> new RunProgress(task.getRun(), "", 10, 0)).toList();
+    }
+
+    private boolean isAtWork() {
+        return tasks.get(0).isAtWork();
+    }
+
+    @Test
+    public void aRunThatStandsStillIsStopped() {
+        report(false, progress());
+        clock.advance(2000);
+        report(false, progress());
+        reports.stopStalled();
+        assertEquals(false, isAtWork());
+    }
+
+    @Test
+    public void aRunIsNotTakenToStandStillBecauseItsAgentIsSilent() {
+        report(false, progress());
+        clock.advance(5000);
+        reports.stopStalled();
+        assertEquals(true, isAtWork());
+    }
+
+    @Test
+    public void aThrottledRunIsNotTakenToStandStill() {
+        report(false, progress());
+        clock.advance(5000);
+        report(false, progress());
+        String image = tasks.get(0).getStep().image();
+        workers.find(WORKER.id())
+                .getFigures()
+                .throttled(List.of(new ImageShare(image, 0)), clock.nowMillis());
+        reports.stopStalled();
+        assertEquals(true, isAtWork());
+    }
 }
--- a/src/test/java/org/standlink/cell/TestScheduler.java
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -24,6 +24,7 @@
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.StepDefinition;
+import org.standlink.job.WorkerId;
 import org.standlink.policy.HarmTable;
 
 /** Tests which task gets which worker, and which has to wait. */
@@ -170,4 +171,29 @@
         assertEquals(
                 7000, restored.getAcceptedAt(), "a clock that was put back makes no job young");
     }
+
+    @Test
+    public void aWorkerThatFailsWhatItStartsIsTriedWithOneTaskOnly() {
+        WorkerEntry failing = worker("i-1", 8);
+        for (int i = 0; i < 3; i++) {
+            workers.judge(failing, false, NOW);
+        }
+        add("a", CellFixtures.step(8, List.of(), 0, false));
+        assertTrue(schedule(NOW + 1000).isEmpty());
+        assertEquals(1, schedule(NOW + 3000).size());
+        assertTrue(schedule(NOW + 3500).isEmpty());
+    }
+
+    @Test
+    public void aTaskThatFailedGoesToAWorkerThatDoesNot() {
+        WorkerEntry doubtful = worker("i-1", 64);
+        WorkerEntry sound = worker("i-2", 4);
+        JobEntry job = add("a", CellFixtures.step(1, List.of(), 0, false));
+        workers.judge(doubtful, false, NOW);
+        TaskEntry task = job.readyTasks(0).get(0);
+        WorkerId gone = WorkerId.parse("i-3");
+        task.assign(gone);
+        task.end(gone, new RunEnd(1, task.getRun(), RunEndKind.FAILED, ""));
+        assertEquals(sound.getId(), schedule(NOW).get(0).getWorker());
+    }
 }
