Begin an image that is not known beside serving runs with half of its time

Also: an image that left a worker keeps no old share for its return. Tests: TestThrottlePolicy, two more; one now says that its image is believed harmless, since it begins with its full share only then.

--- a/src/main/java/org/standlink/runner/ThrottlePolicy.java
+++ b/src/main/java/org/standlink/runner/ThrottlePolicy.java
@@ -39,6 +39,12 @@
     /** The first share of an image beside one that it is believed to harm, in percent. */
     private static final int FIRST_HARMFUL = 15;
 
+    /**
+     * The first share of an image beside one of which it is not known whether it harms it, in
+     * percent: its tail shows it within half a second, and users are served for the whole of it.
+     */
+    private static final int FIRST_UNKNOWN = 50;
+
     /** The share of its target above which a tail is too long. */
     private static final double HIGH = 0.9;
 
@@ -97,6 +103,7 @@
     void decide(Map<String, Double> tails, Set<String> bestEffort, long now) {
         serving = new HashSet<>(tails.keySet());
         noteOver(tails, now);
+        shares.keySet().retainAll(bestEffort);
         boolean blamed =
                 tails.entrySet().stream()
                         .filter(tail -> tail.getValue() > HIGH)
@@ -124,7 +131,11 @@
         if (share != null) {
             return share;
         }
-        return harmOf(image) >= HarmTable.HARMFUL ? FIRST_HARMFUL : FULL;
+        double belief = harmOf(image);
+        if (belief >= HarmTable.HARMFUL) {
+            return FIRST_HARMFUL;
+        }
+        return belief >= HarmTable.HARMLESS ? FIRST_UNKNOWN : FULL;
     }
 
     // -----------------------------------------------------------------------
--- a/src/test/java/org/standlink/runner/TestThrottlePolicy.java
+++ b/src/test/java/org/standlink/runner/TestThrottlePolicy.java
@@ -50,6 +50,7 @@
     public void allArePacedWhenNobodyIsSuspected() {
         believe("s", "one", 0.05);
         believe("s", "two", 0.05);
+        throttling.decide(Map.of("s", 0.5), Set.of("one", "two"), now += 400);
         throttling.decide(Map.of("s", 2.0), Set.of("one", "two"), now += 400);
         assertEquals(40, throttling.getShare("one"));
         assertEquals(40, throttling.getShare("two"));
@@ -57,6 +58,7 @@
 
     @Test
     public void sharesComeBackOnceTheTailIsShort() {
+        believe("s", "f", 0.05);
         for (int i = 0; i < 3; i++) {
             throttling.decide(Map.of("s", 9.0), Set.of("f"), now += 400);
         }
@@ -90,4 +92,24 @@
         throttling.decide(Map.of(), Set.of("f"), now += 400);
         assertEquals(ThrottlePolicy.FULL, throttling.getShare("f"));
     }
+
+    @Test
+    public void anImageThatIsNotKnownBeginsWithHalf() {
+        believe("s", "good", 0.05);
+        believe("s", "bad", 0.9);
+        throttling.decide(Map.of("s", 0.8), Set.of(), now += 400);
+        assertEquals(ThrottlePolicy.FULL, throttling.getShare("good"));
+        assertEquals(50, throttling.getShare("unknown"));
+        assertEquals(15, throttling.getShare("bad"));
+    }
+
+    @Test
+    public void anImageThatLeftBeginsAnew() {
+        believe("s", "good", 0.05);
+        for (int i = 0; i < 3; i++) {
+            throttling.decide(Map.of("s", 9.0), Set.of("good"), now += 400);
+        }
+        throttling.decide(Map.of("s", 0.8), Set.of(), now += 400);
+        assertEquals(ThrottlePolicy.FULL, throttling.getShare("good"));
+    }
 }
