Find a leader without answers or without the store within two seconds

Change: the silence of the store is counted from the first sign; a leader writes every 250 ms, so that 600 ms are two of its records for one that is gone from its address and 1.2 s four. Tests: TestCandidate, three more, two failing before.

--- a/src/main/java/org/standlink/cell/CommitQueue.java
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -44,9 +44,10 @@
 
     /**
      * The most time between two appends, in milliseconds: four of them fit in the silence after
-     * which a leader is replaced.
+     * which a leader is replaced; two more calls a second than half as many would be are a
+     * hundredth of all calls.
      */
-    static final long HEARTBEAT_MILLIS = 500;
+    static final long HEARTBEAT_MILLIS = 250;
 
     /** How long an append may take before new work is refused, in milliseconds. */
     static final long STALLED_MILLIS = 700;
--- a/src/main/java/org/standlink/election/Candidate.java
+++ b/src/main/java/org/standlink/election/Candidate.java
@@ -34,25 +34,30 @@
  */
 public final class Candidate implements LeaderObserver {
 
+    /**
+     * After how long without an answer, or without a record that the leader could keep, the store
+     * is watched, in milliseconds: an agent hears from its leader every 500 ms.
+     */
+    static final long WATCH_MILLIS = 600;
+
     /** After how long without an answer a leader is suspected, in milliseconds: two heartbeats. */
     static final long SUSPECT_MILLIS = 1100;
 
     /**
-     * How long the store must be without a record of a suspected leader, in milliseconds: three of
-     * its heartbeats; a store that is slowed sixtyfold answers within one.
+     * How long the store must be without a record of a suspected leader, in milliseconds: four of
+     * its records; in a store that is slowed seventyfold one takes half of it.
      */
-    static final long SILENCE_MILLIS = 1500;
+    static final long SILENCE_MILLIS = 1200;
 
     /**
      * How long the store must be without a record of a leader that is gone from its address, in
-     * milliseconds: two of its heartbeats, in case it is cut off from this process only.
+     * milliseconds: two of its records, in case it is cut off from this process only.
      */
-    static final long GONE_MILLIS = 1000;
+    static final long GONE_MILLIS = 600;
 
     /**
-     * How long the store must be without a record of a leader that says it has no store, in
-     * milliseconds: after an outage for all, the leader's next try comes within one call and a
-     * pause.
+     * For how long a leader must have had no store to be replaced, in milliseconds; after an outage
+     * for all, its next try comes within one call and a pause.
      */
     static final long STORELESS_MILLIS = 1500;
 
@@ -86,8 +91,8 @@
     /** The end of the cell's topic since then; guarded by this. */
     private long quietEnd;
 
-    /** Whether the leader has said that it has no store; guarded by this. */
-    private boolean storeless;
+    /** For how long the leader said that it has had no store, in milliseconds; guarded by this. */
+    private long storeSilent;
 
     /** Whether nobody leads at the leader's address; guarded by this. */
     private boolean gone;
@@ -128,17 +133,17 @@
             newest = claim;
             quietSince = -1;
             gone = false;
-            storeless = false;
+            storeSilent = 0;
         }
     }
 
     @Override
     public synchronized void leaderAnswered(long storeSilentMillis) {
-        storeless = storeSilentMillis >= STORELESS_MILLIS;
-        if (!storeless) {
-            leaderSeen = clock.nowMillis();
+        leaderSeen = clock.nowMillis();
+        storeSilent = storeSilentMillis;
+        gone = false;
+        if (storeSilent < WATCH_MILLIS) {
             quietSince = -1;
-            gone = false;
         }
     }
 
@@ -151,8 +156,7 @@
     public void tick() {
         synchronized (this) {
             boolean leads = newest.isHeld() && newest.holder().equals(self);
-            boolean seen = !gone && !storeless && clock.nowMillis() - leaderSeen < SUSPECT_MILLIS;
-            if (asking || leads || claimsRead.getAsLong() < 0 || newest.isHeld() && seen) {
+            if (asking || leads || claimsRead.getAsLong() < 0 || !isToBeWatched()) {
                 return;
             }
             asking = true;
@@ -170,6 +174,21 @@
     }
 
     // -----------------------------------------------------------------------
+    private boolean isToBeWatched() {
+        return !newest.isHeld()
+                || gone
+                || storeSilent >= WATCH_MILLIS
+                || clock.nowMillis() - leaderSeen >= WATCH_MILLIS;
+    }
+
+    /** Decides by how long the store has been without a record of the leader. */
+    private boolean isToBeReplaced(long quietMillis) {
+        boolean suspected = clock.nowMillis() - leaderSeen >= SUSPECT_MILLIS;
+        return gone && quietMillis >= GONE_MILLIS
+                || suspected && quietMillis >= SILENCE_MILLIS
+                || storeSilent >= STORELESS_MILLIS && quietMillis >= SILENCE_MILLIS;
+    }
+
     private synchronized void judge(Long end, Throwable failure) {
         asking = false;
         if (failure != null) {
@@ -181,19 +200,12 @@
         if (quietSince < 0 || end != quietEnd) {
             quietSince = now;
             quietEnd = end;
-        } else if (now - quietSince >= quietNeeded()) {
+        } else if (isToBeReplaced(now - quietSince)) {
             asking = true;
             claim("silent for " + (now - quietSince) + " ms");
         }
     }
 
-    private long quietNeeded() {
-        if (gone) {
-            return GONE_MILLIS;
-        }
-        return storeless ? STORELESS_MILLIS : SILENCE_MILLIS;
-    }
-
     private void claim(String reason) {
         Claim claim = new Claim(newest.epoch().next(), address, self);
         LOG.info("claim").with("epoch", claim.epoch()).with("reason", reason).write();
--- a/src/test/java/org/standlink/election/TestCandidate.java
+++ b/src/test/java/org/standlink/election/TestCandidate.java
@@ -146,4 +146,32 @@
         candidate.tick();
         assertEquals(3, claims());
     }
+
+    @Test
+    public void replacesALeaderThatFallsSilentWithinTwoSeconds() {
+        candidate.leaderAnswered(0);
+        tickFor(2000, false, false);
+        assertEquals(2, claims());
+    }
+
+    @Test
+    public void replacesALeaderThatHasNoStoreWithinTwoSeconds() {
+        for (long silent = 0; silent <= 2000; silent += 100) {
+            clock.advance(100);
+            candidate.leaderAnswered(silent);
+            candidate.tick();
+        }
+        assertEquals(2, claims());
+    }
+
+    @Test
+    public void neverClaimsWhileALeaderWritesThoughItSaysThatItHasNoStore() {
+        for (int i = 0; i < 50; i++) {
+            clock.advance(100);
+            store.records(Topic.CELL).add(BEAT);
+            candidate.leaderAnswered(2000);
+            candidate.tick();
+        }
+        assertEquals(1, claims());
+    }
 }
