List beliefs for an agent only when they have changed

Each report made the whole list anew to compare it; with 180 pairs and some hundred reports a second that is work for nothing (by reading; not measured as a limit). Test: TestHarmTable.

--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -77,8 +77,8 @@
     /** What is believed of images. */
     private final HarmTable harm;
 
-    /** What each agent has been told of it. */
-    private final Map<Connection, List<HarmTable.Entry>> told = new WeakHashMap<>();
+    /** Up to which change of it each agent has been told. */
+    private final Map<Connection, Long> told = new WeakHashMap<>();
 
     /** The jobs that have changed since they were taken last. */
     private Set<JobEntry> touched = new LinkedHashSet<>();
@@ -247,8 +247,9 @@
      * @return the beliefs, empty if they have not changed
      */
     List<HarmTable.Entry> harmFor(Connection agent) {
-        List<HarmTable.Entry> present = harm.list();
-        return present.equals(told.put(agent, present)) ? List.of() : present;
+        long version = harm.getVersion();
+        Long before = told.put(agent, version);
+        return before != null && before == version ? List.of() : harm.list();
     }
 
     private void saveProgress(RunProgress progress) {
--- a/src/main/java/org/standlink/policy/HarmTable.java
+++ b/src/main/java/org/standlink/policy/HarmTable.java
@@ -80,6 +80,9 @@
     /** The beliefs, by serving and then best-effort image; guarded by this. */
     private final Map<String, Map<String, Double>> beliefs = new TreeMap<>();
 
+    /** How often the rounded beliefs have changed; guarded by this. */
+    private long version;
+
     /**
      * Learns from one sample of a worker.
      *
@@ -120,7 +123,24 @@
     }
 
     private void put(String serving, String bestEffort, double belief) {
-        beliefs.computeIfAbsent(serving, key -> new TreeMap<>()).put(bestEffort, belief);
+        Double before =
+                beliefs.computeIfAbsent(serving, key -> new TreeMap<>()).put(bestEffort, belief);
+        if (before == null || round(before) != round(belief)) {
+            version++;
+        }
+    }
+
+    private static double round(double belief) {
+        return Math.round(belief / STEP) * STEP;
+    }
+
+    /**
+     * Gets the number of changes that {@link #list} shows.
+     *
+     * @return the number, which rises
+     */
+    public synchronized long getVersion() {
+        return version;
     }
 
     /**
@@ -155,8 +175,7 @@
                 (serving, row) ->
                         row.forEach(
                                 (bestEffort, belief) -> {
-                                    double rounded = Math.round(belief / STEP) * STEP;
-                                    all.add(new Entry(serving, bestEffort, rounded));
+                                    all.add(new Entry(serving, bestEffort, round(belief)));
                                 }));
         return all;
     }
--- a/src/test/java/org/standlink/policy/TestHarmTable.java
+++ b/src/test/java/org/standlink/policy/TestHarmTable.java
@@ -65,4 +65,15 @@
         assertEquals(0.9, table.get("s", "f"), 1e-9);
         assertEquals(List.of(new HarmTable.Entry("s", "f", 0.9)), table.list());
     }
+
+    @Test
+    public void theVersionRisesOnlyWithWhatIsListed() {
+        HarmTable table = new HarmTable();
+        table.tell(List.of(new HarmTable.Entry("s", "b", 0.5)));
+        long version = table.getVersion();
+        table.tell(List.of(new HarmTable.Entry("s", "b", 0.51)));
+        assertEquals(version, table.getVersion());
+        table.tell(List.of(new HarmTable.Entry("s", "b", 0.9)));
+        assertEquals(version + 1, table.getVersion());
+    }
 }
