--- a/src/main/java/org/standlink/command/PlatformAgentCommand.java
+++ b/src/main/java/org/standlink/command/PlatformAgentCommand.java
@@ -103,6 +103,14 @@
                         base.getLoop(),
                         self,
                         leader);
+        // Reading begins before the servers are made, which takes about half of a start.
+        base.followConfiguration(seat::offer);
+        claims =
+                base.followClaims(
+                        claim -> {
+                            candidate.claimed(claim);
+                            seat.claimed(claim);
+                        });
         new WireServer(
                 settings.listen(),
                 base.getExecutor(),
@@ -114,13 +122,6 @@
                 new HttpService(
                         settings.metrics(), ProcessThreads.newBounded("metrics", SIDE_THREADS));
         HealthApi.addTo(metrics, base.getRegistry(), () -> true);
-        base.followConfiguration(seat::offer);
-        claims =
-                base.followClaims(
-                        claim -> {
-                            candidate.claimed(claim);
-                            seat.claimed(claim);
-                        });
         agent.start();
         base.getLoop()
                 .scheduleWithFixedDelay(
--- a/src/main/java/org/standlink/command/PlatformEntryCommand.java
+++ b/src/main/java/org/standlink/command/PlatformEntryCommand.java
@@ -59,6 +59,9 @@
                 new LeaderLink(
                         base.getExecutor(), (connection, call, message) -> {}, base.getClock());
         JobGateway gateway = new JobGateway(leader, base.getClock(), base.getRegistry());
+        // Reading begins before the servers are made, which takes about half of a start.
+        base.followConfiguration(gateway::offer);
+        base.followClaims(claim -> noteClaim(leader, claim));
         ConnectionDrain drain = new ConnectionDrain(base.getClock());
         new CallerHttp(
                 settings.callers(),
@@ -73,8 +76,6 @@
                 new HttpService(
                         settings.metrics(), ProcessThreads.newBounded("metrics", SIDE_THREADS));
         HealthApi.addTo(metrics, base.getRegistry(), gateway::isReady);
-        base.followConfiguration(gateway::offer);
-        base.followClaims(claim -> noteClaim(leader, claim));
         return serveUntilStopped(() -> drain(drain, settings));
     }
 
