Spread best-effort runs that may harm, and let no crowd of them form beside serving ones

Ruled out: pairs that always harm (the median tail beside any one image is near that without it). Test: TestScheduler.

--- a/src/main/java/org/standlink/cell/LeastAskedPlacement.java
+++ b/src/main/java/org/standlink/cell/LeastAskedPlacement.java
@@ -16,7 +16,6 @@
 package org.standlink.cell;
 
 import java.util.Collection;
-import java.util.List;
 import org.standlink.Resources;
 import org.standlink.job.StepDefinition;
 import org.standlink.policy.HarmTable;
@@ -72,8 +71,18 @@
      */
     private static final double TIGHT_TAIL = 0.8;
 
+    /**
+     * The share of a worker's processors that runs which may harm serving ones may ask for
+     * together, each weighted by what is believed: by the sheets an image lengthens tails up to
+     * fivefold when it has all processors, and tails are at about half of their target without it.
+     */
+    private static final double MOST_PRESSURE = 0.15;
+
+    /** What such runs there cost a further one, for each core so weighted. */
+    private static final double PRESSURE_WEIGHT = 4;
+
     /** What is believed of images. */
-    private final HarmTable harm;
+    private final WorkerHarm harm;
 
     /**
      * Constructor.
@@ -81,7 +90,7 @@
      * @param harm what is believed of images
      */
     LeastAskedPlacement(HarmTable harm) {
-        this.harm = harm;
+        this.harm = new WorkerHarm(harm);
     }
 
     @Override
@@ -107,9 +116,18 @@
     @Override
     public boolean isGentle(TaskEntry task, WorkerEntry worker) {
         double belief = harm(task, worker);
-        boolean tight =
-                worker.getFigures().getWorstTail() > TIGHT_TAIL && belief >= HarmTable.HARMLESS;
-        return !tight && belief < HarmTable.HARMFUL;
+        if (belief < HarmTable.HARMLESS) {
+            return true;
+        }
+        boolean tight = worker.getFigures().getWorstTail() > TIGHT_TAIL;
+        return !tight && belief < HarmTable.HARMFUL && !isCrowded(task, worker, belief);
+    }
+
+    private boolean isCrowded(TaskEntry task, WorkerEntry worker, double belief) {
+        double more = belief * task.getStep().demand().milliCores();
+        long capacity = worker.getDescription().capacity().milliCores();
+        double before = harm.getPressure(worker);
+        return before > 0 && before + more > MOST_PRESSURE * capacity;
     }
 
     // -----------------------------------------------------------------------
@@ -136,19 +154,8 @@
         return capacity - serving - worker.getBatchMilliCores();
     }
 
-    private static List<StepDefinition> serving(WorkerEntry worker) {
-        return worker.listTasks().stream()
-                .map(TaskEntry::getStep)
-                .filter(StepDefinition::longRunning)
-                .toList();
-    }
-
     private double harm(TaskEntry task, WorkerEntry worker) {
-        return serving(worker).stream()
-                .filter(step -> step.targetMillis() > 0)
-                .mapToDouble(step -> harm.get(step.image(), task.getStep().image()))
-                .max()
-                .orElse(0);
+        return harm.of(task.getStep().image(), worker);
     }
 
     private long apartScore(TaskEntry task, WorkerEntry worker) {
@@ -159,7 +166,10 @@
             return 0;
         }
         double belief = harm(task, worker);
-        return belief < HarmTable.HARMLESS ? BESIDE_BONUS : -(long) (belief * HARM_PENALTY);
+        if (belief < HarmTable.HARMLESS) {
+            return BESIDE_BONUS;
+        }
+        return -(long) (belief * HARM_PENALTY + harm.getPressure(worker) * PRESSURE_WEIGHT);
     }
 
     private static long failurePenalty(TaskEntry task, WorkerEntry worker) {
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -42,6 +42,9 @@
     /** The tasks whose last run may be there. */
     private final Map<TaskName, TaskEntry> tasks = new LinkedHashMap<>();
 
+    /** How often these have changed. */
+    private long taskChanges;
+
     /** What these take of its room. */
     private Resources taken = Resources.NONE;
 
@@ -147,6 +150,7 @@
     }
 
     private void count(TaskEntry task, int sign) {
+        taskChanges++;
         StepDefinition step = task.getStep();
         taken = sign > 0 ? taken.plus(step.room()) : taken.minus(step.room());
         long asked = sign * step.demand().milliCores();
@@ -157,6 +161,15 @@
         }
     }
 
+    /**
+     * Gets how often the tasks there have changed.
+     *
+     * @return the number, which rises
+     */
+    long getTaskChanges() {
+        return taskChanges;
+    }
+
     /**
      * Works out what is free.
      *
--- a/src/main/java/org/standlink/policy/HarmTable.java
+++ b/src/main/java/org/standlink/policy/HarmTable.java
@@ -17,9 +17,9 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.TreeMap;
 
 /**
  * Learns which best-effort images lengthen the tail of which serving images, pair by pair.
@@ -78,7 +78,7 @@
     public record Entry(String serving, String bestEffort, double belief) {}
 
     /** The beliefs, by serving and then best-effort image; guarded by this. */
-    private final Map<String, Map<String, Double>> beliefs = new TreeMap<>();
+    private final Map<String, Map<String, Double>> beliefs = new HashMap<>();
 
     /** How often the rounded beliefs have changed; guarded by this. */
     private long version;
@@ -124,7 +124,7 @@
 
     private void put(String serving, String bestEffort, double belief) {
         Double before =
-                beliefs.computeIfAbsent(serving, key -> new TreeMap<>()).put(bestEffort, belief);
+                beliefs.computeIfAbsent(serving, key -> new HashMap<>()).put(bestEffort, belief);
         if (before == null || round(before) != round(belief)) {
             version++;
         }
--- a/src/test/java/org/standlink/cell/TestScheduler.java
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -196,4 +196,20 @@
         task.end(gone, new RunEnd(1, task.getRun(), RunEndKind.FAILED, ""));
         assertEquals(sound.getId(), schedule(NOW).get(0).getWorker());
     }
+
+    @Test
+    public void runsThatMayHarmAreSpreadAndDoNotCrowdAWorker() {
+        WorkerEntry one = worker("i-1", 32);
+        WorkerEntry two = worker("i-2", 32);
+        add("s1", CellFixtures.serving("s", 30));
+        add("s2", CellFixtures.serving("s", 30));
+        schedule(NOW);
+        harm.tell(List.of(new HarmTable.Entry("s", "b", 0.5)));
+        for (int i = 0; i < 6; i++) {
+            add("b" + i, CellFixtures.bestEffort("b", 4));
+        }
+        assertEquals(4, schedule(NOW).size());
+        assertEquals(3, one.listTasks().size());
+        assertEquals(3, two.listTasks().size());
+    }
 }
