--- a/src/main/java/org/standlink/runner/ThrottlePolicy.java
+++ b/src/main/java/org/standlink/runner/ThrottlePolicy.java
@@ -70,7 +70,16 @@
     private static final int MORE = 25;
 
     /** The same for an image that is believed to harm. */
-    private static final int MORE_HARMFUL = 4;
+    private static final int MORE_HARMFUL = 8;
+
+    /**
+     * The share up to which one is raised a little also beside a tail between the two, in percent:
+     * such a tail is not the doing of an image that hardly works.
+     */
+    private static final int SMALL = 30;
+
+    /** What is added then, in percent. */
+    private static final int MORE_SMALL = 5;
 
     /** The beliefs. */
     private final HarmTable harm;
@@ -182,6 +191,6 @@
             int more = harmful >= HarmTable.HARMFUL ? MORE_HARMFUL : MORE;
             return Math.min(FULL, share + more);
         }
-        return share;
+        return share < SMALL ? share + MORE_SMALL : share;
     }
 }
--- a/src/test/java/org/standlink/runner/TestThrottlePolicy.java
+++ b/src/test/java/org/standlink/runner/TestThrottlePolicy.java
@@ -112,4 +112,16 @@
         throttling.decide(Map.of("s", 0.8), Set.of(), now += 400);
         assertEquals(ThrottlePolicy.FULL, throttling.getShare("good"));
     }
+
+    @Test
+    public void aSmallShareGrowsBesideATailThatIsNotItsDoing() {
+        believe("s", "bad", 0.9);
+        throttling.decide(Map.of("s", 0.95), Set.of("bad"), now += 400);
+        assertEquals(6, throttling.getShare("bad"));
+        for (int i = 0; i < 10; i++) {
+            throttling.decide(Map.of("s", 0.8), Set.of("bad"), now += 400);
+        }
+        assertTrue(throttling.getShare("bad") >= 30);
+        assertTrue(throttling.getShare("bad") < 40);
+    }
 }
