--- a/src/main/java/org/standlink/process/Timers.java
+++ b/src/main/java/org/standlink/process/Timers.java
@@ -16,12 +16,18 @@
 package org.standlink.process;
 
 import io.micrometer.core.instrument.MeterRegistry;
+import java.util.Set;
+import java.util.concurrent.CompletionException;
+import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
 
 /**
- * Runs work again and again; a failure is counted and the work goes on the next time.
+ * Runs work again and again; a failure is counted and the work goes on the next time. When
+ * something that it depends on is lost or regained, one line says so.
  *
  * <p>{@code Timers} is thread-safe.
  */
@@ -30,6 +36,12 @@
     /** The log of defects. */
     private static final System.Logger LOGGER = System.getLogger(Timers.class.getName());
 
+    /** The code under which defects are counted. */
+    private static final String DEFECT = "DEFECT";
+
+    /** The work that failed the last time. */
+    private final Set<String> failing = ConcurrentHashMap.newKeySet();
+
     /** The threads. */
     private final ScheduledExecutorService scheduler;
 
@@ -72,14 +84,42 @@
     private void run(String name, Runnable work) {
         try {
             work.run();
+            succeeded(name);
         } catch (StandlinkException failure) {
-            count(name, failure.getCode().name());
+            failed(name, failure.getCode().name(), failure);
+        } catch (CompletionException lost) {
+            failed(name, codeOf(lost), lost.getCause());
         } catch (RuntimeException defect) {
-            count(name, "DEFECT");
+            count(name, DEFECT);
             LOGGER.log(System.Logger.Level.ERROR, "defect in " + name, defect);
         }
     }
 
+    /** Says so once when work that failed goes well again. */
+    private void succeeded(String name) {
+        if (failing.remove(name)) {
+            LOGGER.log(System.Logger.Level.INFO, name + " goes well again");
+        }
+    }
+
+    /** Counts a failure of something that this process depends on, and says so the first time. */
+    private void failed(String name, String code, Throwable cause) {
+        count(name, code);
+        if (failing.add(name)) {
+            LOGGER.log(
+                    System.Logger.Level.INFO,
+                    name + " fails and is repeated: " + code + ", " + cause);
+        }
+    }
+
+    private static String codeOf(CompletionException lost) {
+        Throwable cause = lost.getCause();
+        if (cause instanceof StandlinkException known) {
+            return known.getCode().name();
+        }
+        return cause instanceof TimeoutException ? ErrorCode.TIMEOUT.name() : DEFECT;
+    }
+
     private void count(String name, String code) {
         registry.counter(counter, "work", name, "code", code).increment();
     }
