Refuse a body that is announced as too long at once, by the limit in force; check how long a caller says it waits

On the users' platform the limit was a constant, not the configuration's. Change: 413 with the limit and a closed connection, before anything is read; 400 that names header, range and unit.

--- a/src/main/java/org/standlink/entry/CallerServer.java
+++ b/src/main/java/org/standlink/entry/CallerServer.java
@@ -29,6 +29,7 @@
 import java.util.TreeMap;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
 import org.standlink.TeamId;
 import org.standlink.bundle.Bundle;
@@ -38,6 +39,7 @@
 import org.standlink.policy.ConcurrencyLimiter;
 import org.standlink.process.ConnectionDrain;
 import org.standlink.process.HttpService;
+import org.standlink.process.RequestBody;
 
 /**
  * Takes callers' requests over HTTP, limits them per class and team, and answers each at once when
@@ -71,6 +73,12 @@
     /** The longest body taken, in bytes. */
     private static final int MOST_BODY_BYTES = 8 * 1024 * 1024;
 
+    /** The HTTP status of a request with too long a body. */
+    private static final int TOO_LONG = 413;
+
+    /** The longest that a caller may say it waits, in milliseconds: an hour. */
+    private static final long MOST_WAIT_MILLIS = 3_600_000;
+
     /** The HTTP status of a wrong request. */
     private static final int BAD_REQUEST = 400;
 
@@ -168,8 +176,11 @@
         drain.begin(connection);
         try (exchange) {
             long start = System.nanoTime();
-            byte[] body = exchange.getRequestBody().readNBytes(MOST_BODY_BYTES + 1);
-            RoutedAnswer answer = answer(exchange, body, start);
+            Optional<byte[]> body = RequestBody.read(exchange, MOST_BODY_BYTES);
+            RoutedAnswer answer =
+                    body.isEmpty()
+                            ? tooLong(exchange)
+                            : answer(exchange, body.orElseThrow(), start);
             write(exchange, answer);
         } finally {
             drain.end(connection);
@@ -177,9 +188,6 @@
     }
 
     private RoutedAnswer answer(HttpExchange exchange, byte[] body, long start) {
-        if (body.length > MOST_BODY_BYTES) {
-            return bad("the body is longer than " + MOST_BODY_BYTES + " bytes");
-        }
         Bundle bundle = holder.getBundle();
         if (bundle == null) {
             return RoutedAnswer.ofNotRun("the entry has no bundle yet", 0);
@@ -187,8 +195,8 @@
         CallerRequest request;
         try {
             request = read(exchange, body);
-        } catch (StandlinkException | NumberFormatException wrong) {
-            return bad(wrong.getMessage());
+        } catch (StandlinkException wrong) {
+            return refusal(BAD_REQUEST, wrong.getMessage());
         }
         Optional<MatchedRequest> matched = MatchedRequest.match(request, bundle);
         if (matched.isEmpty()) {
@@ -199,10 +207,36 @@
         return answer;
     }
 
-    private static RoutedAnswer bad(String reason) {
+    /** What was not read of the body would be taken for the next request. */
+    private static RoutedAnswer tooLong(HttpExchange exchange) {
+        exchange.getResponseHeaders().set("Connection", "close");
+        return refusal(TOO_LONG, "the body is longer than " + MOST_BODY_BYTES + " bytes");
+    }
+
+    private static RoutedAnswer refusal(int status, String reason) {
         RoutedAnswer notRun = RoutedAnswer.ofNoService(reason);
         return new RoutedAnswer(
-                notRun.outcome(), BAD_REQUEST, notRun.headers(), notRun.body(), reason, 0, null);
+                notRun.outcome(), status, notRun.headers(), notRun.body(), reason, 0, null);
+    }
+
+    /** Reads how long a caller waits. */
+    static long waitMillis(String header) {
+        if (header == null) {
+            return 0;
+        }
+        long millis = -1;
+        try {
+            millis = Long.parseLong(header.trim());
+        } catch (NumberFormatException malformed) {
+            // It stays out of range and is refused below.
+        }
+        if (millis < 1 || millis > MOST_WAIT_MILLIS) {
+            throw new StandlinkException(
+                    ErrorCode.INVALID_MESSAGE,
+                    WAIT_HEADER + " is '" + header + "'",
+                    "write whole milliseconds, 1 to " + MOST_WAIT_MILLIS);
+        }
+        return millis;
     }
 
     private static CallerRequest read(HttpExchange exchange, byte[] body) {
@@ -210,14 +244,13 @@
         Map<String, String> passed = new TreeMap<>(String.CASE_INSENSITIVE_ORDER);
         headers.forEach((name, values) -> passed.put(name, String.join(", ", values)));
         String team = headers.getFirst(TEAM_HEADER);
-        String wait = headers.getFirst(WAIT_HEADER);
         return new CallerRequest(
                 exchange.getRequestMethod(),
                 exchange.getRequestURI().toString(),
                 exchange.getRequestURI().getPath(),
                 team == null ? NO_TEAM : TeamId.parse(team),
                 headers.getFirst(KEY_HEADER),
-                wait == null ? 0 : Math.max(1, Long.parseLong(wait)),
+                waitMillis(headers.getFirst(WAIT_HEADER)),
                 passed,
                 body);
     }
--- a/src/main/java/org/standlink/gateway/JobGateway.java
+++ b/src/main/java/org/standlink/gateway/JobGateway.java
@@ -18,6 +18,7 @@
 import io.micrometer.core.instrument.MeterRegistry;
 import io.micrometer.core.instrument.Timer;
 import java.util.Optional;
+import java.util.OptionalInt;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
@@ -112,6 +113,16 @@
         return configuration.get().version() > 0;
     }
 
+    /**
+     * Gets the longest body that the configuration in force allows.
+     *
+     * @return the limit in bytes, empty if there is none
+     */
+    public OptionalInt getMostBodyBytes() {
+        int most = configuration.get().mostBodyBytes();
+        return most > 0 ? OptionalInt.of(most) : OptionalInt.empty();
+    }
+
     /**
      * Answers a caller.
      *
--- a/src/main/java/org/standlink/platform/CallerHttp.java
+++ b/src/main/java/org/standlink/platform/CallerHttp.java
@@ -21,6 +21,7 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.Locale;
+import java.util.Optional;
 import java.util.concurrent.Executor;
 import org.standlink.JobId;
 import org.standlink.StandlinkException;
@@ -29,6 +30,7 @@
 import org.standlink.gateway.JobReply;
 import org.standlink.process.ConnectionDrain;
 import org.standlink.process.HttpService;
+import org.standlink.process.RequestBody;
 
 /**
  * Takes callers' jobs and questions over HTTP.
@@ -45,8 +47,8 @@
      */
     private static final long DEADLINE_MILLIS = 3000;
 
-    /** The longest body read, in bytes; twice what an operator has allowed so far. */
-    private static final int MOST_BODY_BYTES = 512 * 1024;
+    /** The longest body read before there is a configuration, in bytes; what operators allow. */
+    private static final int MOST_BODY_BYTES = 256 * 1024;
 
     /** The server. */
     private final HttpServer server;
@@ -77,6 +79,15 @@
         server.start();
     }
 
+    /**
+     * Gets the port listened on.
+     *
+     * @return the port
+     */
+    public int getPort() {
+        return server.getAddress().getPort();
+    }
+
     @Override
     public void close() {
         server.stop(0);
@@ -87,17 +98,22 @@
         Object connection = exchange.getRemoteAddress();
         drain.begin(connection);
         try (exchange) {
-            byte[] body = exchange.getRequestBody().readNBytes(MOST_BODY_BYTES + 1);
+            int most = gateway.getMostBodyBytes().orElse(MOST_BODY_BYTES);
+            Optional<byte[]> body = RequestBody.read(exchange, most);
             JobReply reply =
-                    body.length > MOST_BODY_BYTES
-                            ? JobReply.of(413, "the body is longer than " + MOST_BODY_BYTES)
-                            : reply(exchange, body);
+                    body.isEmpty() ? tooLong(exchange, most) : reply(exchange, body.orElseThrow());
             write(exchange, reply);
         } finally {
             drain.end(connection);
         }
     }
 
+    /** What was not read of the body would be taken for the next request. */
+    private static JobReply tooLong(HttpExchange exchange, int most) {
+        exchange.getResponseHeaders().set("Connection", "close");
+        return JobReply.of(413, "the body is longer than " + most + " bytes; send a shorter one");
+    }
+
     private JobReply reply(HttpExchange exchange, byte[] body) {
         String host = exchange.getRequestHeaders().getFirst("Host");
         String path = exchange.getRequestURI().getPath();
--- /dev/null
+++ b/src/test/java/org/standlink/entry/TestCallerServer.java
@@ -0,0 +1,46 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.entry;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertThrows;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.ValueSource;
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+
+/** Tests how a caller's header is read. */
+public class TestCallerServer {
+
+    @Test
+    public void aCallerMaySayHowLongItWaits() {
+        assertEquals(0, CallerServer.waitMillis(null));
+        assertEquals(250, CallerServer.waitMillis(" 250 "));
+    }
+
+    @ParameterizedTest
+    @ValueSource(strings = {"zzz", "-5", "0", "1.5", "3600001", ""})
+    public void anythingElseIsRefusedWithTheRange(String header) {
+        StandlinkException refused =
+                assertThrows(StandlinkException.class, () -> CallerServer.waitMillis(header));
+        assertEquals(ErrorCode.INVALID_MESSAGE, refused.getCode());
+        assertTrue(refused.getMessage().contains(CallerServer.WAIT_HEADER));
+        assertTrue(refused.getMessage().contains("milliseconds"));
+    }
+}
