Give whoever has just claimed time to read the state before it is suspected

Cause, by reading: a new leader fences, reads and writes before its first record; with a store slowed seventyfold that takes longer than the 1.2 s of silence after which agents that had suspected the old leader would claim again. Test: TestCandidate, failing before.

--- a/src/main/java/org/standlink/election/Candidate.java
+++ b/src/main/java/org/standlink/election/Candidate.java
@@ -130,6 +130,11 @@
      */
     public synchronized void claimed(Claim claim) {
         if (claim.epoch().compareTo(newest.epoch()) >= 0) {
+            if (!newest.equals(Claim.NONE)) {
+                // Whoever has just claimed reads the state before it answers and writes; who led
+                // before this process started gets no such time.
+                leaderSeen = clock.nowMillis();
+            }
             newest = claim;
             quietSince = -1;
             gone = false;
@@ -176,6 +181,7 @@
     // -----------------------------------------------------------------------
     private boolean isToBeWatched() {
         return !newest.isHeld()
+                || newest.address().equals(address)
                 || gone
                 || storeSilent >= WATCH_MILLIS
                 || clock.nowMillis() - leaderSeen >= WATCH_MILLIS;
--- a/src/test/java/org/standlink/election/TestCandidate.java
+++ b/src/test/java/org/standlink/election/TestCandidate.java
@@ -174,4 +174,16 @@
         }
         assertEquals(1, claims());
     }
+
+    @Test
+    public void givesANewLeaderTimeToReadTheState() {
+        tickFor(1000, false, false);
+        Claim next = new Claim(Epoch.of(2), "10.0.0.8:1", Incarnation.of(8));
+        store.records(Topic.CLAIMS).add(next.toRecord());
+        candidate.claimed(next);
+        tickFor(1600, false, false);
+        assertEquals(2, claims());
+        tickFor(600, false, false);
+        assertEquals(3, claims());
+    }
 }
