--- a/src/test/java/org/standlink/specification/TestSpecifications.java
+++ b/src/test/java/org/standlink/specification/TestSpecifications.java
@@ -241,6 +241,43 @@
                         "Agreement"));
     }
 
+    @TestFactory
+    Stream<DynamicTest> cell() {
+        Map<String, String> all =
+                with(
+                        "MaxRun",
+                        "2",
+                        "Lease",
+                        "1",
+                        "Authority",
+                        "1",
+                        "WritesFirst",
+                        "TRUE",
+                        "Fences",
+                        "TRUE",
+                        "RecordsEnds",
+                        "TRUE",
+                        "WaitsAuthority",
+                        "TRUE",
+                        "OrdersEnd",
+                        "TRUE");
+        String place = "OnePlace";
+        return checks(
+                cell("submitted", all, null),
+                cell("acts-first", with(all, "WritesFirst", "FALSE"), place),
+                cell("no-fence", with(all, "Fences", "FALSE"), place),
+                cell("forgets-first", with(all, "RecordsEnds", "FALSE"), "NoneAfterDone"),
+                cell("orders-without-end", with(all, "OrdersEnd", "FALSE"), place),
+                cell(
+                        "waits-one-lease",
+                        with(all, "WaitsAuthority", "FALSE", "Authority", "2"),
+                        place));
+    }
+
+    private static Check cell(String name, Map<String, String> constants, String broken) {
+        return new Check("Cell", name, "OnePlace NoneAfterDone", constants, broken);
+    }
+
     // -----------------------------------------------------------------------
     private static Stream<DynamicTest> checks(Check... checks) {
         // All are started at once and some run side by side; each test waits for its own.
