Hold up no job of which nothing runs for longer than a second

Ruled out: the leader (one, at work), the workers (usable), the queue's order (nothing else waited). Change: when nothing of a job has run for a second though a task could, the task takes any room, the least harmful first; throttling protects who serves there. Test: TestScheduler.aJobOfWhichNothingRunsIsNotHeldUpForLong.

--- a/src/main/java/org/standlink/cell/JobEntry.java
+++ b/src/main/java/org/standlink/cell/JobEntry.java
@@ -61,6 +61,9 @@
     /** When the job was accepted, in milliseconds since 1970 by its leader's clock. */
     private long acceptedWallMillis;
 
+    /** Since when nothing of it has run though it could, on the leader's clock; negative if not. */
+    private long starvedSince = -1;
+
     /** When the job became final, on the leader's clock; negative before. */
     private long finalAt = -1;
 
@@ -219,6 +222,26 @@
         return allTasks().anyMatch(TaskEntry::hasBegun);
     }
 
+    /**
+     * Takes note that a task found no worker.
+     *
+     * @param now the time on the leader's clock
+     * @return for how long nothing of the job has run, in milliseconds; 0 if something does
+     */
+    long starve(long now) {
+        if (allTasks().anyMatch(task -> task.getWorker() != null)) {
+            starvedSince = -1;
+            return 0;
+        }
+        starvedSince = starvedSince < 0 ? now : starvedSince;
+        return now - starvedSince;
+    }
+
+    /** Takes note that a task found a worker. */
+    void feed() {
+        starvedSince = -1;
+    }
+
     private long dueMillis(int repetition) {
         return definition.firstStartMillis() + repetition * definition.intervalMillis();
     }
--- a/src/main/java/org/standlink/cell/LeastAskedPlacement.java
+++ b/src/main/java/org/standlink/cell/LeastAskedPlacement.java
@@ -16,6 +16,7 @@
 package org.standlink.cell;
 
 import java.util.Collection;
+import java.util.function.Predicate;
 import org.standlink.Resources;
 import org.standlink.job.StepDefinition;
 import org.standlink.policy.HarmTable;
@@ -98,10 +99,20 @@
         boolean choosy =
                 task.getStep().bestEffort()
                         && workers.stream().anyMatch(one -> harm(task, one) < HarmTable.HARMFUL);
+        return best(task, workers, worker -> isFit(task, worker, choosy));
+    }
+
+    @Override
+    public WorkerEntry chooseAnyway(TaskEntry task, Collection<WorkerEntry> workers) {
+        return best(task, workers, worker -> Placement.isAllowed(task, worker));
+    }
+
+    private WorkerEntry best(
+            TaskEntry task, Collection<WorkerEntry> workers, Predicate<WorkerEntry> fit) {
         WorkerEntry best = null;
         long bestScore = Long.MIN_VALUE;
         for (WorkerEntry worker : workers) {
-            if (!isFit(task, worker, choosy)) {
+            if (!fit.test(worker)) {
                 continue;
             }
             long score = score(task, worker);
--- a/src/main/java/org/standlink/cell/Placement.java
+++ b/src/main/java/org/standlink/cell/Placement.java
@@ -34,6 +34,16 @@
      */
     WorkerEntry choose(TaskEntry task, Collection<WorkerEntry> workers);
 
+    /**
+     * Chooses a worker for a task that has waited long enough: one with room, also if the task will
+     * be crowded or throttled there.
+     *
+     * @param task the task
+     * @param workers the workers that may be used
+     * @return the worker, null if none has room
+     */
+    WorkerEntry chooseAnyway(TaskEntry task, Collection<WorkerEntry> workers);
+
     /**
      * Checks whether a best-effort task is not expected to lengthen the tails of serving runs
      * beyond their targets.
--- a/src/main/java/org/standlink/cell/Scheduler.java
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -38,6 +38,12 @@
     /** The time between two tellings of how many tasks wait, in milliseconds. */
     private static final long TELL_MILLIS = 2000;
 
+    /**
+     * How long nothing of a job may run before one of its tasks takes any room, in milliseconds;
+     * the operators bear 3,000 while there is room.
+     */
+    private static final long MOST_STARVED_MILLIS = 1000;
+
     /** The jobs. */
     private final JobBoard board;
 
@@ -125,6 +131,14 @@
         return found;
     }
 
+    private WorkerEntry choose(JobEntry job, TaskEntry task, List<WorkerEntry> fit, long now) {
+        WorkerEntry worker = placement.choose(task, fit);
+        if (worker == null && job.starve(now) >= MOST_STARVED_MILLIS) {
+            worker = placement.chooseAnyway(task, fit);
+        }
+        return worker;
+    }
+
     private void assign(
             JobEntry job,
             List<WorkerEntry> fit,
@@ -135,12 +149,13 @@
         for (TaskEntry task : job.readyTasks(wallMillis)) {
             // The tasks of a step are alike: if one finds no worker, the next does not, either.
             boolean waits = full != null && full.isOfSameStep(task.getName());
-            WorkerEntry worker = waits ? null : placement.choose(task, fit);
+            WorkerEntry worker = waits ? null : choose(job, task, fit, now);
             if (worker == null) {
                 full = task.getName();
                 waiting.merge(job.getId().toString(), 1, Integer::sum);
                 continue;
             }
+            job.feed();
             task.assign(worker.getId());
             workers.place(task, worker.getMayRunUntil());
             if (!workers.given(worker, now)) {
--- a/src/test/java/org/standlink/cell/TestScheduler.java
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -212,4 +212,16 @@
         assertEquals(3, one.listTasks().size());
         assertEquals(3, two.listTasks().size());
     }
+
+    @Test
+    public void aJobOfWhichNothingRunsIsNotHeldUpForLong() {
+        WorkerEntry one = worker("i-1", 32);
+        add("s", CellFixtures.serving("s", 30));
+        schedule(NOW);
+        one.getFigures().setWorstTail(0.85);
+        JobEntry job = add("b", CellFixtures.bestEffort("b", 4));
+        assertTrue(schedule(NOW).isEmpty());
+        assertTrue(schedule(NOW + 900).isEmpty());
+        assertEquals(job.getId(), schedule(NOW + 1000).get(0).getName().job());
+    }
 }
