Judge a connection by its own sign of life; repeat a request whose connection broke

Ruled out: the leader itself (it answered over the other connections). Now a call that takes too long fails alone; while calls wait, a side that has not been heard for 250 ms is asked for a sign of life and the connection closed after 500 ms more without one. An entry asks again over the new connection, since a job is known by its identifier; 504 only if that fails as well, never 503.

--- a/src/main/java/org/standlink/election/LeaderLink.java
+++ b/src/main/java/org/standlink/election/LeaderLink.java
@@ -18,7 +18,6 @@
 import java.net.InetSocketAddress;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.Executor;
-import java.util.concurrent.TimeoutException;
 import org.standlink.Epoch;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
@@ -128,7 +127,8 @@
     }
 
     /**
-     * Sends a message to the leader and waits for the answer.
+     * Sends a message to the leader and waits for the answer. A call that takes too long fails
+     * alone; a connection that has gone silent is closed, and fails all that wait on it.
      *
      * @param message the message
      * @param timeoutMillis how long to wait, in milliseconds
@@ -151,10 +151,6 @@
                             if (failure == null) {
                                 answered();
                             }
-                            if (failure instanceof TimeoutException) {
-                                // A silent connection may be cut; the next call makes a new one.
-                                present.close();
-                            }
                         });
     }
 
--- a/src/main/java/org/standlink/gateway/JobGateway.java
+++ b/src/main/java/org/standlink/gateway/JobGateway.java
@@ -46,8 +46,9 @@
 public final class JobGateway {
 
     /**
-     * How long a request waits for a leader to be reachable, in milliseconds; a restarted
-     * connection takes a tenth of it, a new leader takes longer than a caller should be held.
+     * How long a request waits for a leader to be reachable, in milliseconds, at its start and
+     * after a lost connection; a restarted connection takes a tenth of it, a new leader takes
+     * longer than a caller should be held.
      */
     private static final long LEADER_WAIT_MILLIS = 400;
 
@@ -171,8 +172,10 @@
                     case COUNT -> new QueueQuery(queue);
                 };
         long start = clock.nowMillis();
+        long end = start + Math.min(LEADER_WAIT_MILLIS, call.waitMillis());
+        Throwable lost = null;
         String reason = "no leader is reachable";
-        while (clock.nowMillis() - start <= Math.min(LEADER_WAIT_MILLIS, call.waitMillis())) {
+        while (clock.nowMillis() <= end) {
             if (leader.isSilent()) {
                 reason = "the leader does not answer";
                 break;
@@ -189,7 +192,12 @@
                     reason = "the leader has changed";
                 }
             } catch (CompletionException failed) {
-                if (!isNothingSent(failed.getCause())) {
+                if (isConnectionLost(failed.getCause())) {
+                    // A job is known by its identifier, so it may be asked for again.
+                    lost = failed.getCause();
+                    long now = clock.nowMillis();
+                    end = Math.min(now + LEADER_WAIT_MILLIS, start + call.waitMillis());
+                } else if (!isNothingSent(failed.getCause())) {
                     return lost(call, failed.getCause());
                 }
                 reason = failed.getCause().getMessage();
@@ -198,12 +206,19 @@
                 break;
             }
         }
-        return JobReply.ofNotRun(reason);
+        return lost == null ? JobReply.ofNotRun(reason) : lost(call, lost);
     }
 
     private static boolean isNothingSent(Throwable cause) {
-        return cause instanceof StandlinkException known
-                && known.getCode() == ErrorCode.PEER_UNREACHABLE;
+        return hasCode(cause, ErrorCode.PEER_UNREACHABLE);
+    }
+
+    private static boolean isConnectionLost(Throwable cause) {
+        return hasCode(cause, ErrorCode.CONNECTION_LOST);
+    }
+
+    private static boolean hasCode(Throwable cause, ErrorCode code) {
+        return cause instanceof StandlinkException known && known.getCode() == code;
     }
 
     private static boolean pause() {
--- a/src/main/java/org/standlink/wire/Connection.java
+++ b/src/main/java/org/standlink/wire/Connection.java
@@ -64,6 +64,12 @@
     /** What the other side said it is, null until then. */
     private volatile Hello hello;
 
+    /** When a frame came last, by {@link System#nanoTime}. */
+    private volatile long heardAtNanos = System.nanoTime();
+
+    /** Closes this connection if it goes silent while watched calls wait. */
+    private final ConnectionWatch watch = new ConnectionWatch(this);
+
     /**
      * Constructor.
      *
@@ -141,6 +147,39 @@
         return answer.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Sends a message and waits for its answer, and closes this connection if it goes silent
+     * meanwhile, well before a time limit of seconds.
+     *
+     * @param message the message
+     * @param timeoutMillis how long to wait, in milliseconds
+     * @return the answer; fails with CONNECTION_LOST, or a {@code TimeoutException} if the other
+     *     side lives and takes longer
+     */
+    public CompletableFuture<Message> callWatched(Message message, long timeoutMillis) {
+        CompletableFuture<Message> answer = call(message, timeoutMillis);
+        watch.begin();
+        return answer;
+    }
+
+    /**
+     * Gets how long ago the other side was heard.
+     *
+     * @return the time, in milliseconds
+     */
+    long getQuietMillis() {
+        return TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - heardAtNanos);
+    }
+
+    /**
+     * Checks whether calls wait for an answer.
+     *
+     * @return true if so
+     */
+    boolean hasWaitingCalls() {
+        return !calls.isEmpty();
+    }
+
     /**
      * Gets what the other side said it is.
      *
@@ -202,11 +241,14 @@
     }
 
     private void receive(Frame frame) {
+        heardAtNanos = System.nanoTime();
         if (frame.answer()) {
             CompletableFuture<Message> waiting = calls.get(frame.call());
             if (waiting != null) {
                 waiting.complete(frame.message());
             }
+        } else if (frame.message() instanceof KeepAlive) {
+            answer(frame.call(), frame.message());
         } else if (frame.message() instanceof Hello greeting) {
             hello = greeting;
             handler.handle(this, frame.call(), greeting);
--- /dev/null
+++ b/src/main/java/org/standlink/wire/ConnectionWatch.java
@@ -0,0 +1,99 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.wire;
+
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicBoolean;
+
+/**
+ * Closes a connection that has gone silent, so that whoever waits on it can go on over a new one.
+ *
+ * <p>A connection may stop to carry anything without a reset. Each call has its own time limit, but
+ * a call that takes long says nothing about the connection that it shares with others. So while
+ * calls wait and nothing has been heard, the other side is asked for a sign of life, which it gives
+ * without doing the calls. Silence is found within {@value #QUIET_MILLIS} ms and {@value
+ * #ANSWER_MILLIS} ms of a call.
+ *
+ * <p>{@code ConnectionWatch} is thread-safe.
+ */
+final class ConnectionWatch {
+
+    /**
+     * How long nothing may be heard while calls wait before the other side is asked, in
+     * milliseconds; nearly all calls are answered within a tenth of it.
+     */
+    static final long QUIET_MILLIS = 250;
+
+    /**
+     * How long the sign of life is waited for, in milliseconds: links take 20 at most, a machine
+     * that is slowed sixfold some 100.
+     */
+    static final long ANSWER_MILLIS = 500;
+
+    /** The connection. */
+    private final Connection connection;
+
+    /** Whether the connection is being watched. */
+    private final AtomicBoolean watching = new AtomicBoolean();
+
+    /**
+     * Constructor.
+     *
+     * @param connection the connection
+     */
+    ConnectionWatch(Connection connection) {
+        this.connection = connection;
+    }
+
+    /** Watches the connection for as long as calls wait. */
+    void begin() {
+        if (watching.compareAndSet(false, true)) {
+            lookLater();
+        }
+    }
+
+    // -----------------------------------------------------------------------
+    private void lookLater() {
+        Executor later = CompletableFuture.delayedExecutor(QUIET_MILLIS, TimeUnit.MILLISECONDS);
+        later.execute(this::look);
+    }
+
+    private void look() {
+        if (connection.isClosed() || !connection.hasWaitingCalls()) {
+            watching.set(false);
+            if (connection.hasWaitingCalls()) {
+                // A call came between the two looks.
+                begin();
+            }
+            return;
+        }
+        if (connection.getQuietMillis() < QUIET_MILLIS) {
+            lookLater();
+            return;
+        }
+        connection.call(new KeepAlive(), ANSWER_MILLIS).whenComplete(this::judge);
+    }
+
+    private void judge(Message answer, Throwable failure) {
+        if (failure instanceof TimeoutException && connection.getQuietMillis() >= ANSWER_MILLIS) {
+            connection.close();
+        }
+        lookLater();
+    }
+}
--- a/src/main/java/org/standlink/wire/Message.java
+++ b/src/main/java/org/standlink/wire/Message.java
@@ -46,7 +46,8 @@
     @JsonSubTypes.Type(value = CancelJob.class, name = "19"),
     @JsonSubTypes.Type(value = JobQuery.class, name = "20"),
     @JsonSubTypes.Type(value = QueueQuery.class, name = "21"),
-    @JsonSubTypes.Type(value = JobAnswer.class, name = "22")
+    @JsonSubTypes.Type(value = JobAnswer.class, name = "22"),
+    @JsonSubTypes.Type(value = KeepAlive.class, name = "23")
 })
 public sealed interface Message
         permits Hello,
@@ -70,4 +71,5 @@
                 CancelJob,
                 JobQuery,
                 QueueQuery,
-                JobAnswer {}
+                JobAnswer,
+                KeepAlive {}
--- a/src/main/java/org/standlink/wire/Peer.java
+++ b/src/main/java/org/standlink/wire/Peer.java
@@ -82,7 +82,8 @@
 
     /**
      * Sends a message over the open connection and waits for its answer. If there is none, one is
-     * made in the background and the call fails at once.
+     * made in the background and the call fails at once. A connection that goes silent while the
+     * call waits is closed.
      *
      * @param message the message
      * @param timeoutMillis how long to wait, in milliseconds
@@ -91,7 +92,7 @@
     public CompletableFuture<Message> callOpen(Message message, long timeoutMillis) {
         Connection present = getOpen();
         if (present != null) {
-            return present.call(message, timeoutMillis);
+            return present.callWatched(message, timeoutMillis);
         }
         if (connecting.compareAndSet(false, true)) {
             executor.execute(this::connectInBackground);
--- a/src/test/java/org/standlink/gateway/TestJobGateway.java
+++ b/src/test/java/org/standlink/gateway/TestJobGateway.java
@@ -134,6 +134,22 @@
         assertEquals(504, ask(JobCall.Kind.SUBMIT).status());
     }
 
+    @Test
+    public void aJobWhoseConnectionBreaksIsAskedForAgainOverANewOne() {
+        AtomicInteger asked = new AtomicInteger();
+        lead(
+                1,
+                (connection, call, message) -> {
+                    if (asked.getAndIncrement() == 0) {
+                        connection.close();
+                    } else {
+                        connection.answer(call, JobAnswer.ofDone(JobState.QUEUED));
+                    }
+                });
+        assertEquals(200, ask(JobCall.Kind.SUBMIT).status());
+        assertEquals(2, asked.get());
+    }
+
     @Test
     public void aMereQuestionMayBeAskedAgain() {
         lead(1, (connection, call, message) -> connection.close());
