Ask which life of a worker answers instead of trusting the order of heartbeats; heed refused epochs

Now a life counts once it has answered a call (others at its address are over), and is over when another one answers; a run is stopped before a refusal is believed; a refused epoch is not used again.

--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -46,7 +46,7 @@
  *
  * <p>{@code AgentNode} is thread-safe: every call is handed to the loop.
  */
-public final class AgentNode implements WorkerListener {
+public final class AgentNode implements WorkerListener, LifeObserver {
 
     /** The time between two heartbeats, in milliseconds; a lease is ten times as long. */
     private static final long HEARTBEAT_MILLIS = 500;
@@ -183,13 +183,6 @@
             present.heartbeat(worker);
             return;
         }
-        // A new life at the address of another one means that the other is over.
-        workers.values().stream()
-                .map(WorkerSupervisor::getWorker)
-                .filter(other -> other.address().equals(worker.address()))
-                .map(WorkerDescription::id)
-                .toList()
-                .forEach(old -> over(old, "replaced"));
         LOG.info("worker-found").with("worker", worker).write();
         WorkerSupervisor made =
                 new WorkerSupervisor(
@@ -200,11 +193,28 @@
                         () -> leaseEnd,
                         this::epoch,
                         this::changed,
+                        this,
                         harm);
         workers.put(worker.id(), made);
         made.start();
     }
 
+    @Override
+    public void confirmed(WorkerId worker) {
+        String address = workers.get(worker).getWorker().address();
+        workers.values().stream()
+                .map(WorkerSupervisor::getWorker)
+                .filter(other -> !other.id().equals(worker) && other.address().equals(address))
+                .map(WorkerDescription::id)
+                .toList()
+                .forEach(old -> over(old, "replaced"));
+    }
+
+    @Override
+    public void replaced(WorkerId worker) {
+        over(worker, "another life answers");
+    }
+
     private void over(WorkerId worker, String reason) {
         WorkerSupervisor supervisor = workers.remove(worker);
         if (supervisor != null) {
@@ -257,7 +267,13 @@
         long sentAt = clock.nowMillis();
         reportedAt = sentAt;
         Map<WorkerId, WorkerReport> sent = new LinkedHashMap<>();
-        workers.forEach((id, supervisor) -> sent.put(id, supervisor.report()));
+        workers.forEach(
+                (id, supervisor) -> {
+                    // What never answered may be a late heartbeat of a life that is over.
+                    if (supervisor.isConfirmed()) {
+                        sent.put(id, supervisor.report());
+                    }
+                });
         List<WorkerId> over = new ArrayList<>(dead);
         AgentReport report =
                 new AgentReport(node, address, self, epoch(), List.copyOf(sent.values()), over);
--- /dev/null
+++ b/src/main/java/org/standlink/runner/LifeObserver.java
@@ -0,0 +1,41 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import org.standlink.job.WorkerId;
+
+/**
+ * Is told which life of a worker answers calls. Heartbeats may come late, so that they don't tell
+ * which of two lives at one address is the present one; an answered call does.
+ *
+ * <p>Implementations are called on the agent's loop.
+ */
+interface LifeObserver {
+
+    /**
+     * Takes note that a life has answered, so that all others at its address are over.
+     *
+     * @param worker the life
+     */
+    void confirmed(WorkerId worker);
+
+    /**
+     * Takes note that another life has answered in place of this one, which is over.
+     *
+     * @param worker the life that is over
+     */
+    void replaced(WorkerId worker);
+}
--- a/src/main/java/org/standlink/runner/LocalRun.java
+++ b/src/main/java/org/standlink/runner/LocalRun.java
@@ -52,6 +52,9 @@
     /** Whether a call about it is under way. */
     private boolean calling;
 
+    /** Whether a call to start it was left without an answer, so that it may be done late. */
+    private boolean uncertain;
+
     /** When the worker said that it will stop it. */
     private long stoppedAt;
 
@@ -135,6 +138,20 @@
         calling = under;
     }
 
+    /**
+     * Checks whether a call to start it was left without an answer.
+     *
+     * @return true if so
+     */
+    boolean isUncertain() {
+        return uncertain;
+    }
+
+    /** Takes note that a call to start it was left without an answer. */
+    void setUncertain() {
+        uncertain = true;
+    }
+
     /**
      * Gets when the worker said that it will stop it.
      *
--- /dev/null
+++ b/src/main/java/org/standlink/runner/RunShares.java
@@ -0,0 +1,105 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import java.util.concurrent.Executor;
+import java.util.function.Supplier;
+import java.util.function.ToIntFunction;
+import org.standlink.Epoch;
+import org.standlink.job.WorkerDescription;
+
+/**
+ * Tells a worker for which share of time its best-effort runs may work.
+ *
+ * <p>{@code RunShares} is not thread-safe; the agent's loop owns it.
+ */
+final class RunShares {
+
+    /** Tells what the worker said of itself. */
+    private final Supplier<WorkerDescription> worker;
+
+    /** The calls of workers. */
+    private final WorkerCalls calls;
+
+    /** The agent's loop. */
+    private final Executor loop;
+
+    /** Tells the newest epoch. */
+    private final Supplier<Epoch> epoch;
+
+    /** Tells the share of an image, in percent. */
+    private ToIntFunction<String> byImage = image -> ThrottlePolicy.FULL;
+
+    /**
+     * Constructor.
+     *
+     * @param worker tells what the worker said of itself
+     * @param calls the calls of workers
+     * @param loop the agent's loop
+     * @param epoch tells the newest epoch
+     */
+    RunShares(
+            Supplier<WorkerDescription> worker,
+            WorkerCalls calls,
+            Executor loop,
+            Supplier<Epoch> epoch) {
+        this.worker = worker;
+        this.calls = calls;
+        this.loop = loop;
+        this.epoch = epoch;
+    }
+
+    /**
+     * Sets the shares.
+     *
+     * @param shares tells the share of an image, in percent
+     */
+    void set(ToIntFunction<String> shares) {
+        byImage = shares;
+    }
+
+    /**
+     * Tells the worker the share of a run, if it works, is best-effort and has another share.
+     *
+     * @param run the run
+     * @param then what happens after the answer, since a run takes one call at a time
+     */
+    void apply(LocalRun run, Runnable then) {
+        if (run.getOrder() == null) {
+            return;
+        }
+        int wanted = byImage.applyAsInt(run.getOrder().image());
+        boolean changes =
+                run.getPhase() == LocalRun.Phase.RUNNING
+                        && run.getOrder().bestEffort()
+                        && run.getShare() != wanted
+                        && !run.isCalling();
+        if (!changes) {
+            return;
+        }
+        run.setCalling(true);
+        calls.throttle(worker.get(), run.getRun(), wanted, epoch.get())
+                .thenAcceptAsync(
+                        result -> {
+                            run.setCalling(false);
+                            if (result.kind() == CallResult.Kind.DONE) {
+                                run.setShare(wanted);
+                            }
+                            then.run();
+                        },
+                        loop);
+    }
+}
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -98,8 +98,8 @@
     /** The ends that have not been recorded, as the worker said last. */
     private List<RunEnd> ended = List.of();
 
-    /** Tells the share of time for which runs of a best-effort image work, in percent. */
-    private ToIntFunction<String> shares = image -> ThrottlePolicy.FULL;
+    /** Tells the worker the shares of best-effort runs. */
+    private final RunShares shares;
 
     /**
      * Constructor.
@@ -133,6 +133,7 @@
         this.leaseEnd = leaseEnd;
         this.epoch = epoch;
         this.whenChanged = whenChanged;
+        this.shares = new RunShares(worker, calls, loop, epoch);
     }
 
     /** Forgets all runs; calls under way have no effect here any more. */
@@ -252,19 +253,33 @@
                 run.setPhase(LocalRun.Phase.RUNNING);
                 applyShare(run);
             }
-            case UNKNOWN, LEASE_PAST ->
-                    loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
-            case NO_ROOM, UNWELL, INVALID -> {
-                runs.remove(run.getRun());
-                boolean unwell = result.kind() == CallResult.Kind.UNWELL;
-                refused.add(new StartRefusal(run.getRun(), result.detail(), unwell));
-                whenChanged.run();
+            case UNKNOWN -> {
+                run.setUncertain();
+                loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             }
+            case LEASE_PAST ->
+                    loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            case NO_ROOM, UNWELL, INVALID -> refused(run, result);
             case SUPERSEDED -> superseded(run);
             case FENCED, OTHER_LIFE -> runs.remove(run.getRun());
         }
     }
 
+    /**
+     * The worker refuses a run. If an earlier call for it was left without an answer, that call may
+     * still be carried out, so the run is only over once it is stopped.
+     */
+    private void refused(LocalRun run, CallResult result) {
+        if (run.isUncertain()) {
+            stop(run.getRun());
+            return;
+        }
+        runs.remove(run.getRun());
+        boolean unwell = result.kind() == CallResult.Kind.UNWELL;
+        refused.add(new StartRefusal(run.getRun(), result.detail(), unwell));
+        whenChanged.run();
+    }
+
     /**
      * The worker has seen the end of this run, or a later one; if the end is not listed, say so.
      */
@@ -362,33 +377,11 @@
      * @param byImage tells the share of an image, in percent
      */
     void throttle(ToIntFunction<String> byImage) {
-        shares = byImage;
+        shares.set(byImage);
         runs.values().forEach(this::applyShare);
     }
 
     private void applyShare(LocalRun run) {
-        if (run.getOrder() == null) {
-            return;
-        }
-        int wanted = shares.applyAsInt(run.getOrder().image());
-        boolean changes =
-                run.getPhase() == LocalRun.Phase.RUNNING
-                        && run.getOrder().bestEffort()
-                        && run.getShare() != wanted
-                        && !run.isCalling();
-        if (!changes) {
-            return;
-        }
-        run.setCalling(true);
-        calls.throttle(worker.get(), run.getRun(), wanted, epoch.get())
-                .thenAcceptAsync(
-                        result -> {
-                            run.setCalling(false);
-                            if (result.kind() == CallResult.Kind.DONE) {
-                                run.setShare(wanted);
-                            }
-                            callStop(run);
-                        },
-                        loop);
+        shares.apply(run, () -> callStop(run));
     }
 }
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -71,6 +71,9 @@
     /** Is told when there is something to report. */
     private final Runnable whenChanged;
 
+    /** Is told which life of the worker answers. */
+    private final LifeObserver observer;
+
     /** The runs that the leader has spoken of. */
     private final RunTable runs;
 
@@ -103,6 +106,9 @@
     /** Whether the worker has ever answered, so that its lease is known to this agent. */
     private boolean answeredOnce;
 
+    /** The epoch that the worker refused, since it has seen a newer one; null if it did not. */
+    private Epoch refusedEpoch;
+
     /** Whether this supervisor is closed. */
     private boolean closed;
 
@@ -116,6 +122,7 @@
      * @param leaseEnd tells until when runs may go on, on the agent's clock
      * @param epoch tells the newest epoch
      * @param whenChanged is told when there is something to report
+     * @param observer is told which life of the worker answers
      * @param harm what is believed of images
      */
     WorkerSupervisor(
@@ -126,6 +133,7 @@
             Supplier<Long> leaseEnd,
             Supplier<Epoch> epoch,
             Runnable whenChanged,
+            LifeObserver observer,
             HarmTable harm) {
         this.worker = worker;
         this.calls = calls;
@@ -134,6 +142,7 @@
         this.leaseEnd = leaseEnd;
         this.epoch = epoch;
         this.whenChanged = whenChanged;
+        this.observer = observer;
         this.throttle = new WorkerThrottle(harm);
         this.runs =
                 new RunTable(
@@ -228,6 +237,15 @@
         }
     }
 
+    /**
+     * Checks whether this life has answered a call, so that no other has taken its address before.
+     *
+     * @return true if so
+     */
+    boolean isConfirmed() {
+        return answeredOnce;
+    }
+
     /**
      * Gets the life of the worker.
      *
@@ -256,16 +274,34 @@
         if (closed) {
             return;
         }
+        if (epoch.get().equals(refusedEpoch)) {
+            // Whoever has been replaced stays silent until it knows the newer epoch.
+            loop.schedule(() -> renew(0), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            return;
+        }
+        Epoch present = epoch.get();
         long end = leaseEnd.get();
         // A worker that does not answer is not told to keep its runs longer: it may have heard.
         boolean prolong = leaseClock.isKnown() && reachable && end > clock.nowMillis();
         long until = prolong ? leaseClock.renew(end) : -1;
         long sentAt = clock.nowMillis();
-        calls.renew(worker, until, epoch.get(), recordedEnd, waitMillis)
-                .thenAcceptAsync(result -> held(result, sentAt), loop);
+        calls.renew(worker, until, present, recordedEnd, waitMillis)
+                .thenAcceptAsync(result -> held(result, present, sentAt), loop);
     }
 
-    private void held(RenewalResult result, long sentAt) {
+    private void held(RenewalResult result, Epoch sentEpoch, long sentAt) {
+        if (closed) {
+            return;
+        }
+        CallResult.Kind kind = result.result().kind();
+        if (kind == CallResult.Kind.OTHER_LIFE) {
+            observer.replaced(worker.id());
+            return;
+        }
+        if (kind == CallResult.Kind.FENCED && !sentEpoch.equals(refusedEpoch)) {
+            refusedEpoch = sentEpoch;
+            LOG.info("epoch-refused").with("worker", worker.id()).with("epoch", sentEpoch).write();
+        }
         leaseClock.answered(result.result().clockMillis(), clock.nowMillis());
         boolean answers = result.isDone();
         if (answers != reachable) {
@@ -281,7 +317,10 @@
         }
         boolean news = !known || !result.ended().isEmpty();
         known = true;
-        answeredOnce = true;
+        if (!answeredOnce) {
+            answeredOnce = true;
+            observer.confirmed(worker.id());
+        }
         running = result.running();
         ended = result.ended().stream().filter(end -> end.number() > recordedEnd).toList();
         runs.settle(running, ended, sentAt);
--- /dev/null
+++ b/src/test/java/org/standlink/runner/TestAgentNode.java
@@ -0,0 +1,155 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.FakeLoop;
+import org.standlink.Incarnation;
+import org.standlink.Resources;
+import org.standlink.election.LeaderLink;
+import org.standlink.election.LeaderObserver;
+import org.standlink.job.RunId;
+import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
+import org.standlink.wire.StartOrder;
+
+/** Tests which life of its worker an agent looks after. */
+public class TestAgentNode {
+
+    private final FakeClock clock = new FakeClock();
+    private final FakeLoop loop = new FakeLoop(clock);
+    private final List<Runnable> background = new ArrayList<>();
+    private final Address address = new Address();
+    private final AgentNode agent =
+            new AgentNode(
+                    "vm",
+                    "10.0.0.1:2",
+                    Incarnation.of(1),
+                    new LeaderLink(background::add, (c, n, m) -> {}, clock),
+                    address,
+                    clock,
+                    loop,
+                    new Nobody());
+
+    /** Hears nothing of a leader. */
+    private static final class Nobody implements LeaderObserver {
+
+        @Override
+        public void leaderAnswered(long storeSilentMillis) {}
+
+        @Override
+        public void leaderGone() {}
+    }
+
+    /** The address of a worker, at which one life answers. */
+    private final class Address implements WorkerCalls {
+
+        private WorkerId present;
+        private final List<WorkerId> called = new ArrayList<>();
+
+        private CompletableFuture<CallResult> answer(WorkerDescription to) {
+            boolean same = to.id().equals(present);
+            CallResult.Kind kind = same ? CallResult.Kind.DONE : CallResult.Kind.OTHER_LIFE;
+            return CompletableFuture.completedFuture(
+                    new CallResult(kind, clock.nowMillis(), "scripted"));
+        }
+
+        @Override
+        public CompletableFuture<CallResult> start(
+                WorkerDescription to, StartOrder order, long leaseUntil, Epoch epoch) {
+            return answer(to);
+        }
+
+        @Override
+        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Epoch epoch) {
+            return answer(to);
+        }
+
+        @Override
+        public CompletableFuture<RenewalResult> renew(
+                WorkerDescription to, long until, Epoch epoch, long recorded, long waitMillis) {
+            called.add(to.id());
+            CompletableFuture<RenewalResult> later = new CompletableFuture<>();
+            loop.schedule(
+                    () -> {
+                        later.complete(new RenewalResult(answer(to).join(), List.of(), List.of()));
+                    },
+                    10,
+                    TimeUnit.MILLISECONDS);
+            return later;
+        }
+
+        @Override
+        public CompletableFuture<CallResult> throttle(
+                WorkerDescription to, RunId run, int percent, Epoch epoch) {
+            return answer(to);
+        }
+    }
+
+    private static WorkerDescription life(String id) {
+        return new WorkerDescription(
+                WorkerId.parse(id),
+                "s",
+                "10.0.0.1:1",
+                new Resources(1000, 100, 0),
+                List.of(),
+                false,
+                0);
+    }
+
+    @BeforeEach
+    public void start() {
+        agent.start();
+    }
+
+    @Test
+    public void aLateHeartbeatOfAnEarlierLifeDoesNotEndThePresentOne() {
+        address.present = WorkerId.parse("new");
+        agent.heartbeat(life("new"), 1);
+        loop.advance(1000);
+        agent.heartbeat(life("old"), 7);
+        loop.advance(1000);
+        address.called.clear();
+        agent.heartbeat(life("old"), 8);
+        loop.advance(1000);
+        assertTrue(address.called.contains(WorkerId.parse("new")));
+        assertTrue(!address.called.contains(WorkerId.parse("old")));
+    }
+
+    @Test
+    public void aNewLifeThatAnswersReplacesTheOneBefore() {
+        address.present = WorkerId.parse("old");
+        agent.heartbeat(life("old"), 1);
+        loop.advance(1000);
+        address.present = WorkerId.parse("new");
+        agent.heartbeat(life("new"), 1);
+        loop.advance(1000);
+        address.called.clear();
+        loop.advance(1000);
+        assertEquals(1, address.called.stream().distinct().count());
+        assertEquals(WorkerId.parse("new"), address.called.get(0));
+    }
+}
--- a/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
+++ b/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
@@ -52,8 +52,26 @@
     private final FakeClock clock = new FakeClock();
     private final FakeLoop loop = new FakeLoop(clock);
     private final Script worker = new Script();
+    private final Lives lives = new Lives();
+    private Epoch epoch = Epoch.of(1);
     private WorkerSupervisor supervisor;
 
+    /** Notes which lives were said to answer, or to be over. */
+    private static final class Lives implements LifeObserver {
+
+        private final List<String> told = new ArrayList<>();
+
+        @Override
+        public void confirmed(WorkerId id) {
+            told.add("confirmed " + id);
+        }
+
+        @Override
+        public void replaced(WorkerId id) {
+            told.add("replaced " + id);
+        }
+    }
+
     /** A worker that answers as the test says, 10 ms after each call. */
     private final class Script implements WorkerCalls {
 
@@ -63,6 +81,7 @@
         private List<RunProgress> running = List.of();
         private List<RunEnd> ended = List.of();
         private final List<String> seen = new ArrayList<>();
+        private int renewals;
 
         private <T> CompletableFuture<T> later(T value) {
             CompletableFuture<T> answer = new CompletableFuture<>();
@@ -97,6 +116,7 @@
         public CompletableFuture<RenewalResult> renew(
                 WorkerDescription to, long until, Epoch epoch, long recorded, long waitMillis) {
             boolean done = holds == CallResult.Kind.DONE;
+            renewals++;
             List<RunEnd> unrecorded =
                     ended.stream().filter(end -> end.number() > recorded).toList();
             return later(
@@ -123,8 +143,9 @@
                         clock,
                         loop,
                         () -> clock.nowMillis() + LEASE_MILLIS,
-                        () -> Epoch.of(1),
+                        () -> epoch,
                         () -> {},
+                        lives,
                         new HarmTable());
         supervisor.start();
         loop.advance(100);
@@ -247,4 +268,45 @@
         loop.advance(1000);
         assertTrue(worker.seen.contains("share 100"), () -> worker.seen.toString());
     }
+
+    @Test
+    public void aRefusalAfterACallWithoutAnAnswerIsOnlyReportedOnceTheRunIsStopped() {
+        worker.starts = CallResult.Kind.UNKNOWN;
+        order(List.of(startOrder()), List.of(), 0);
+        loop.advance(100);
+        worker.starts = CallResult.Kind.UNWELL;
+        loop.advance(500);
+        assertTrue(supervisor.report().refused().isEmpty());
+        assertTrue(worker.seen.contains("stop 1"), () -> worker.seen.toString());
+        loop.advance(2000);
+        assertEquals(List.of(RUN), supervisor.report().gone());
+    }
+
+    @Test
+    public void aLifeThatAnswersIsConfirmedOnce() {
+        loop.advance(2000);
+        assertEquals(List.of("confirmed i-1"), lives.told);
+        assertTrue(supervisor.isConfirmed());
+    }
+
+    @Test
+    public void aLifeInWhosePlaceAnotherAnswersIsOver() {
+        worker.holds = CallResult.Kind.OTHER_LIFE;
+        loop.advance(1000);
+        assertEquals("replaced i-1", lives.told.get(1));
+    }
+
+    @Test
+    public void anEpochThatWasRefusedIsNotUsedAgain() {
+        worker.holds = CallResult.Kind.FENCED;
+        loop.advance(1000);
+        int before = worker.renewals;
+        loop.advance(5000);
+        assertEquals(before, worker.renewals);
+        worker.holds = CallResult.Kind.DONE;
+        epoch = Epoch.of(2);
+        loop.advance(1000);
+        assertTrue(worker.renewals > before);
+        assertTrue(supervisor.report().reachable());
+    }
 }
