--- a/src/main/java/org/standlink/election/LeaderLink.java
+++ b/src/main/java/org/standlink/election/LeaderLink.java
@@ -148,8 +148,8 @@
         return present.callOpen(message, timeoutMillis)
                 .whenComplete(
                         (answer, failure) -> {
-                            if (failure == null) {
-                                answered();
+                            if (failure == null || isConnectionLost(failure)) {
+                                endSilence();
                             }
                         });
     }
@@ -176,10 +176,16 @@
         }
     }
 
-    private synchronized void answered() {
+    /** The leader has answered, or the silence was that of a connection that is gone now. */
+    private synchronized void endSilence() {
         waitingSince = -1;
     }
 
+    private static boolean isConnectionLost(Throwable failure) {
+        return failure instanceof StandlinkException known
+                && known.getCode() == ErrorCode.CONNECTION_LOST;
+    }
+
     @Override
     public synchronized void close() {
         if (peer != null) {
--- a/src/test/java/org/standlink/election/TestLeaderConnection.java
+++ b/src/test/java/org/standlink/election/TestLeaderConnection.java
@@ -34,10 +34,10 @@
 import org.junit.jupiter.api.Test;
 import org.standlink.Epoch;
 import org.standlink.ErrorCode;
+import org.standlink.FakeClock;
 import org.standlink.Incarnation;
 import org.standlink.StandlinkException;
 import org.standlink.VmId;
-import org.standlink.lease.MonotonicClock;
 import org.standlink.process.ProcessThreads;
 import org.standlink.wire.Hello;
 import org.standlink.wire.LeaderNotice;
@@ -55,6 +55,7 @@
     /** Bounds a test that fails, in seconds. */
     private static final long BOUND_SECONDS = 60;
 
+    private final FakeClock clock = new FakeClock();
     private final ExecutorService threads = ProcessThreads.newCached("test");
 
     @AfterEach
@@ -63,7 +64,7 @@
     }
 
     private LeaderLink linkTo(int port) {
-        LeaderLink link = new LeaderLink(threads, (c, n, m) -> {}, MonotonicClock.ofSystem());
+        LeaderLink link = new LeaderLink(threads, (c, n, m) -> {}, clock);
         link.offer(new LeaderNotice(Epoch.of(1), "127.0.0.1:" + port), "test");
         return link;
     }
@@ -115,6 +116,9 @@
                                 () -> call.get(BOUND_SECONDS, TimeUnit.SECONDS));
                 StandlinkException known = (StandlinkException) lost.getCause();
                 assertEquals(ErrorCode.CONNECTION_LOST, known.getCode());
+                clock.advance(1000);
+                assertFalse(link.isSilent(), "the silence was that of the connection");
+                assertFalse(link.isSilent());
             }
         }
     }
