--- a/src/main/java/org/standlink/platform/HttpCaller.java
+++ b/src/main/java/org/standlink/platform/HttpCaller.java
@@ -22,15 +22,11 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.net.http.HttpTimeoutException;
-import java.security.GeneralSecurityException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
-import javax.net.ssl.KeyManager;
-import javax.net.ssl.SSLContext;
-import javax.net.ssl.TrustManager;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
 
@@ -83,25 +79,10 @@
                         .version(HttpClient.Version.HTTP_1_1)
                         .connectTimeout(CONNECT_TIMEOUT)
                         .executor(executor)
-                        .sslContext(withoutCertificates())
+                        .sslContext(NoTls.newContext())
                         .build();
     }
 
-    /**
-     * Makes a context that trusts nobody. Calls of the platform are plain HTTP; the JDK's default
-     * context would read all certificates of the system at each start.
-     */
-    private static SSLContext withoutCertificates() {
-        try {
-            SSLContext context = SSLContext.getInstance("TLS");
-            context.init(new KeyManager[0], new TrustManager[0], null);
-            return context;
-        } catch (GeneralSecurityException impossible) {
-            throw new StandlinkException(
-                    ErrorCode.INTERNAL, "no TLS context", "check the JDK", impossible);
-        }
-    }
-
     /**
      * Makes a request to be completed and sent.
      *
--- a/src/main/java/org/standlink/platform/HttpStore.java
+++ b/src/main/java/org/standlink/platform/HttpStore.java
@@ -224,7 +224,7 @@
     static final class RecordFormat {
 
         /** Where the records of an answer begin: behind its end and its first offset. */
-        private static final int HEADER_BYTES = 16;
+        static final int HEADER_BYTES = 16;
 
         /** No instances. */
         private RecordFormat() {}
@@ -259,6 +259,17 @@
         static ReadResult decode(byte[] body, long from) {
             ByteBuffer bytes = ByteBuffer.wrap(body);
             bytes.position(Math.min(HEADER_BYTES, body.length));
+            List<KeyedRecord> records = decodeBody(bytes);
+            return new ReadResult(from + records.size(), records);
+        }
+
+        /**
+         * Decodes records.
+         *
+         * @param bytes the records, and nothing behind them
+         * @return the records
+         */
+        static List<KeyedRecord> decodeBody(ByteBuffer bytes) {
             List<KeyedRecord> records = new ArrayList<>();
             while (bytes.remaining() > 4) {
                 byte[] record = new byte[bytes.getInt()];
@@ -268,7 +279,7 @@
                 byte[] value = java.util.Arrays.copyOfRange(record, keyEnd, record.length);
                 records.add(new KeyedRecord(key, value));
             }
-            return new ReadResult(from + records.size(), records);
+            return records;
         }
     }
 }
