--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -281,7 +281,7 @@
         }
         for (JobEntry job : List.copyOf(board.getJobs())) {
             boolean old = job.getFinalAt() >= 0 && now - job.getFinalAt() > times.statusMillis();
-            if (old && job.allTasks().allMatch(task -> task.getWorker() == null)) {
+            if (old && job.isSettled()) {
                 board.remove(job);
             }
         }
--- a/src/main/java/org/standlink/cell/JobBoard.java
+++ b/src/main/java/org/standlink/cell/JobBoard.java
@@ -41,6 +41,13 @@
     /** The start of the keys of states. */
     private static final String STATE_KEY = "s/";
 
+    /**
+     * The start of the keys of jobs of which nothing is left to do. They are kept without their
+     * tasks: most jobs that a new leader reads are such, and it serves nobody until it has read
+     * all.
+     */
+    private static final String SETTLED_KEY = "f/";
+
     /** The jobs by identifier, in the order of acceptance. */
     private final Map<JobId, JobEntry> jobs = new LinkedHashMap<>();
 
@@ -68,13 +75,18 @@
     void restore(List<KeyedRecord> records) {
         Map<JobId, JobDefinition> definitions = new LinkedHashMap<>();
         Map<JobId, JobRecord> states = new LinkedHashMap<>();
+        Map<JobId, SettledJob> settled = new LinkedHashMap<>();
         for (KeyedRecord record : records) {
             if (record.key().startsWith(DEFINITION_KEY)) {
                 collect(record, DEFINITION_KEY, JobDefinition.class, definitions);
             } else if (record.key().startsWith(STATE_KEY)) {
                 collect(record, STATE_KEY, JobRecord.class, states);
+            } else if (record.key().startsWith(SETTLED_KEY)) {
+                collect(record, SETTLED_KEY, SettledJob.class, settled);
             }
         }
+        settled.forEach((id, job) -> definitions.put(id, job.toDefinition(id)));
+        settled.forEach((id, job) -> states.put(id, job.toRecord()));
         definitions.entrySet().stream()
                 .filter(entry -> states.containsKey(entry.getKey()))
                 .sorted((a, b) -> Long.compare(order(states, a), order(states, b)))
@@ -188,17 +200,29 @@
             records.add(new KeyedRecord(DEFINITION_KEY + id, value));
         }
         for (JobId id : changed) {
-            byte[] value = Packing.pack(jobs.get(id).toRecord());
-            sent.add(jobs.get(id));
-            records.add(new KeyedRecord(STATE_KEY + id, value));
+            JobEntry job = jobs.get(id);
+            JobRecord record = job.toRecord();
+            sent.add(job);
+            if (job.isSettled()) {
+                SettledJob rest = SettledJob.of(job.getDefinition().queue(), record);
+                records.add(new KeyedRecord(SETTLED_KEY + id, Packing.pack(rest)));
+                dropTasks(id, records);
+            } else {
+                records.add(new KeyedRecord(STATE_KEY + id, Packing.pack(record)));
+            }
         }
         for (JobId id : removed) {
-            records.add(new KeyedRecord(DEFINITION_KEY + id, new byte[0]));
-            records.add(new KeyedRecord(STATE_KEY + id, new byte[0]));
+            dropTasks(id, records);
+            records.add(new KeyedRecord(SETTLED_KEY + id, new byte[0]));
         }
         added.clear();
         changed.clear();
         removed.clear();
         return records;
     }
+
+    private static void dropTasks(JobId id, List<KeyedRecord> records) {
+        records.add(new KeyedRecord(DEFINITION_KEY + id, new byte[0]));
+        records.add(new KeyedRecord(STATE_KEY + id, new byte[0]));
+    }
 }
--- a/src/main/java/org/standlink/cell/JobEntry.java
+++ b/src/main/java/org/standlink/cell/JobEntry.java
@@ -213,6 +213,15 @@
         return all == 0 ? 1 : left / all;
     }
 
+    /**
+     * Checks whether nothing of the job is left to do, also on any worker.
+     *
+     * @return true if so
+     */
+    boolean isSettled() {
+        return state.isFinal() && allTasks().allMatch(task -> task.getWorker() == null);
+    }
+
     /**
      * Checks whether a run of any task was ever ordered.
      *
--- /dev/null
+++ b/src/main/java/org/standlink/cell/SettledJob.java
@@ -0,0 +1,68 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import com.fasterxml.jackson.annotation.JsonFormat;
+import java.util.List;
+import org.standlink.JobId;
+import org.standlink.job.JobDefinition;
+import org.standlink.job.JobState;
+
+/**
+ * What is kept of a final job of which nothing runs any more: what callers may still ask.
+ *
+ * <p>It is written as an array, so new parts may only be added at its end.
+ *
+ * <p>{@code SettledJob} is thread-safe and immutable.
+ *
+ * @param order the place in the order of acceptance
+ * @param state the state
+ * @param queue the name of its queue
+ * @param acceptedWallMillis when the job was accepted, in milliseconds since 1970
+ */
+@JsonFormat(shape = JsonFormat.Shape.ARRAY)
+record SettledJob(long order, JobState state, String queue, long acceptedWallMillis) {
+
+    /**
+     * Makes what is kept of a job.
+     *
+     * @param queue the name of its queue
+     * @param record what was kept of it so far
+     * @return the rest
+     */
+    static SettledJob of(String queue, JobRecord record) {
+        return new SettledJob(record.order(), record.state(), queue, record.acceptedWallMillis());
+    }
+
+    /**
+     * Makes a definition without any step.
+     *
+     * @param id the identifier
+     * @return the definition
+     */
+    JobDefinition toDefinition(JobId id) {
+        return new JobDefinition(id, queue, "", List.of(), 0, 0, 0);
+    }
+
+    /**
+     * Makes a record without any task.
+     *
+     * @return the record
+     */
+    JobRecord toRecord() {
+        return new JobRecord(order, state, List.of(), acceptedWallMillis);
+    }
+}
--- a/src/test/java/org/standlink/cell/TestJobBoard.java
+++ b/src/test/java/org/standlink/cell/TestJobBoard.java
@@ -118,4 +118,28 @@
         other.restore(kept);
         assertNull(other.find(JobId.parse("a")));
     }
+
+    @Test
+    public void ofAJobWithNothingLeftToDoOnlyItsStateIsKept() {
+        JobEntry job = board.add(CellFixtures.job("a", 1));
+        List<KeyedRecord> kept = new ArrayList<>(board.takeChanges());
+        TaskEntry task = job.readyTasks(0).get(0);
+        task.assign(ONE);
+        job.cancel();
+        board.markChanged(job);
+        List<KeyedRecord> whileItRuns = board.takeChanges();
+        assertEquals(1, whileItRuns.size());
+        kept.addAll(whileItRuns);
+        task.release();
+        board.markChanged(job);
+        kept.addAll(board.takeChanges());
+        JobBoard other = new JobBoard();
+        other.restore(kept);
+        JobEntry restored = other.find(JobId.parse("a"));
+        assertEquals(JobState.CANCELLED, restored.getState());
+        assertEquals(JobState.CANCELLED, restored.getKeptState());
+        assertEquals("q", restored.getDefinition().queue());
+        assertEquals(0, restored.allTasks().count());
+        assertEquals(2, other.add(CellFixtures.job("b", 1)).getOrder());
+    }
 }
