Let requests wait for a leader that is being replaced; report at once to one that reads its state

Now a request waits up to 1,200 ms of its 3,000 (refused at once if the leader's connection is open and silent), an agent reports again after 60 ms, and a leader whose address refuses connections is replaced after 350 ms of silence in the store instead of 600. Test: TestJobGateway.aRequestWaitsForALeaderThatReadsItsState, failing before.

--- a/src/main/java/org/standlink/election/Candidate.java
+++ b/src/main/java/org/standlink/election/Candidate.java
@@ -51,9 +51,10 @@
 
     /**
      * How long the store must be without a record of a leader that is gone from its address, in
-     * milliseconds: two of its records, in case it is cut off from this process only.
+     * milliseconds: longer than between two of its records, in case it is cut off from this process
+     * only.
      */
-    static final long GONE_MILLIS = 600;
+    static final long GONE_MILLIS = 350;
 
     /**
      * For how long a leader must have had no store to be replaced, in milliseconds; after an outage
--- a/src/main/java/org/standlink/election/LeaderLink.java
+++ b/src/main/java/org/standlink/election/LeaderLink.java
@@ -170,6 +170,15 @@
         return silent;
     }
 
+    /**
+     * Checks whether there is an open connection to the leader.
+     *
+     * @return true if so
+     */
+    public synchronized boolean isConnected() {
+        return peer != null && peer.getOpen() != null;
+    }
+
     private synchronized void began() {
         if (waitingSince < 0) {
             waitingSince = clock.nowMillis();
--- a/src/main/java/org/standlink/gateway/JobGateway.java
+++ b/src/main/java/org/standlink/gateway/JobGateway.java
@@ -47,10 +47,10 @@
 
     /**
      * How long a request waits for a leader to be reachable, in milliseconds, at its start and
-     * after a lost connection; a restarted connection takes a tenth of it, a new leader takes
-     * longer than a caller should be held.
+     * after a lost connection. A new leader takes 500 to 2,000 after the loss of one; a caller that
+     * is told to come back loses the second that it is told to wait, and callers wait for 3,000.
      */
-    private static final long LEADER_WAIT_MILLIS = 400;
+    private static final long LEADER_WAIT_MILLIS = 1200;
 
     /**
      * How long an answer of the leader is waited for, in milliseconds: an append takes 10, one that
@@ -178,7 +178,10 @@
         while (clock.nowMillis() <= end) {
             if (leader.isSilent()) {
                 reason = "the leader does not answer";
-                break;
+                if (leader.isConnected() || !pause()) {
+                    break;
+                }
+                continue;
             }
             long left = call.waitMillis() - (clock.nowMillis() - start);
             try {
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -62,6 +62,18 @@
     /** The pause after a report that was not answered, in milliseconds; connecting takes less. */
     private static final long RETRY_MILLIS = 50;
 
+    /**
+     * The pause after a report to a leader that still reads its state, in milliseconds; without it,
+     * the worker's tasks wait for the next heartbeat, 250 on average.
+     */
+    private static final long READING_MILLIS = 60;
+
+    /**
+     * How long a leader that grants no lease may have had no store to be taken for one that still
+     * reads its state, in milliseconds.
+     */
+    private static final long MOST_READING_MILLIS = 2000;
+
     /** The log. */
     private static final EventLog LOG = EventLog.of(AgentNode.class);
 
@@ -183,7 +195,13 @@
             present.heartbeat(worker);
             return;
         }
-        LOG.info("worker-found").with("worker", worker).write();
+        LOG.info("worker-found")
+                .with("worker", worker.id())
+                .with("service", worker.service())
+                .with("address", worker.address())
+                .with("millicores", worker.capacity().milliCores())
+                .with("draining", worker.draining())
+                .write();
         WorkerSupervisor made =
                 new WorkerSupervisor(
                         worker,
@@ -314,11 +332,19 @@
         }
         if (failure != null) {
             loop.schedule(this::reportAgain, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (isReadingItsState(answer)) {
+            loop.schedule(this::reportAgain, READING_MILLIS, TimeUnit.MILLISECONDS);
         } else if (changed) {
             loop.schedule(this::reportIfChanged, GATHER_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
+    private static boolean isReadingItsState(Message answer) {
+        return answer instanceof AgentGrant grant
+                && grant.leaseMillis() == 0
+                && grant.storeSilentMillis() < MOST_READING_MILLIS;
+    }
+
     private void reportAgain() {
         if (!reporting) {
             report();
--- a/src/test/java/org/standlink/gateway/TestJobGateway.java
+++ b/src/test/java/org/standlink/gateway/TestJobGateway.java
@@ -150,6 +150,22 @@
         assertEquals(2, asked.get());
     }
 
+    @Test
+    public void aRequestWaitsForALeaderThatReadsItsState() {
+        AtomicInteger asked = new AtomicInteger();
+        lead(
+                1,
+                (connection, call, message) -> {
+                    boolean reading = asked.incrementAndGet() < 12;
+                    connection.answer(
+                            call,
+                            reading
+                                    ? new LeaderNotice(Epoch.of(1), "")
+                                    : JobAnswer.ofDone(JobState.QUEUED));
+                });
+        assertEquals(200, ask(JobCall.Kind.SUBMIT).status());
+    }
+
     @Test
     public void aMereQuestionMayBeAskedAgain() {
         lead(1, (connection, call, message) -> connection.close());
