--- a/src/main/java/org/standlink/cell/LeastAskedPlacement.java
+++ b/src/main/java/org/standlink/cell/LeastAskedPlacement.java
@@ -161,8 +161,8 @@
 
     private static long idleMilliCores(WorkerEntry worker) {
         long capacity = worker.getDescription().capacity().milliCores();
-        long serving = worker.getServingMilliCores() * SERVING_PERCENT / 100;
-        return capacity - serving - worker.getBatchMilliCores();
+        long serving = worker.getLoad().getServingMilliCores() * SERVING_PERCENT / 100;
+        return capacity - serving - worker.getLoad().getBatchMilliCores();
     }
 
     private double harm(TaskEntry task, WorkerEntry worker) {
@@ -171,9 +171,9 @@
 
     private long apartScore(TaskEntry task, WorkerEntry worker) {
         if (task.getStep().longRunning()) {
-            return worker.getServingMilliCores() * TOGETHER_WEIGHT;
+            return worker.getLoad().getServingMilliCores() * TOGETHER_WEIGHT;
         }
-        if (!task.getStep().bestEffort() || worker.getServingMilliCores() == 0) {
+        if (!task.getStep().bestEffort() || worker.getLoad().getServingMilliCores() == 0) {
             return 0;
         }
         double belief = harm(task, worker);
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -20,7 +20,6 @@
 import java.util.Map;
 import org.standlink.Incarnation;
 import org.standlink.Resources;
-import org.standlink.job.StepDefinition;
 import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
@@ -45,15 +44,6 @@
     /** How often these have changed. */
     private long taskChanges;
 
-    /** What these take of its room. */
-    private Resources taken = Resources.NONE;
-
-    /** What those ask for that run until their job is cancelled, in thousandths of a core. */
-    private long servingMilliCores;
-
-    /** What the others ask for, in thousandths of a core. */
-    private long batchMilliCores;
-
     /** What the worker said of itself, null until an agent has told. */
     private WorkerDescription description;
 
@@ -78,6 +68,9 @@
     /** The last end whose record has been kept. */
     private long recordedEnd;
 
+    /** What its tasks ask for. */
+    private final WorkerLoad load = new WorkerLoad();
+
     /** What it reported of its runs' figures. */
     private final WorkerFigures figures = new WorkerFigures();
 
@@ -151,14 +144,7 @@
 
     private void count(TaskEntry task, int sign) {
         taskChanges++;
-        StepDefinition step = task.getStep();
-        taken = sign > 0 ? taken.plus(step.room()) : taken.minus(step.room());
-        long asked = sign * step.demand().milliCores();
-        if (step.longRunning()) {
-            servingMilliCores += asked;
-        } else {
-            batchMilliCores += asked;
-        }
+        load.count(task.getStep(), sign);
     }
 
     /**
@@ -176,25 +162,16 @@
      * @return the free room; may be negative in parts on a worker that does not guard its room
      */
     Resources free() {
-        return description.capacity().minus(taken);
-    }
-
-    /**
-     * Gets how many processors tasks ask for that run until their job is cancelled.
-     *
-     * @return the sum, in thousandths of a core
-     */
-    long getServingMilliCores() {
-        return servingMilliCores;
+        return description.capacity().minus(load.getTaken());
     }
 
     /**
-     * Gets how many processors all other tasks ask for, best-effort ones included.
+     * Gets what its tasks ask for.
      *
-     * @return the sum, in thousandths of a core
+     * @return the load, which changes with the tasks
      */
-    long getBatchMilliCores() {
-        return batchMilliCores;
+    WorkerLoad getLoad() {
+        return load;
     }
 
     /**
