Claim as soon as it is read that nobody leads; bound the requests that wait for a leader

An agent looked every 100 ms, 50 on average after the claim was read. At most 32 requests of an entry wait for a leader, half of its threads, and the others are refused at once: at the target size all threads would wait otherwise. Test: TestJobGateway.aRequestIsRefusedAtOnceWhenTooManyWaitForALeader; it needs a new constructor, so that it could not be run on the old code.

--- a/src/main/java/org/standlink/command/PlatformAgentCommand.java
+++ b/src/main/java/org/standlink/command/PlatformAgentCommand.java
@@ -26,6 +26,7 @@
 import org.standlink.cell.CellTimes;
 import org.standlink.cell.LeaderSeat;
 import org.standlink.election.Candidate;
+import org.standlink.election.Claim;
 import org.standlink.election.LeaderLink;
 import org.standlink.platform.HeartbeatServer;
 import org.standlink.platform.HttpCaller;
@@ -68,6 +69,9 @@
     /** Follows claims. */
     private TopicFollower claims;
 
+    /** Whether the others can reach this process, so that it may lead. */
+    private volatile boolean listening;
+
     @Override
     public int run() throws InterruptedException {
         PlatformSettings settings = PlatformSettings.readAgent(TextFiles.read(settingsFile));
@@ -106,12 +110,7 @@
                         leader);
         // Reading begins before the servers are made, which takes about half of a start.
         base.followConfiguration(seat::offer);
-        claims =
-                base.followClaims(
-                        claim -> {
-                            candidate.claimed(claim);
-                            seat.claimed(claim);
-                        });
+        claims = base.followClaims(claim -> claimed(claim, candidate, seat, base));
         new WireServer(
                 settings.listen(),
                 base.getExecutor(),
@@ -119,18 +118,31 @@
                 seat::handle);
         new HeartbeatServer(
                 settings.heartbeats(), ProcessThreads.newBounded("heartbeat", SIDE_THREADS), agent);
-        HttpService metrics =
-                new HttpService(
-                        settings.metrics(), ProcessThreads.newBounded("metrics", SIDE_THREADS));
-        HealthApi.addTo(metrics, base.getRegistry(), () -> true);
+        listening = true;
         agent.start();
         base.getLoop()
-                .scheduleWithFixedDelay(
-                        candidate::tick, LOOK_MILLIS, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+                .scheduleWithFixedDelay(candidate::tick, 0, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        serveMetrics(settings, base);
         return serveUntilStopped(() -> stop(seat));
     }
 
     // -----------------------------------------------------------------------
+    private void claimed(Claim claim, Candidate candidate, LeaderSeat seat, PlatformBase base) {
+        candidate.claimed(claim);
+        seat.claimed(claim);
+        if (listening) {
+            // Whoever sees that nobody leads need not wait for the next look.
+            base.getLoop().execute(candidate::tick);
+        }
+    }
+
+    private static void serveMetrics(PlatformSettings settings, PlatformBase base) {
+        HttpService metrics =
+                new HttpService(
+                        settings.metrics(), ProcessThreads.newBounded("metrics", SIDE_THREADS));
+        HealthApi.addTo(metrics, base.getRegistry(), () -> true);
+    }
+
     private void fromLeader(Connection connection, long call, Message message) {
         agent.handle(connection, call, message);
     }
--- a/src/main/java/org/standlink/gateway/JobGateway.java
+++ b/src/main/java/org/standlink/gateway/JobGateway.java
@@ -20,6 +20,7 @@
 import java.util.Optional;
 import java.util.OptionalInt;
 import java.util.concurrent.CompletionException;
+import java.util.concurrent.Semaphore;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
 import java.util.function.Function;
@@ -58,6 +59,12 @@
      */
     private static final long ANSWER_MILLIS = 1000;
 
+    /**
+     * How many requests may wait for a leader at once: half of the threads that answer callers, so
+     * that the rest are told at once and nobody waits for a thread.
+     */
+    private static final int MOST_WAITING = 32;
+
     /** The pause between two tries to reach the leader, in milliseconds. */
     private static final long PAUSE_MILLIS = 50;
 
@@ -77,6 +84,9 @@
     /** Where histograms go. */
     private final MeterRegistry registry;
 
+    /** Lets requests wait for a leader. */
+    private final Semaphore mayWait;
+
     /**
      * Constructor.
      *
@@ -85,9 +95,22 @@
      * @param registry where histograms go
      */
     public JobGateway(LeaderLink leader, MonotonicClock clock, MeterRegistry registry) {
+        this(leader, clock, registry, MOST_WAITING);
+    }
+
+    /**
+     * Constructor.
+     *
+     * @param leader the leader
+     * @param clock the clock
+     * @param registry where histograms go
+     * @param mostWaiting how many requests may wait for a leader at once
+     */
+    JobGateway(LeaderLink leader, MonotonicClock clock, MeterRegistry registry, int mostWaiting) {
         this.leader = leader;
         this.clock = clock;
         this.registry = registry;
+        this.mayWait = new Semaphore(mostWaiting);
     }
 
     /**
@@ -224,13 +247,19 @@
         return cause instanceof StandlinkException known && known.getCode() == code;
     }
 
-    private static boolean pause() {
+    /** Waits a little, unless too many requests wait already. */
+    private boolean pause() {
+        if (!mayWait.tryAcquire()) {
+            return false;
+        }
         try {
             TimeUnit.MILLISECONDS.sleep(PAUSE_MILLIS);
             return true;
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
             return false;
+        } finally {
+            mayWait.release();
         }
     }
 
--- a/src/test/java/org/standlink/gateway/TestJobGateway.java
+++ b/src/test/java/org/standlink/gateway/TestJobGateway.java
@@ -166,6 +166,27 @@
         assertEquals(200, ask(JobCall.Kind.SUBMIT).status());
     }
 
+    @Test
+    public void aRequestIsRefusedAtOnceWhenTooManyWaitForALeader() {
+        AtomicInteger asked = new AtomicInteger();
+        lead(
+                1,
+                (connection, call, message) -> {
+                    asked.incrementAndGet();
+                    connection.answer(call, new LeaderNotice(Epoch.of(1), ""));
+                });
+        ask(JobCall.Kind.STATE);
+        asked.set(0);
+        JobGateway crowded =
+                new JobGateway(leader, MonotonicClock.ofSystem(), new SimpleMeterRegistry(), 0);
+        crowded.offer(CONFIGURATION);
+        JobReply reply =
+                crowded.answer(
+                        "h", "/q/x", queue -> new JobCall(JobCall.Kind.SUBMIT, ID, JOB, 3000));
+        assertEquals(503, reply.status());
+        assertEquals(1, asked.get());
+    }
+
     @Test
     public void aMereQuestionMayBeAskedAgain() {
         lead(1, (connection, call, message) -> connection.close());
