--- a/src/main/java/org/standlink/command/PlatformRehearseCommand.java
+++ b/src/main/java/org/standlink/command/PlatformRehearseCommand.java
@@ -16,6 +16,7 @@
 package org.standlink.command;
 
 import java.io.IOException;
+import java.io.UncheckedIOException;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.URI;
@@ -190,7 +191,7 @@
         try (ServerSocket socket = new ServerSocket(0)) {
             return "127.0.0.1:" + socket.getLocalPort();
         } catch (IOException noPort) {
-            throw new java.io.UncheckedIOException("no free port", noPort);
+            throw new UncheckedIOException("no free port", noPort);
         }
     }
 }
--- a/src/main/java/org/standlink/platform/StandInStore.java
+++ b/src/main/java/org/standlink/platform/StandInStore.java
@@ -20,6 +20,7 @@
 import com.fasterxml.jackson.databind.node.ObjectNode;
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Base64;
 import java.util.HashMap;
@@ -95,9 +96,7 @@
      * @param configuration the JSON text
      */
     public synchronized void publish(String configuration) {
-        byte[] value =
-                Json.write(
-                        Json.read(configuration.getBytes(java.nio.charset.StandardCharsets.UTF_8)));
+        byte[] value = Json.write(Json.read(configuration.getBytes(StandardCharsets.UTF_8)));
         log("keyed.op").records.add(new KeyedRecord("config", value));
         notifyAll();
     }
