Lead the shares of best-effort work to where the tail is predicted to be right

Hypothesis: shares were cut twice and more for one effect, as figures cover 500 ms and decisions come every 350, and rose by fixed steps, so that they were too low after a long tail and too high before the next. Now a share is multiplied by what the tail may have above the serving run's own part, over what it has, and stays for 600 ms after it was lowered.

--- a/src/main/java/org/standlink/runner/ThrottlePolicy.java
+++ b/src/main/java/org/standlink/runner/ThrottlePolicy.java
@@ -45,11 +45,38 @@
      */
     private static final int FIRST_UNKNOWN = 50;
 
-    /** The share of its target above which a tail is too long. */
-    private static final double HIGH = 0.9;
+    /**
+     * The tail to which shares are led, as a share of its target; figures are rough by about a
+     * tenth, and a serving run that is over its target for a second costs its users as much as some
+     * core-seconds of best-effort work bring.
+     */
+    private static final double AIM = 0.8;
+
+    /** The tail above which shares are lowered, as a share of its target. */
+    private static final double HIGH = 0.88;
+
+    /** The tail below which shares are raised, as a share of its target. */
+    private static final double LOW = 0.72;
+
+    /**
+     * The tail that a serving run is taken to have by its own load, as a share of its target. What
+     * is more is taken to grow with the shares; a wrong value here changes how fast they come to
+     * where the tail is right, not where that is.
+     */
+    private static final double OWN = 0.4;
+
+    /** The most by which a share is raised at once, as a factor. */
+    private static final double MOST_RAISE = 1.5;
 
-    /** The share of its target below which a tail leaves room. */
-    private static final double LOW = 0.7;
+    /** The most by which a share is lowered at once, as a factor. */
+    private static final double MOST_CUT = 0.3;
+
+    /**
+     * How long after it was lowered a share stays as it is, in milliseconds: a worker takes 100 to
+     * follow and figures cover 500, so that earlier ones still show the tail from before and would
+     * lower it for the same cause again.
+     */
+    private static final long SETTLE_MILLIS = 600;
 
     /** The share of its target above which a tail counts as over it; figures are rough. */
     private static final double OVER = 0.97;
@@ -63,23 +90,17 @@
      */
     private static final long ALL_MILLIS = 2200;
 
-    /** By what a share is multiplied when a tail is too long. */
-    private static final double LESS = 0.4;
-
-    /** What is added to a share when a tail leaves room, in percent. */
-    private static final int MORE = 25;
-
-    /** The same for an image that is believed to harm. */
-    private static final int MORE_HARMFUL = 8;
-
     /**
      * The share up to which one is raised a little also beside a tail between the two, in percent:
      * such a tail is not the doing of an image that hardly works.
      */
     private static final int SMALL = 30;
 
-    /** What is added then, in percent. */
-    private static final int MORE_SMALL = 5;
+    /** The least that is added when a share is raised, in percent. */
+    private static final int LEAST_RAISE = 2;
+
+    /** What is added to a small share beside a tail between the two, in percent. */
+    private static final int SMALL_RAISE = 1;
 
     /** The beliefs. */
     private final HarmTable harm;
@@ -87,6 +108,9 @@
     /** The share of each best-effort image. */
     private final Map<String, Integer> shares = new HashMap<>();
 
+    /** When the share of each best-effort image was lowered last. */
+    private final Map<String, Long> loweredAt = new HashMap<>();
+
     /** Since when the tail of each serving image has been over its target. */
     private final Map<String, Long> overSince = new HashMap<>();
 
@@ -113,6 +137,7 @@
         serving = new HashSet<>(tails.keySet());
         noteOver(tails, now);
         shares.keySet().retainAll(bestEffort);
+        loweredAt.keySet().retainAll(bestEffort);
         boolean blamed =
                 tails.entrySet().stream()
                         .filter(tail -> tail.getValue() > HIGH)
@@ -124,8 +149,7 @@
                     worst = Math.max(worst, tail.getValue());
                 }
             }
-            int share = next(getShare(image), worst, harmOf(image));
-            shares.put(image, isToStandStill(image, now) ? 0 : share);
+            shares.put(image, isToStandStill(image, now) ? 0 : next(image, worst, now));
         }
     }
 
@@ -183,14 +207,27 @@
         return serving.stream().mapToDouble(one -> harm.get(one, image)).max().orElse(0);
     }
 
-    private static int next(int share, double worst, double harmful) {
+    private int next(String image, double worst, long now) {
+        int share = getShare(image);
         if (worst > HIGH) {
-            return Math.max(LEAST, (int) (share * LESS));
+            Long lowered = loweredAt.get(image);
+            if (lowered != null && now - lowered < SETTLE_MILLIS) {
+                return share;
+            }
+            loweredAt.put(image, now);
+            return Math.max(LEAST, (int) (share * factor(worst)));
         }
         if (worst < LOW) {
-            int more = harmful >= HarmTable.HARMFUL ? MORE_HARMFUL : MORE;
-            return Math.min(FULL, share + more);
+            int raised = (int) (share * factor(worst));
+            return Math.min(FULL, Math.max(share + LEAST_RAISE, raised));
         }
-        return share < SMALL ? share + MORE_SMALL : share;
+        return share < SMALL ? share + SMALL_RAISE : share;
+    }
+
+    /** Predicts by what a share must change for the tail to come to where it should be. */
+    private static double factor(double worst) {
+        double byOthers = Math.max(worst - OWN, 0);
+        double factor = byOthers == 0 ? MOST_RAISE : (AIM - OWN) / byOthers;
+        return Math.max(MOST_CUT, Math.min(MOST_RAISE, factor));
     }
 }
