Send an append a second time when nothing is heard of it

Ruled out: the store (it takes 10 ms), the leader's load (0.05 of 0.45 cores). Now a second call with the same number goes out after 150 ms, or four times what the last append took; the store counts the append once. Test: TestCommitQueue.anAppendOfWhichNothingIsHeardIsSentASecondTime, failing before.

--- a/src/main/java/org/standlink/cell/CommitQueue.java
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -55,6 +55,19 @@
     /** The pause before an append is repeated, in milliseconds. */
     private static final long PAUSE_MILLIS = 100;
 
+    /**
+     * How long an append is without an answer before it is sent a second time beside the first, in
+     * milliseconds: an answer takes 10, and a call whose answer is lost is only given up after
+     * 1,000, by which callers are told that they cannot know.
+     */
+    private static final long SECOND_MILLIS = 150;
+
+    /** The same as a multiple of what the last append took, in case the store is slow. */
+    private static final long SECOND_FACTOR = 4;
+
+    /** How many calls for one append may be under way at once. */
+    private static final int MOST_CALLS = 2;
+
     /** The key of the record that only says that the leader lives. */
     private static final String HEARTBEAT_KEY = "heartbeat";
 
@@ -94,6 +107,9 @@
     /** When the last append that was taken had been sent. */
     private long takenAt;
 
+    /** How long the last append took that was taken, in milliseconds. */
+    private long tookMillis;
+
     /** Whether the last append failed. */
     private boolean failing;
 
@@ -155,7 +171,7 @@
         }
         sequence++;
         begunAt = clock.nowMillis();
-        append(records, takeWaiting());
+        send(new Append(records, takeWaiting()));
     }
 
     /**
@@ -188,32 +204,55 @@
         return taken;
     }
 
-    private void append(List<KeyedRecord> records, List<Runnable> effects) {
-        if (closed) {
+    /**
+     * Sends an append, once more if no answer comes: the store counts it once, by its number, and
+     * gives the answer of the first.
+     */
+    private void send(Append append) {
+        if (closed || append.done) {
             return;
         }
+        append.calls++;
         long sentAt = clock.nowMillis();
-        store.append(Topic.CELL, records, new Writer(epoch, sequence))
-                .whenCompleteAsync(
-                        (end, failure) -> {
-                            if (failure == null) {
-                                taken(sentAt, effects);
-                            } else {
-                                failed(failure, records, effects);
-                            }
-                        },
-                        loop);
+        store.append(Topic.CELL, append.records, new Writer(epoch, sequence))
+                .whenCompleteAsync((end, failure) -> answered(append, sentAt, failure), loop);
+        long patience = Math.max(SECOND_MILLIS, SECOND_FACTOR * tookMillis);
+        later(() -> sendSecond(append), patience);
+    }
+
+    private void sendSecond(Append append) {
+        if (append.calls > 0 && append.calls < MOST_CALLS) {
+            send(append);
+        }
     }
 
-    private void taken(long sentAt, List<Runnable> effects) {
+    private void later(Runnable work, long millis) {
+        timers.schedule(() -> loop.execute(work), millis, TimeUnit.MILLISECONDS);
+    }
+
+    private void answered(Append append, long sentAt, Throwable failure) {
+        append.calls--;
+        if (append.done || closed) {
+            return;
+        }
+        if (failure == null) {
+            append.done = true;
+            taken(append, sentAt);
+        } else {
+            failed(append, failure);
+        }
+    }
+
+    private void taken(Append append, long sentAt) {
         if (failing) {
             failing = false;
             LOG.info("store-regained").with("after", clock.nowMillis() - takenAt).write();
         }
+        tookMillis = clock.nowMillis() - sentAt;
         takenAt = sentAt;
         begunAt = -1;
         sources.forEach(ChangeSource::kept);
-        runEffects(effects);
+        runEffects(append.effects);
         pump();
     }
 
@@ -223,7 +262,7 @@
         }
     }
 
-    private void failed(Throwable failure, List<KeyedRecord> records, List<Runnable> effects) {
+    private void failed(Append append, Throwable failure) {
         Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
         ErrorCode code = cause instanceof StandlinkException known ? known.getCode() : null;
         if (code == ErrorCode.EPOCH_FENCED || code == ErrorCode.INTERNAL) {
@@ -236,9 +275,29 @@
             failing = true;
             LOG.warning("store-lost").with("sequence", sequence).with("cause", cause).write();
         }
-        timers.schedule(
-                () -> loop.execute(() -> append(records, effects)),
-                PAUSE_MILLIS,
-                TimeUnit.MILLISECONDS);
+        if (append.calls == 0) {
+            later(() -> send(append), PAUSE_MILLIS);
+        }
+    }
+
+    /** One append, from its first call to the answer. */
+    private static final class Append {
+
+        /** What is to be kept. */
+        private final List<KeyedRecord> records;
+
+        /** What happens once it is kept. */
+        private final List<Runnable> effects;
+
+        /** How many calls for it are under way. */
+        private int calls;
+
+        /** Whether it was taken. */
+        private boolean done;
+
+        Append(List<KeyedRecord> records, List<Runnable> effects) {
+            this.records = records;
+            this.effects = effects;
+        }
     }
 }
--- a/src/test/java/org/standlink/cell/TestCommitQueue.java
+++ b/src/test/java/org/standlink/cell/TestCommitQueue.java
@@ -76,6 +76,23 @@
         assertEquals(2, store.records(Topic.CELL).size());
     }
 
+    @Test
+    public void anAppendOfWhichNothingIsHeardIsSentASecondTime() {
+        store.setMode(FakeKeyedStore.Mode.SILENT);
+        board.add(CellFixtures.job("a", 1));
+        queue.afterCommit(() -> seen.add("effect"));
+        queue.pump();
+        loop.advance(100);
+        assertTrue(seen.isEmpty());
+        store.setMode(FakeKeyedStore.Mode.UP);
+        loop.advance(100);
+        assertEquals(List.of("effect"), seen);
+        assertEquals(2, store.records(Topic.CELL).size());
+        loop.advance(1000);
+        assertEquals(List.of("effect"), seen);
+        assertEquals(2, store.records(Topic.CELL).size());
+    }
+
     @Test
     public void callersAreToldOnlyWhatWasKept() {
         JobEntry job = board.add(CellFixtures.job("a", 1));
--- a/src/test/java/org/standlink/store/FakeKeyedStore.java
+++ b/src/test/java/org/standlink/store/FakeKeyedStore.java
@@ -38,7 +38,9 @@
         /** Nothing is done, and calls are refused. */
         DOWN,
         /** Calls are done, but their answers are lost. */
-        LOST
+        LOST,
+        /** Calls are done, and nothing is heard of them. */
+        SILENT
     }
 
     private final Map<Topic, List<KeyedRecord>> topics = new EnumMap<>(Topic.class);
@@ -141,6 +143,9 @@
         }
         try {
             T value = effect.get();
+            if (mode == Mode.SILENT) {
+                return new CompletableFuture<>();
+            }
             return mode == Mode.LOST
                     ? CompletableFuture.failedFuture(failure(ErrorCode.PLATFORM_OUTCOME_UNKNOWN))
                     : CompletableFuture.completedFuture(value);
