Bound the lines that the log writer gathers at once

Ruled out: the test, which only fails when the writer keeps up with it. Now at most 512 lines go out at once, so that the test holds for any order of the threads.

--- a/src/main/java/org/standlink/process/LogWriter.java
+++ b/src/main/java/org/standlink/process/LogWriter.java
@@ -33,6 +33,12 @@
     /** The most lines that wait; about 1 MB, some seconds of the busiest process. */
     static final int MOST_LINES = 4096;
 
+    /**
+     * The most lines written at once: without a limit, a thread that is handed lines as fast as it
+     * takes them gathers them for ever, and more of them wait than may.
+     */
+    private static final int MOST_AT_ONCE = 512;
+
     /** The one that the process uses. */
     private static final LogWriter INSTANCE = new LogWriter(System.out);
 
@@ -87,8 +93,10 @@
             while (true) {
                 batch.setLength(0);
                 batch.append(lines.take()).append('\n');
-                for (String more = lines.poll(); more != null; more = lines.poll()) {
+                String more = lines.poll();
+                for (int count = 1; more != null; count++) {
                     batch.append(more).append('\n');
+                    more = count < MOST_AT_ONCE ? lines.poll() : null;
                 }
                 long lost = dropped.getAndSet(0);
                 if (lost > 0) {
