--- a/src/main/java/org/standlink/agent/AgentProcess.java
+++ b/src/main/java/org/standlink/agent/AgentProcess.java
@@ -53,6 +53,13 @@
  */
 public final class AgentProcess implements AutoCloseable {
 
+    /**
+     * How long nothing may be in progress before a leaving agent ends, in milliseconds: a request
+     * that an entry sent before it heard of the leave arrives within a tenth of it, and an answer
+     * counts as given a moment before it is written.
+     */
+    private static final long QUIET_MILLIS = 500;
+
     /** The log of changes of state. */
     private static final System.Logger LOGGER = System.getLogger(AgentProcess.class.getName());
 
@@ -204,8 +211,12 @@
     public void drain() throws InterruptedException {
         leave();
         long until = clock.nowMillis() + settings.drainMillis();
-        while (clock.nowMillis() < until && !isDrained()) {
+        long quietSince = clock.nowMillis();
+        long now = quietSince;
+        while (now < until && now - quietSince < QUIET_MILLIS) {
             TimeUnit.MILLISECONDS.sleep(LOAD_MILLIS / 5);
+            now = clock.nowMillis();
+            quietSince = isDrained() ? quietSince : now;
         }
         close();
     }
