Keep the platform's names of the rehearsal in the adapter

The rehearsal wrote calls of callers, balancer and workers itself; they are in platform.StandInCaller now, beside the stand-ins of the store and a worker. No change of behaviour: the rehearsal serves its jobs and writes the archive.

--- a/src/main/java/org/standlink/command/PlatformRehearseCommand.java
+++ b/src/main/java/org/standlink/command/PlatformRehearseCommand.java
@@ -17,19 +17,17 @@
 
 import java.io.IOException;
 import java.io.UncheckedIOException;
+import java.net.HttpURLConnection;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.URI;
-import java.net.http.HttpClient;
-import java.net.http.HttpRequest;
-import java.net.http.HttpResponse;
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.time.Duration;
 import java.util.List;
 import java.util.concurrent.ExecutorService;
+import org.standlink.JobId;
 import org.standlink.lease.MonotonicClock;
+import org.standlink.platform.StandInCaller;
 import org.standlink.platform.StandInStore;
 import org.standlink.platform.StandInWorker;
 import org.standlink.process.ProcessThreads;
@@ -49,9 +47,6 @@
     /** How long a run works, in milliseconds. */
     private static final long WORK_MILLIS = 400;
 
-    /** How long a call may take, in milliseconds. */
-    private static final long CALL_MILLIS = 2000;
-
     /** How long it may take until the entry accepts a job, in milliseconds. */
     private static final long READY_MILLIS = 30_000;
 
@@ -61,28 +56,11 @@
     /** How often the jobs' states are asked for: for 4 s, so that all jobs end meanwhile. */
     private static final int ROUNDS = 40;
 
-    /** The configuration: one queue. */
-    private static final String CONFIGURATION =
-            "{\"version\":1,\"routes\":[{\"name\":\"q\",\"host\":\"127.0.0.1\",\"path_prefix\":\"/q/\","
-                    + "\"service\":\"s\",\"priority\":1,\"max_attempts\":3,"
-                    + "\"target_latency_ms\":1000,\"stretch\":2.0}],"
-                    + "\"services\":[{\"name\":\"s\",\"enforces_capacity\":false}],"
-                    + "\"limits\":{\"max_body_bytes\":262144}}";
-
-    /** A job of two steps, of best-effort work and of other work. */
-    private static final String BATCH =
-            "{\"spec\":\"text\",\"steps\":[{\"count\":2,\"cpu\":500,\"mem_mb\":256,"
-                    + "\"estimated_ms\":400,\"checkpointing\":true,\"fills\":true,\"image\":\"b\"},"
-                    + "{\"count\":2,\"cpu\":500,\"mem_mb\":256,\"estimated_ms\":400,"
-                    + "\"after\":[0],\"anti_affinity\":2,\"colocate\":\"r1\"}]}";
-
-    /** A job that lasts until it is cancelled. */
-    private static final String LASTING =
-            "{\"spec\":\"text\",\"steps\":[{\"count\":2,\"cpu\":500,\"mem_mb\":256,"
-                    + "\"perpetual\":true,\"image\":\"a\",\"target_ms\":50}]}";
-
-    /** The callers', the balancer's, the worker's and the counters' calls. */
-    private final HttpClient client = HttpClient.newHttpClient();
+    /** The job that ends. */
+    private static final JobId BATCH_JOB = JobId.parse("00000000000000a1");
+
+    /** The job that lasts until it is cancelled. */
+    private static final JobId LASTING_JOB = JobId.parse("00000000000000a2");
 
     /** The threads of the stand-ins and of the two processes. */
     private final ExecutorService threads = ProcessThreads.newCached("rehearsal");
@@ -104,7 +82,7 @@
         StandInStore store = new StandInStore(FREE, threads);
         MonotonicClock clock = MonotonicClock.ofSystem();
         StandInWorker worker = new StandInWorker(FREE, threads, clock::nowMillis, WORK_MILLIS);
-        store.publish(CONFIGURATION);
+        StandInCaller.publishQueue(store);
         String common =
                 "{\"node\":\"rehearsal\",\"hall\":\"h\",\"graceMillis\":6000,\"store\":\"127.0.0.1:"
                         + store.getPort()
@@ -132,49 +110,29 @@
     }
 
     // -----------------------------------------------------------------------
-    private boolean serve(StandInWorker worker) throws IOException, InterruptedException {
+    private boolean serve(StandInWorker worker) throws InterruptedException {
+        StandInCaller caller = new StandInCaller(callers);
         boolean accepted = false;
         long sequence = 0;
         for (long left = READY_MILLIS; left > 0 && !accepted; left -= PAUSE_MILLIS) {
             Thread.sleep(PAUSE_MILLIS);
-            beat(worker, ++sequence);
-            accepted = call("POST", callers, "/q/00000000000000a1", BATCH) == 200;
+            caller.beat(heartbeats, worker, ++sequence);
+            accepted = caller.submitBatch(BATCH_JOB) == HttpURLConnection.HTTP_OK;
         }
-        call("POST", callers, "/q/00000000000000a2", LASTING);
-        call("POST", callers, "/none/00000000000000a2", LASTING);
+        caller.submitLasting(LASTING_JOB);
+        caller.submitNowhere(LASTING_JOB);
         for (int round = 0; round < ROUNDS; round++) {
             Thread.sleep(PAUSE_MILLIS);
-            beat(worker, ++sequence);
-            call("GET", ready, "/v1/ready", "");
-            call("GET", callers, "/q/00000000000000a1", "");
-            call("GET", callers, "/q/", "");
+            caller.beat(heartbeats, worker, ++sequence);
+            caller.askReady(ready);
+            caller.askState(BATCH_JOB);
+            caller.askCount();
         }
-        call("DELETE", callers, "/q/00000000000000a2", "");
-        call("GET", metrics, "/metrics", "");
+        caller.cancel(LASTING_JOB);
+        caller.get(metrics, "/metrics");
         return accepted;
     }
 
-    private void beat(StandInWorker worker, long sequence) throws InterruptedException {
-        call("PUT", heartbeats, "/v1/instances/i-1", worker.heartbeat("s", sequence));
-    }
-
-    /** Calls one of the two processes; one that does not listen yet counts as status 0. */
-    private int call(String method, String address, String path, String body)
-            throws InterruptedException {
-        HttpRequest request =
-                HttpRequest.newBuilder(URI.create("http://" + address + path))
-                        .timeout(Duration.ofMillis(CALL_MILLIS))
-                        .header("Content-Type", "application/json")
-                        .header("X-Deadline-Ms", Long.toString(CALL_MILLIS))
-                        .method(method, HttpRequest.BodyPublishers.ofString(body))
-                        .build();
-        try {
-            return client.send(request, HttpResponse.BodyHandlers.discarding()).statusCode();
-        } catch (IOException notYet) {
-            return 0;
-        }
-    }
-
     private void launch(String role, String settings) throws IOException {
         Path file = Files.createTempFile("standlink-rehearsal", ".json");
         file.toFile().deleteOnExit();
--- a/src/main/java/org/standlink/runner/ThrottlePolicy.java
+++ b/src/main/java/org/standlink/runner/ThrottlePolicy.java
@@ -86,7 +86,7 @@
 
     /**
      * How long a tail may be over its target before all best-effort runs stand still, in
-     * milliseconds; the operators bear 4,000, and figures lag by half a second.
+     * milliseconds: a tail may stay over its target for 4,000, and figures lag by half a second.
      */
     private static final long ALL_MILLIS = 2200;
 
