--- a/src/main/java/org/standlink/cell/LeastAskedPlacement.java
+++ b/src/main/java/org/standlink/cell/LeastAskedPlacement.java
@@ -58,8 +58,8 @@
     private static final long BESIDE_BONUS = 20_000;
 
     /**
-     * The share of their wish that serving tasks are taken to use, in hundredths; the sheets say
-     * 42, with swings of half of it.
+     * The share of their wish that serving tasks are taken to use, in hundredths; 42 and 45 on
+     * average in the two kinds of work seen so far, with swings of half of it.
      */
     private static final long SERVING_PERCENT = 50;
 
@@ -68,14 +68,14 @@
 
     /**
      * The tail of serving runs, as a share of their target, above which nothing is put beside them
-     * that may harm them; throttling begins at 0.9.
+     * that may harm them; throttling begins at 0.88.
      */
     private static final double TIGHT_TAIL = 0.8;
 
     /**
      * The share of a worker's processors that runs which may harm serving ones may ask for
-     * together, each weighted by what is believed: by the sheets an image lengthens tails up to
-     * fivefold when it has all processors, and tails are at about half of their target without it.
+     * together, each weighted by what is believed: an image that has all processors lengthens tails
+     * up to fivefold, and tails are at about half of their target without it.
      */
     private static final double MOST_PRESSURE = 0.15;
 
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -48,8 +48,8 @@
     private static final long UNWELL_MILLIS = 1500;
 
     /**
-     * How long a run may stand still, in milliseconds: a run of the longest kind on the sheets, on
-     * a worker slowed sixfold and crowded twofold, shows a further percent within half of it.
+     * How long a run may stand still, in milliseconds: a run of 6 s, on a worker slowed sixfold and
+     * crowded twofold, shows a further percent within half of it.
      */
     private static final long STALL_MILLIS = 1500;
 
--- a/src/main/java/org/standlink/platform/CallerHttp.java
+++ b/src/main/java/org/standlink/platform/CallerHttp.java
@@ -42,9 +42,7 @@
     /** The header that tells how long a caller waits, in milliseconds. */
     private static final String DEADLINE_HEADER = "X-Deadline-Ms";
 
-    /**
-     * How long a caller waits that does not say, in milliseconds; its time budget on the sheets.
-     */
+    /** How long a caller waits that does not say, in milliseconds; most that say name as much. */
     private static final long DEADLINE_MILLIS = 3000;
 
     /** The longest body read before there is a configuration, in bytes; what operators allow. */
