--- a/src/main/java/org/standlink/platform/CallerHttp.java
+++ b/src/main/java/org/standlink/platform/CallerHttp.java
@@ -42,7 +42,7 @@
     /** The header that tells how long a caller waits, in milliseconds. */
     private static final String DEADLINE_HEADER = "X-Deadline-Ms";
 
-    /** How long a caller waits that does not say, in milliseconds; most that say name as much. */
+    /** How long a caller waits that does not say, in milliseconds: a new leader takes 2,000. */
     private static final long DEADLINE_MILLIS = 3000;
 
     /** The longest body read before there is a configuration, in bytes; what operators allow. */
