--- a/src/main/java/org/standlink/cell/LeastAskedPlacement.java
+++ b/src/main/java/org/standlink/cell/LeastAskedPlacement.java
@@ -58,8 +58,8 @@
     private static final long BESIDE_BONUS = 20_000;
 
     /**
-     * The share of their wish that serving tasks are taken to use, in hundredths; 42 and 45 on
-     * average in the two kinds of work seen so far, with swings of half of it.
+     * The share of their wish that serving tasks are taken to use, in hundredths: an assumption,
+     * not learnt from figures; too much leaves processors idle.
      */
     private static final long SERVING_PERCENT = 50;
 
