Let leaders and agents speak over interfaces

CellLeader and AgentNode took the TCP connection and the leader's link as classes, so that the two could only be played together over sockets. MessageChannel and LeaderCalls are what they use of them.

--- a/src/main/java/org/standlink/cell/CallerDesk.java
+++ b/src/main/java/org/standlink/cell/CallerDesk.java
@@ -23,10 +23,10 @@
 import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
 import org.standlink.wire.CancelJob;
-import org.standlink.wire.Connection;
 import org.standlink.wire.JobAnswer;
 import org.standlink.wire.JobQuery;
 import org.standlink.wire.Message;
+import org.standlink.wire.MessageChannel;
 import org.standlink.wire.QueueQuery;
 import org.standlink.wire.SubmitJob;
 
@@ -84,7 +84,7 @@
      * @param call the number to answer under
      * @param message the message; another one than callers cause is passed over
      */
-    void handle(Connection connection, long call, Message message) {
+    void handle(MessageChannel connection, long call, Message message) {
         if (message instanceof SubmitJob submit) {
             submit(connection, call, submit.job());
         } else if (message instanceof CancelJob cancel) {
@@ -97,7 +97,7 @@
     }
 
     // -----------------------------------------------------------------------
-    private void submit(Connection connection, long call, JobDefinition job) {
+    private void submit(MessageChannel connection, long call, JobDefinition job) {
         JobEntry known = board.find(job.id());
         if (known == null && commits.isStalled()) {
             String reason = "the store does not answer";
@@ -133,7 +133,7 @@
                 });
     }
 
-    private void cancel(Connection connection, long call, CancelJob cancel) {
+    private void cancel(MessageChannel connection, long call, CancelJob cancel) {
         JobEntry job = findIn(cancel.job(), cancel.queue());
         if (job == null) {
             connection.answer(call, JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, ""));
--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -35,10 +35,10 @@
 import org.standlink.store.Topic;
 import org.standlink.wire.AgentGrant;
 import org.standlink.wire.AgentReport;
-import org.standlink.wire.Connection;
 import org.standlink.wire.JobAnswer;
 import org.standlink.wire.LeaderNotice;
 import org.standlink.wire.Message;
+import org.standlink.wire.MessageChannel;
 
 /**
  * Leads a cell for one epoch: takes jobs, assigns their tasks and grants leases to agents.
@@ -194,7 +194,7 @@
      * @param call the number to answer under
      * @param message the message
      */
-    public void handle(Connection connection, long call, Message message) {
+    public void handle(MessageChannel connection, long call, Message message) {
         loop.execute(() -> handleOnLoop(connection, call, message));
     }
 
@@ -323,7 +323,7 @@
     }
 
     // -----------------------------------------------------------------------
-    private void handleOnLoop(Connection connection, long call, Message message) {
+    private void handleOnLoop(MessageChannel connection, long call, Message message) {
         if (closed) {
             connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, "no longer leading"));
             return;
@@ -346,7 +346,7 @@
         }
     }
 
-    private void report(Connection connection, long call, AgentReport report) {
+    private void report(MessageChannel connection, long call, AgentReport report) {
         if (report.epoch().compareTo(epoch) > 0) {
             LOG.info("newer-leader-known").with("node", report.node()).write();
             depose();
--- a/src/main/java/org/standlink/cell/LeaderSeat.java
+++ b/src/main/java/org/standlink/cell/LeaderSeat.java
@@ -27,10 +27,10 @@
 import org.standlink.process.EventLog;
 import org.standlink.store.KeyedStore;
 import org.standlink.store.Topic;
-import org.standlink.wire.Connection;
 import org.standlink.wire.Hello;
 import org.standlink.wire.LeaderNotice;
 import org.standlink.wire.Message;
+import org.standlink.wire.MessageChannel;
 
 /**
  * The place of the leader in a process that may lead: takes it when a claim of this process is the
@@ -149,7 +149,7 @@
      * @param call the number to answer under
      * @param message the message
      */
-    public void handle(Connection connection, long call, Message message) {
+    public void handle(MessageChannel connection, long call, Message message) {
         CellLeader present;
         synchronized (this) {
             present = leader;
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -33,7 +33,7 @@
 import org.standlink.policy.HarmTable;
 import org.standlink.process.EventLog;
 import org.standlink.wire.AgentReport;
-import org.standlink.wire.Connection;
+import org.standlink.wire.MessageChannel;
 import org.standlink.wire.StartRefusal;
 import org.standlink.wire.WorkerReport;
 
@@ -78,7 +78,7 @@
     private final HarmTable harm;
 
     /** Up to which change of it each agent has been told. */
-    private final Map<Connection, Long> told = new WeakHashMap<>();
+    private final Map<MessageChannel, Long> told = new WeakHashMap<>();
 
     /** The jobs that have changed since they were taken last. */
     private Set<JobEntry> touched = new LinkedHashSet<>();
@@ -115,7 +115,7 @@
      * @param report the report
      * @param leaseUntil until when the agent is granted a lease, on the leader's clock; 0 for none
      */
-    void handle(Connection connection, AgentReport report, long leaseUntil) {
+    void handle(MessageChannel connection, AgentReport report, long leaseUntil) {
         for (WorkerReport part : report.workers()) {
             WorkerEntry worker = workers.get(part.worker().id(), leaseUntil);
             worker.prolong(leaseUntil);
@@ -246,7 +246,7 @@
      * @param agent the connection to the agent
      * @return the beliefs, empty if they have not changed
      */
-    List<HarmTable.Entry> harmFor(Connection agent) {
+    List<HarmTable.Entry> harmFor(MessageChannel agent) {
         long version = harm.getVersion();
         Long before = told.put(agent, version);
         return before != null && before == version ? List.of() : harm.list();
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -23,7 +23,7 @@
 import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
-import org.standlink.wire.Connection;
+import org.standlink.wire.MessageChannel;
 
 /**
  * What the leader knows of one life of a worker.
@@ -48,7 +48,7 @@
     private WorkerDescription description;
 
     /** The connection to its agent, null if there is none. */
-    private Connection connection;
+    private MessageChannel connection;
 
     /** The run of the agent that knows all orders, null if none does. */
     private Incarnation synced;
@@ -100,7 +100,7 @@
      * @param answers whether the worker answered its agent's last call
      * @param now the time on the leader's clock
      */
-    void heard(WorkerDescription told, Connection from, boolean answers, long now) {
+    void heard(WorkerDescription told, MessageChannel from, boolean answers, long now) {
         if (from != connection) {
             connection = from;
             synced = null;
@@ -263,7 +263,7 @@
      *
      * @return the connection, null if there is none
      */
-    Connection getConnection() {
+    MessageChannel getConnection() {
         return connection;
     }
 
--- /dev/null
+++ b/src/main/java/org/standlink/election/LeaderCalls.java
@@ -0,0 +1,52 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.election;
+
+import java.util.concurrent.CompletableFuture;
+import org.standlink.wire.LeaderNotice;
+import org.standlink.wire.Message;
+
+/**
+ * Calls of the leader with the newest epoch known.
+ *
+ * <p>Implementations are thread-safe.
+ */
+public interface LeaderCalls {
+
+    /**
+     * Takes note of a leader; one of an older epoch is passed over.
+     *
+     * @param notice the epoch and the address
+     * @param source where it was learnt, for the log
+     */
+    void offer(LeaderNotice notice, String source);
+
+    /**
+     * Gets the newest leader known.
+     *
+     * @return its epoch and address
+     */
+    LeaderNotice getLeader();
+
+    /**
+     * Sends a message to the leader and waits for the answer.
+     *
+     * @param message the message
+     * @param timeoutMillis how long to wait, in milliseconds
+     * @return the answer; fails with PEER_UNREACHABLE only if nothing was sent
+     */
+    CompletableFuture<Message> call(Message message, long timeoutMillis);
+}
--- a/src/main/java/org/standlink/election/LeaderLink.java
+++ b/src/main/java/org/standlink/election/LeaderLink.java
@@ -34,7 +34,7 @@
  *
  * <p>{@code LeaderLink} is thread-safe.
  */
-public final class LeaderLink implements AutoCloseable {
+public final class LeaderLink implements LeaderCalls, AutoCloseable {
 
     /** The log. */
     private static final EventLog LOG = EventLog.of(LeaderLink.class);
@@ -82,12 +82,7 @@
         this.handler = handler;
     }
 
-    /**
-     * Takes note of a leader; one of an older epoch is passed over.
-     *
-     * @param notice the epoch and the address
-     * @param source where it was learnt, for the log
-     */
+    @Override
     public synchronized void offer(LeaderNotice notice, String source) {
         int order = notice.epoch().compareTo(leader.epoch());
         if (order < 0 || notice.equals(leader) || order == 0 && notice.address().isEmpty()) {
@@ -117,11 +112,7 @@
         }
     }
 
-    /**
-     * Gets the newest leader known.
-     *
-     * @return its epoch and address
-     */
+    @Override
     public synchronized LeaderNotice getLeader() {
         return leader;
     }
@@ -134,6 +125,7 @@
      * @param timeoutMillis how long to wait, in milliseconds
      * @return the answer; fails with PEER_UNREACHABLE only if nothing was sent
      */
+    @Override
     public CompletableFuture<Message> call(Message message, long timeoutMillis) {
         Peer present;
         synchronized (this) {
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -26,7 +26,7 @@
 import java.util.concurrent.TimeUnit;
 import org.standlink.Epoch;
 import org.standlink.Incarnation;
-import org.standlink.election.LeaderLink;
+import org.standlink.election.LeaderCalls;
 import org.standlink.election.LeaderObserver;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
@@ -87,7 +87,7 @@
     private final Incarnation self;
 
     /** The leader. */
-    private final LeaderLink leader;
+    private final LeaderCalls leader;
 
     /** The calls of workers. */
     private final WorkerCalls calls;
@@ -141,7 +141,7 @@
             String node,
             String address,
             Incarnation self,
-            LeaderLink leader,
+            LeaderCalls leader,
             WorkerCalls calls,
             MonotonicClock clock,
             ScheduledExecutorService loop,
--- a/src/main/java/org/standlink/wire/Connection.java
+++ b/src/main/java/org/standlink/wire/Connection.java
@@ -38,7 +38,7 @@
  *
  * <p>{@code Connection} is thread-safe.
  */
-public final class Connection implements AutoCloseable {
+public final class Connection implements MessageChannel, AutoCloseable {
 
     /** The socket. */
     private final Socket socket;
@@ -96,22 +96,12 @@
     }
 
     // -----------------------------------------------------------------------
-    /**
-     * Sends a message without waiting for an answer.
-     *
-     * @param message the message
-     * @throws StandlinkException with code CONNECTION_LOST if the connection is gone
-     */
+    @Override
     public void send(Message message) {
         write(new Frame(0, false, message));
     }
 
-    /**
-     * Answers a call.
-     *
-     * @param call the number of the call
-     * @param message the answer
-     */
+    @Override
     public void answer(long call, Message message) {
         if (call == 0) {
             return;
