Tell what a start waits for; move what is to be reported as released out of the table of runs

An agent said nothing of a start that waits for its worker or for a lease, so its log could not tell an order that was carried out late by the worker from one that the agent itself held back. One line for each run that waits.

--- a/src/main/java/org/standlink/runner/LocalRun.java
+++ b/src/main/java/org/standlink/runner/LocalRun.java
@@ -55,6 +55,9 @@
     /** Whether a call to start it was left without an answer, so that it may be done late. */
     private boolean uncertain;
 
+    /** Whether its start has waited for the worker or for a lease. */
+    private boolean waited;
+
     /** When the worker said that it will stop it. */
     private long stoppedAt;
 
@@ -152,6 +155,17 @@
         uncertain = true;
     }
 
+    /**
+     * Takes note that its start waits.
+     *
+     * @return false if it has waited before
+     */
+    boolean beginWaiting() {
+        boolean first = !waited;
+        waited = true;
+        return first;
+    }
+
     /**
      * Gets when the worker said that it will stop it.
      *
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -15,7 +15,6 @@
  */
 package org.standlink.runner;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -86,11 +85,8 @@
     /** The runs. */
     private final Map<RunId, LocalRun> runs = new LinkedHashMap<>();
 
-    /** What was refused and has not been reported. */
-    private final List<StartRefusal> refused = new ArrayList<>();
-
-    /** What is gone without an end and has not been reported. */
-    private final List<RunId> gone = new ArrayList<>();
+    /** What the leader is to be told of as released. */
+    private final ReleasedRuns released = new ReleasedRuns();
 
     /** What runs, as the worker said last. */
     private List<RunProgress> running = List.of();
@@ -142,32 +138,12 @@
     }
 
     /**
-     * Gets what was refused and has not been reported.
+     * Gets what the leader is to be told of as released.
      *
-     * @return the refusals
+     * @return the runs, which change
      */
-    List<StartRefusal> getRefused() {
-        return List.copyOf(refused);
-    }
-
-    /**
-     * Gets what is gone without an end and has not been reported.
-     *
-     * @return the runs
-     */
-    List<RunId> getGone() {
-        return List.copyOf(gone);
-    }
-
-    /**
-     * Takes note that the leader has been told.
-     *
-     * @param toldRefused the refusals
-     * @param toldGone the runs that are gone
-     */
-    void reported(List<StartRefusal> toldRefused, List<RunId> toldGone) {
-        refused.removeAll(toldRefused);
-        gone.removeAll(toldGone);
+    ReleasedRuns getReleased() {
+        return released;
     }
 
     /**
@@ -226,9 +202,15 @@
         if (!runs.containsKey(run.getRun())) {
             return;
         }
-        if (!leaseClock.isKnown()
-                || !reachable.getAsBoolean()
-                || leaseEnd.get() <= clock.nowMillis()) {
+        String obstacle = findObstacle();
+        if (!obstacle.isEmpty()) {
+            if (run.beginWaiting()) {
+                LOG.info("start-waits")
+                        .with("run", run.getRun())
+                        .with("worker", worker.get().id())
+                        .with("for", obstacle)
+                        .write();
+            }
             loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
@@ -238,6 +220,17 @@
                 .thenAcceptAsync(result -> started(run, result), loop);
     }
 
+    /** Tells what keeps runs from being started now; empty if nothing does. */
+    private String findObstacle() {
+        if (!leaseClock.isKnown()) {
+            return "the worker's clock";
+        }
+        if (!reachable.getAsBoolean()) {
+            return "an answer of the worker";
+        }
+        return leaseEnd.get() <= clock.nowMillis() ? "a lease" : "";
+    }
+
     private void started(LocalRun run, CallResult result) {
         run.setCalling(false);
         leaseClock.answered(result.clockMillis(), clock.nowMillis());
@@ -276,7 +269,7 @@
         }
         runs.remove(run.getRun());
         boolean unwell = result.kind() == CallResult.Kind.UNWELL;
-        refused.add(new StartRefusal(run.getRun(), result.detail(), unwell));
+        released.refuse(new StartRefusal(run.getRun(), result.detail(), unwell));
         whenChanged.run();
     }
 
@@ -294,7 +287,7 @@
     private void reportIfGone(LocalRun run) {
         boolean listed = ended.stream().anyMatch(end -> end.run().equals(run.getRun()));
         if (!listed && !isListed(run.getRun())) {
-            gone.add(run.getRun());
+            released.lose(run.getRun());
             whenChanged.run();
         }
     }
@@ -364,7 +357,7 @@
                             && sentAt - run.getStoppedAt() > STOP_MILLIS;
             if (over && !isListed(run.getRun())) {
                 runs.remove(run.getRun());
-                gone.add(run.getRun());
+                released.lose(run.getRun());
                 whenChanged.run();
             }
         }
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -218,8 +218,8 @@
                 known,
                 running,
                 ended,
-                runs.getRefused(),
-                runs.getGone(),
+                runs.getReleased().getRefused(),
+                runs.getReleased().getGone(),
                 throttle.listThrottled());
     }
 
@@ -229,7 +229,7 @@
      * @param sent the report
      */
     void reported(WorkerReport sent) {
-        runs.reported(sent.refused(), sent.gone());
+        runs.getReleased().told(sent.refused(), sent.gone());
         if (sent.lapsed()) {
             // The leader has given these runs up, so none may be started any more.
             runs.clear();
