--- /dev/null
+++ b/src/main/java/org/standlink/cell/AgentBoard.java
@@ -0,0 +1,144 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import java.util.HashMap;
+import java.util.Map;
+import org.standlink.Epoch;
+import org.standlink.Incarnation;
+import org.standlink.LeaseGeneration;
+import org.standlink.process.EventLog;
+import org.standlink.wire.AgentReport;
+
+/**
+ * The agents that were heard, and the generation of each one's lease.
+ *
+ * <p>Whenever runs are given up because a lease is over, the generation rises: an order of an older
+ * one is void at the agent and refused by the worker. Without it, an order that waits for its
+ * worker or for a lease begins with the next lease, beside the run that has taken its place.
+ *
+ * <p>{@code AgentBoard} is mutable and not thread-safe; the leader's loop owns it.
+ */
+final class AgentBoard {
+
+    /** How long an agent may be silent before it is forgotten, in milliseconds; several leases. */
+    private static final long FORGET_MILLIS = 60_000;
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(AgentBoard.class);
+
+    /** The epoch. */
+    private final Epoch epoch;
+
+    /** The workers. */
+    private final WorkerBoard workers;
+
+    /** The agents. */
+    private final Map<Incarnation, Entry> agents = new HashMap<>();
+
+    /** The last generation that was given; no two leases share one. */
+    private LeaseGeneration last = LeaseGeneration.NONE;
+
+    /** One agent. */
+    private static final class Entry {
+
+        /** The generation of its lease. */
+        private LeaseGeneration generation;
+
+        /** The number of its last report. */
+        private long sequence;
+
+        /** When it was heard last, on the leader's clock. */
+        private long heardAt;
+    }
+
+    /**
+     * Constructor.
+     *
+     * @param epoch the epoch
+     * @param workers the workers
+     */
+    AgentBoard(Epoch epoch, WorkerBoard workers) {
+        this.epoch = epoch;
+        this.workers = workers;
+    }
+
+    /**
+     * Takes note of a report.
+     *
+     * @param report the report
+     * @param now the time on the leader's clock, in milliseconds
+     * @return false if a later report has come before, so that this one says nothing any more
+     */
+    boolean accept(AgentReport report, long now) {
+        Entry agent = agents.computeIfAbsent(report.incarnation(), key -> new Entry());
+        if (report.sequence() <= agent.sequence) {
+            LOG.info("late-report").with("node", report.node()).write();
+            return false;
+        }
+        agent.sequence = report.sequence();
+        agent.heardAt = now;
+        boolean asks = report.refused() && report.generation().equals(agent.generation);
+        if (agent.generation == null || asks) {
+            renew(report.incarnation(), asks ? "asked" : "new");
+        }
+        return true;
+    }
+
+    /**
+     * Gets the generation of an agent's lease.
+     *
+     * @param agent the run of the agent, null for none
+     * @return the generation, the one before the first if it was not heard
+     */
+    LeaseGeneration getGeneration(Incarnation agent) {
+        Entry entry = agents.get(agent);
+        return entry == null ? LeaseGeneration.NONE : entry.generation;
+    }
+
+    /**
+     * Raises the generation of an agent's lease; its workers get nothing until it is told all anew.
+     *
+     * @param agent the run of the agent, null for none
+     * @param reason why, for the log
+     */
+    void renew(Incarnation agent, String reason) {
+        Entry entry = agents.get(agent);
+        if (entry == null) {
+            return;
+        }
+        last = last.next();
+        entry.generation = last;
+        workers.getWorkers().stream()
+                .filter(worker -> agent.equals(worker.getAgent()))
+                .forEach(worker -> worker.setSynced(LeaseGeneration.NONE));
+        LOG.info("lease-generation")
+                .with("agent", agent)
+                .with("epoch", epoch)
+                .with("generation", last)
+                .with("reason", reason)
+                .write();
+    }
+
+    /**
+     * Forgets agents that have been silent for long.
+     *
+     * @param now the time on the leader's clock, in milliseconds
+     */
+    void forgetSilent(long now) {
+        agents.values().removeIf(agent -> now - agent.heardAt > FORGET_MILLIS);
+    }
+}
--- /dev/null
+++ b/src/main/java/org/standlink/runner/AgentLease.java
@@ -0,0 +1,93 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import java.util.function.Supplier;
+import org.standlink.Epoch;
+import org.standlink.Fence;
+import org.standlink.LeaseGeneration;
+
+/**
+ * What the leader has granted an agent: until when its workers may keep their runs, and the fence
+ * of the orders that hold.
+ *
+ * <p>{@code AgentLease} is mutable and not thread-safe; the agent's loop owns it.
+ */
+final class AgentLease {
+
+    /** Tells the newest epoch known. */
+    private final Supplier<Epoch> epoch;
+
+    /** The highest fence that a leader has told. */
+    private Fence granted = Fence.NONE;
+
+    /** Until when runs may go on, on the agent's clock, in milliseconds. */
+    private long end;
+
+    /**
+     * Constructor.
+     *
+     * @param epoch tells the newest epoch known
+     */
+    AgentLease(Supplier<Epoch> epoch) {
+        this.epoch = epoch;
+    }
+
+    /**
+     * Gets the fence under which workers are called.
+     *
+     * @return the fence; of the generation before the first if the leader has not told one
+     */
+    Fence getFence() {
+        Epoch newest = epoch.get();
+        return newest.isAfter(granted.getEpoch())
+                ? Fence.of(newest, LeaseGeneration.NONE)
+                : granted;
+    }
+
+    /**
+     * Takes note of a fence that a leader has told.
+     *
+     * @param told the fence
+     * @return true if it is higher than any before, so that older orders are void
+     */
+    boolean adopt(Fence told) {
+        boolean newer =
+                told.isAfter(granted) && told.getEpoch().compareTo(getFence().getEpoch()) >= 0;
+        if (newer) {
+            granted = told;
+        }
+        return newer;
+    }
+
+    /**
+     * Prolongs the time for which runs may go on.
+     *
+     * @param until the time on the agent's clock, in milliseconds
+     */
+    void prolong(long until) {
+        end = Math.max(end, until);
+    }
+
+    /**
+     * Gets until when runs may go on.
+     *
+     * @return the time on the agent's clock, in milliseconds
+     */
+    long getEnd() {
+        return end;
+    }
+}
