--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -24,6 +24,7 @@
 import java.util.function.Supplier;
 import org.standlink.Epoch;
 import org.standlink.ErrorCode;
+import org.standlink.LeaseGeneration;
 import org.standlink.StandlinkException;
 import org.standlink.job.Configuration;
 import org.standlink.job.QueueDefinition;
@@ -116,6 +117,9 @@
     /** Moves throttled runs. */
     private final MoveDesk moves;
 
+    /** The agents. */
+    private final AgentBoard agents;
+
     /** Handles reports of agents. */
     private final ReportDesk reports;
 
@@ -178,7 +182,9 @@
         this.orders = new OrderDesk(epoch, board, workers, commits);
         this.moves = new MoveDesk(workers, placement, orders);
         this.callers = new CallerDesk(board, commits, clock, wallClock, this::noteFinal);
-        this.reports = new ReportDesk(board, workers, orders, this::mostAttempts, clock, harm);
+        this.agents = new AgentBoard(epoch, workers);
+        this.reports =
+                new ReportDesk(board, workers, agents, orders, this::mostAttempts, clock, harm);
     }
 
     /** Begins to take over. */
@@ -275,16 +281,12 @@
         long now = clock.nowMillis();
         for (WorkerEntry worker : List.copyOf(workers.getWorkers())) {
             if (now > worker.getMayRunUntil() + CellTimes.MARGIN_MILLIS) {
-                reports.releaseAll(worker, "lease-expired");
+                reports.giveUp(worker, "lease-expired");
                 workers.remove(worker);
             }
         }
-        for (JobEntry job : List.copyOf(board.getJobs())) {
-            boolean old = job.getFinalAt() >= 0 && now - job.getFinalAt() > times.statusMillis();
-            if (old && job.isSettled()) {
-                board.remove(job);
-            }
-        }
+        agents.forgetSilent(now);
+        board.forgetOld(now - times.statusMillis());
     }
 
     /** Assigns what can be assigned, and keeps what has changed. */
@@ -354,12 +356,15 @@
         }
         long silent = commits.getSilentMillis();
         if (!active) {
-            connection.answer(call, new AgentGrant(epoch, 0, silent, List.of()));
+            connection.answer(
+                    call, new AgentGrant(epoch, LeaseGeneration.NONE, 0, silent, List.of()));
             return;
         }
         boolean entitled = silent < CellTimes.AUTHORITY_MILLIS;
         long until = entitled ? clock.nowMillis() + times.leaseMillis() : 0;
-        reports.handle(connection, report, until);
+        if (!reports.handle(connection, report, until)) {
+            return;
+        }
         for (JobEntry job : reports.takeTouched()) {
             noteFinal(job);
         }
@@ -367,6 +372,7 @@
                 call,
                 new AgentGrant(
                         epoch,
+                        agents.getGeneration(report.incarnation()),
                         entitled ? times.leaseMillis() : 0,
                         silent,
                         reports.harmFor(connection)));
--- a/src/main/java/org/standlink/cell/JobBoard.java
+++ b/src/main/java/org/standlink/cell/JobBoard.java
@@ -139,6 +139,20 @@
         changed.add(job.getId());
     }
 
+    /**
+     * Forgets settled jobs that have been final for long enough.
+     *
+     * @param before the time up to which they became final, on the leader's clock
+     */
+    void forgetOld(long before) {
+        for (JobEntry job : List.copyOf(getJobs())) {
+            boolean old = job.getFinalAt() >= 0 && job.getFinalAt() < before;
+            if (old && job.isSettled()) {
+                remove(job);
+            }
+        }
+    }
+
     /**
      * Removes a job.
      *
--- a/src/main/java/org/standlink/cell/OrderDesk.java
+++ b/src/main/java/org/standlink/cell/OrderDesk.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import org.standlink.Epoch;
+import org.standlink.LeaseGeneration;
 import org.standlink.StandlinkException;
 import org.standlink.job.RunId;
 import org.standlink.job.StepDefinition;
@@ -80,7 +81,8 @@
         byWorker.forEach(
                 (id, list) -> {
                     List<StartOrder> starts = list.stream().map(this::startOrder).toList();
-                    commits.afterCommit(() -> send(id, starts, List.of()));
+                    LeaseGeneration given = workers.find(id).getSynced();
+                    commits.afterCommit(() -> send(id, given, starts, List.of()));
                 });
     }
 
@@ -97,7 +99,7 @@
                         .add(task.getRun());
             }
         }
-        byWorker.forEach((id, runs) -> commits.afterCommit(() -> send(id, List.of(), runs)));
+        byWorker.forEach((id, runs) -> commits.afterCommit(() -> sendNow(id, List.of(), runs)));
     }
 
     /**
@@ -109,7 +111,7 @@
     void stopStray(WorkerId id, List<RunId> runs) {
         if (!runs.isEmpty()) {
             LOG.info("stray-runs").with("worker", id).with("runs", runs).write();
-            commits.afterCommit(() -> send(id, List.of(), runs));
+            commits.afterCommit(() -> sendNow(id, List.of(), runs));
         }
     }
 
@@ -124,7 +126,7 @@
         commits.afterCommit(
                 () -> {
                     worker.recorded(number);
-                    send(worker.getId(), List.of(), List.of());
+                    sendNow(worker.getId(), List.of(), List.of());
                 });
     }
 
@@ -139,7 +141,9 @@
         List<RunId> stops = new ArrayList<>();
         for (TaskEntry task : worker.listTasks()) {
             boolean wanted =
-                    !task.isDone() && !board.find(task.getName().job()).getState().isFinal();
+                    !task.isDone()
+                            && !task.isStopping()
+                            && !board.find(task.getName().job()).getState().isFinal();
             if (!wanted) {
                 stops.add(task.getRun());
             } else {
@@ -152,7 +156,8 @@
                 .with("starts", starts.size())
                 .with("stops", stops.size())
                 .write();
-        commits.afterCommit(() -> send(worker.getId(), starts, stops));
+        LeaseGeneration given = worker.getSynced();
+        commits.afterCommit(() -> send(worker.getId(), given, starts, stops));
     }
 
     // -----------------------------------------------------------------------
@@ -167,14 +172,25 @@
                 step.image());
     }
 
-    private void send(WorkerId id, List<StartOrder> starts, List<RunId> stops) {
+    private void sendNow(WorkerId id, List<StartOrder> starts, List<RunId> stops) {
+        WorkerEntry worker = workers.find(id);
+        if (worker != null) {
+            send(id, worker.getSynced(), starts, stops);
+        }
+    }
+
+    /**
+     * An order names the lease under which it was given, though it leaves once it has been kept.
+     */
+    private void send(
+            WorkerId id, LeaseGeneration given, List<StartOrder> starts, List<RunId> stops) {
         WorkerEntry worker = workers.find(id);
         if (worker == null || worker.getConnection() == null) {
             return;
         }
         try {
             worker.getConnection()
-                    .send(new RunOrders(epoch, id, starts, stops, worker.getRecordedEnd()));
+                    .send(new RunOrders(epoch, given, id, starts, stops, worker.getRecordedEnd()));
         } catch (StandlinkException lost) {
             LOG.info("orders-not-sent").with("worker", id).with("cause", lost).write();
         }
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -23,6 +23,7 @@
 import java.util.Set;
 import java.util.WeakHashMap;
 import java.util.function.ToIntFunction;
+import org.standlink.LeaseGeneration;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.RunId;
@@ -65,6 +66,9 @@
     /** The workers. */
     private final WorkerBoard workers;
 
+    /** The agents. */
+    private final AgentBoard agents;
+
     /** Tells agents what to do. */
     private final OrderDesk orders;
 
@@ -88,6 +92,7 @@
      *
      * @param board the jobs
      * @param workers the workers
+     * @param agents the agents
      * @param orders tells agents what to do
      * @param mostAttempts tells how many runs of a job's task may fail
      * @param clock the clock
@@ -96,12 +101,14 @@
     ReportDesk(
             JobBoard board,
             WorkerBoard workers,
+            AgentBoard agents,
             OrderDesk orders,
             ToIntFunction<JobEntry> mostAttempts,
             MonotonicClock clock,
             HarmTable harm) {
         this.board = board;
         this.workers = workers;
+        this.agents = agents;
         this.orders = orders;
         this.mostAttempts = mostAttempts;
         this.clock = clock;
@@ -114,13 +121,18 @@
      * @param connection where it came from
      * @param report the report
      * @param leaseUntil until when the agent is granted a lease, on the leader's clock; 0 for none
+     * @return false if a later report has come before, so that nothing was done
      */
-    void handle(MessageChannel connection, AgentReport report, long leaseUntil) {
+    boolean handle(MessageChannel connection, AgentReport report, long leaseUntil) {
+        if (!agents.accept(report, clock.nowMillis())) {
+            return false;
+        }
         for (WorkerReport part : report.workers()) {
             WorkerEntry worker = workers.get(part.worker().id(), leaseUntil);
             worker.prolong(leaseUntil);
             boolean first = worker.getDescription() == null;
             worker.heard(part.worker(), connection, part.reachable(), clock.nowMillis());
+            worker.setAgent(report.incarnation());
             if (first) {
                 workers.keepAddress(worker);
                 workers.replacedBy(worker).forEach(this::replaced);
@@ -133,6 +145,7 @@
                 replaced(worker);
             }
         }
+        return true;
     }
 
     private void replaced(WorkerEntry worker) {
@@ -152,12 +165,19 @@
     }
 
     /**
-     * Takes note that all runs of a worker are over.
+     * Gives up all runs of a worker, since its lease is over; orders for them are void from now on.
      *
      * @param worker the worker
      * @param reason why, for the log
      */
-    void releaseAll(WorkerEntry worker, String reason) {
+    void giveUp(WorkerEntry worker, String reason) {
+        if (!worker.listTasks().isEmpty()) {
+            agents.renew(worker.getAgent(), reason);
+            releaseAll(worker, reason);
+        }
+    }
+
+    private void releaseAll(WorkerEntry worker, String reason) {
         for (TaskEntry task : List.copyOf(worker.listTasks())) {
             release(task, worker.getId(), reason);
         }
@@ -195,7 +215,7 @@
     // -----------------------------------------------------------------------
     private void handleWorker(WorkerEntry worker, WorkerReport part, AgentReport report) {
         if (part.lapsed()) {
-            releaseAll(worker, "lease-lapsed");
+            giveUp(worker, "lease-lapsed");
         }
         part.running().forEach(this::saveProgress);
         worker.getFigures().throttled(part.throttled(), clock.nowMillis());
@@ -366,8 +386,9 @@
             (expected ? present : stray).add(progress.run());
         }
         orders.stopStray(worker.getId(), stray);
-        if (!report.incarnation().equals(worker.getSynced())) {
-            worker.setSynced(report.incarnation());
+        LeaseGeneration generation = agents.getGeneration(report.incarnation());
+        if (!generation.equals(worker.getSynced())) {
+            worker.setSynced(generation);
             orders.syncAfterCommit(worker, present);
         }
     }
--- a/src/main/java/org/standlink/cell/TaskEntry.java
+++ b/src/main/java/org/standlink/cell/TaskEntry.java
@@ -220,6 +220,15 @@
         return begins;
     }
 
+    /**
+     * Checks whether the last run is being stopped, so that it goes on elsewhere.
+     *
+     * @return true if so
+     */
+    boolean isStopping() {
+        return stopping;
+    }
+
     /**
      * Checks whether the last run is known to be at work, and not being stopped.
      *
--- a/src/main/java/org/standlink/cell/WorkerBoard.java
+++ b/src/main/java/org/standlink/cell/WorkerBoard.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.standlink.LeaseGeneration;
 import org.standlink.job.WorkerId;
 import org.standlink.process.EventLog;
 import org.standlink.store.KeyedRecord;
@@ -217,7 +218,10 @@
                             && worker.getDescription().service().equals(service)
                             && !worker.getDescription().draining()
                             && worker.isReachable()
-                            && worker.getSynced() != null
+                            && !worker.getSynced().equals(LeaseGeneration.NONE)
+                            // What is given under a lease that is over would only wait for the
+                            // next.
+                            && now < worker.getMayRunUntil()
                             && now - worker.getHeardAt() < SILENT_MILLIS
                             && now >= worker.getAvoidUntil();
             if (fit) {
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashMap;
 import java.util.Map;
 import org.standlink.Incarnation;
+import org.standlink.LeaseGeneration;
 import org.standlink.Resources;
 import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
@@ -50,8 +51,11 @@
     /** The connection to its agent, null if there is none. */
     private MessageChannel connection;
 
-    /** The run of the agent that knows all orders, null if none does. */
-    private Incarnation synced;
+    /** The run of its agent, null until one has told of it. */
+    private Incarnation agent;
+
+    /** The generation of lease under which the agent knows all orders, the first if it does not. */
+    private LeaseGeneration synced = LeaseGeneration.NONE;
 
     /** Until when its runs may go on without its agent, on the leader's clock. */
     private long mayRunUntil;
@@ -103,7 +107,7 @@
     void heard(WorkerDescription told, MessageChannel from, boolean answers, long now) {
         if (from != connection) {
             connection = from;
-            synced = null;
+            synced = LeaseGeneration.NONE;
         }
         description = told;
         address = told.address();
@@ -268,21 +272,39 @@
     }
 
     /**
-     * Gets the run of the agent that knows all orders.
+     * Gets the run of its agent.
+     *
+     * @return the run, null until one has told of it
+     */
+    Incarnation getAgent() {
+        return agent;
+    }
+
+    /**
+     * Sets the run of its agent.
+     *
+     * @param present the run
+     */
+    void setAgent(Incarnation present) {
+        agent = present;
+    }
+
+    /**
+     * Gets the generation of lease under which the agent knows all orders.
      *
-     * @return the run, null if none does
+     * @return the generation, the one before the first if it does not
      */
-    Incarnation getSynced() {
+    LeaseGeneration getSynced() {
         return synced;
     }
 
     /**
-     * Sets the run of the agent that knows all orders.
+     * Sets the generation of lease under which the agent knows all orders.
      *
-     * @param agent the run
+     * @param generation the generation, the one before the first if it does not
      */
-    void setSynced(Incarnation agent) {
-        synced = agent;
+    void setSynced(LeaseGeneration generation) {
+        synced = generation;
     }
 
     /**
--- a/src/main/java/org/standlink/platform/HttpWorkerCalls.java
+++ b/src/main/java/org/standlink/platform/HttpWorkerCalls.java
@@ -23,7 +23,7 @@
 import java.util.List;
 import java.util.Locale;
 import java.util.concurrent.CompletableFuture;
-import org.standlink.Epoch;
+import org.standlink.Fence;
 import org.standlink.StandlinkException;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
@@ -64,8 +64,8 @@
     // -----------------------------------------------------------------------
     @Override
     public CompletableFuture<CallResult> start(
-            WorkerDescription worker, StartOrder order, long leaseUntil, Epoch epoch) {
-        ObjectNode body = run(order.run(), epoch);
+            WorkerDescription worker, StartOrder order, long leaseUntil, Fence fence) {
+        ObjectNode body = run(order.run(), fence);
         body.put("spec", order.specification());
         body.put("until_ms", leaseUntil);
         if (!order.checkpoint().isEmpty()) {
@@ -75,14 +75,14 @@
     }
 
     @Override
-    public CompletableFuture<CallResult> stop(WorkerDescription worker, RunId run, Epoch epoch) {
-        return call(worker, "/v1/run-stop", run(run, epoch));
+    public CompletableFuture<CallResult> stop(WorkerDescription worker, RunId run, Fence fence) {
+        return call(worker, "/v1/run-stop", run(run, fence));
     }
 
     @Override
     public CompletableFuture<CallResult> throttle(
-            WorkerDescription worker, RunId run, int percent, Epoch epoch) {
-        ObjectNode body = run(run, epoch);
+            WorkerDescription worker, RunId run, int percent, Fence fence) {
+        ObjectNode body = run(run, fence);
         body.put("percent", percent);
         return call(worker, "/v1/pace", body);
     }
@@ -91,14 +91,14 @@
     public CompletableFuture<RenewalResult> renew(
             WorkerDescription worker,
             long leaseUntil,
-            Epoch epoch,
+            Fence fence,
             long recordedEnd,
             long waitMillis) {
         ObjectNode body = Json.object();
         if (leaseUntil >= 0) {
             body.put("until_ms", leaseUntil);
         }
-        body.put("fencing_token", epoch.getValue());
+        body.put("fencing_token", fence.toToken());
         // The name means the last end that was recorded, not merely read.
         body.put("last_seen", recordedEnd);
         if (waitMillis > 0) {
@@ -111,11 +111,11 @@
     }
 
     // -----------------------------------------------------------------------
-    private static ObjectNode run(RunId run, Epoch epoch) {
+    private static ObjectNode run(RunId run, Fence fence) {
         ObjectNode body = Json.object();
         body.put("task", run.task().toString());
         body.put("run_id", run.number());
-        body.put("fencing_token", epoch.getValue());
+        body.put("fencing_token", fence.toToken());
         return body;
     }
 
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.standlink.Epoch;
+import org.standlink.Fence;
 import org.standlink.Incarnation;
 import org.standlink.election.LeaderCalls;
 import org.standlink.election.LeaderObserver;
@@ -110,8 +111,11 @@
     /** Lives that are over. */
     private final Set<WorkerId> dead = new HashSet<>();
 
-    /** Until when runs may go on, on this agent's clock. */
-    private long leaseEnd;
+    /** What the leader has granted. */
+    private final AgentLease lease = new AgentLease(this::epoch);
+
+    /** The number of the last report. */
+    private long sequence;
 
     /** When the last report was sent. */
     private long reportedAt;
@@ -208,8 +212,8 @@
                         calls,
                         clock,
                         loop,
-                        () -> leaseEnd,
-                        this::epoch,
+                        lease::getEnd,
+                        lease::getFence,
                         this::changed,
                         this,
                         harm);
@@ -249,8 +253,10 @@
     }
 
     private void order(RunOrders orders) {
-        if (orders.epoch().compareTo(epoch()) < 0) {
-            LOG.info("old-orders").with("epoch", orders.epoch()).with("known", epoch()).write();
+        Fence told = Fence.of(orders.epoch(), orders.generation());
+        adopt(told);
+        if (lease.getFence().isAfter(told)) {
+            LOG.info("old-orders").with("fence", told).with("known", lease.getFence()).write();
             return;
         }
         WorkerSupervisor supervisor = workers.get(orders.worker());
@@ -259,6 +265,16 @@
         }
     }
 
+    /**
+     * Whatever an older fence ordered and has not begun is void; the leader tells anew what holds.
+     */
+    private void adopt(Fence told) {
+        if (lease.adopt(told)) {
+            LOG.info("fence-raised").with("fence", told).write();
+            workers.values().forEach(WorkerSupervisor::fenceRaised);
+        }
+    }
+
     // -----------------------------------------------------------------------
     private void changed() {
         if (!changed) {
@@ -284,6 +300,7 @@
         changed = false;
         long sentAt = clock.nowMillis();
         reportedAt = sentAt;
+        workers.values().forEach(WorkerSupervisor::voidIfLapsed);
         Map<WorkerId, WorkerReport> sent = new LinkedHashMap<>();
         workers.forEach(
                 (id, supervisor) -> {
@@ -294,7 +311,16 @@
                 });
         List<WorkerId> over = new ArrayList<>(dead);
         AgentReport report =
-                new AgentReport(node, address, self, epoch(), List.copyOf(sent.values()), over);
+                new AgentReport(
+                        node,
+                        address,
+                        self,
+                        ++sequence,
+                        epoch(),
+                        lease.getFence().getGeneration(),
+                        workers.values().stream().anyMatch(WorkerSupervisor::isFenceRefused),
+                        List.copyOf(sent.values()),
+                        over);
         leader.call(report, ANSWER_MILLIS)
                 .whenCompleteAsync(
                         (answer, failure) -> reported(answer, failure, sent, sentAt), loop);
@@ -323,10 +349,12 @@
         }
         if (granted) {
             AgentGrant grant = (AgentGrant) answer;
+            // First, so that no order of an older generation gets the lease that this one grants.
+            adopt(Fence.of(grant.epoch(), grant.generation()));
             observer.leaderAnswered(grant.storeSilentMillis());
             harm.tell(grant.harm());
             if (grant.leaseMillis() > 0) {
-                leaseEnd = Math.max(leaseEnd, sentAt + grant.leaseMillis());
+                lease.prolong(sentAt + grant.leaseMillis());
                 sent.forEach(this::reported);
             }
         }
--- a/src/main/java/org/standlink/runner/ReleasedRuns.java
+++ b/src/main/java/org/standlink/runner/ReleasedRuns.java
@@ -51,6 +51,17 @@
         gone.add(run);
     }
 
+    /**
+     * Checks whether the leader has yet to be told of a run.
+     *
+     * @param run the run
+     * @return true if so
+     */
+    boolean contains(RunId run) {
+        return gone.contains(run)
+                || refused.stream().anyMatch(refusal -> refusal.run().equals(run));
+    }
+
     /**
      * Gets what was refused.
      *
--- a/src/main/java/org/standlink/runner/RunShares.java
+++ b/src/main/java/org/standlink/runner/RunShares.java
@@ -18,7 +18,7 @@
 import java.util.concurrent.Executor;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
-import org.standlink.Epoch;
+import org.standlink.Fence;
 import org.standlink.job.WorkerDescription;
 
 /**
@@ -37,8 +37,8 @@
     /** The agent's loop. */
     private final Executor loop;
 
-    /** Tells the newest epoch. */
-    private final Supplier<Epoch> epoch;
+    /** Tells the fence of the orders in force. */
+    private final Supplier<Fence> fence;
 
     /** Tells the share of an image, in percent. */
     private ToIntFunction<String> byImage = image -> ThrottlePolicy.FULL;
@@ -49,17 +49,17 @@
      * @param worker tells what the worker said of itself
      * @param calls the calls of workers
      * @param loop the agent's loop
-     * @param epoch tells the newest epoch
+     * @param fence tells the fence of the orders in force
      */
     RunShares(
             Supplier<WorkerDescription> worker,
             WorkerCalls calls,
             Executor loop,
-            Supplier<Epoch> epoch) {
+            Supplier<Fence> fence) {
         this.worker = worker;
         this.calls = calls;
         this.loop = loop;
-        this.epoch = epoch;
+        this.fence = fence;
     }
 
     /**
@@ -91,7 +91,7 @@
             return;
         }
         run.setCalling(true);
-        calls.throttle(worker.get(), run.getRun(), wanted, epoch.get())
+        calls.throttle(worker.get(), run.getRun(), wanted, fence.get())
                 .thenAcceptAsync(
                         result -> {
                             run.setCalling(false);
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -23,7 +23,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
-import org.standlink.Epoch;
+import org.standlink.Fence;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
@@ -76,8 +76,8 @@
     /** Tells until when runs may go on, on the agent's clock. */
     private final Supplier<Long> leaseEnd;
 
-    /** Tells the newest epoch. */
-    private final Supplier<Epoch> epoch;
+    /** Tells the fence of the orders in force. */
+    private final Supplier<Fence> fence;
 
     /** Is told when there is something to report. */
     private final Runnable whenChanged;
@@ -107,7 +107,7 @@
      * @param clock the clock
      * @param loop the agent's loop
      * @param leaseEnd tells until when runs may go on, on the agent's clock
-     * @param epoch tells the newest epoch
+     * @param fence tells the fence of the orders in force
      * @param whenChanged is told when there is something to report
      */
     RunTable(
@@ -118,7 +118,7 @@
             MonotonicClock clock,
             ScheduledExecutorService loop,
             Supplier<Long> leaseEnd,
-            Supplier<Epoch> epoch,
+            Supplier<Fence> fence,
             Runnable whenChanged) {
         this.worker = worker;
         this.reachable = reachable;
@@ -127,9 +127,9 @@
         this.clock = clock;
         this.loop = loop;
         this.leaseEnd = leaseEnd;
-        this.epoch = epoch;
+        this.fence = fence;
         this.whenChanged = whenChanged;
-        this.shares = new RunShares(worker, calls, loop, epoch);
+        this.shares = new RunShares(worker, calls, loop, fence);
     }
 
     /** Forgets all runs; calls under way have no effect here any more. */
@@ -137,6 +137,11 @@
         runs.clear();
     }
 
+    /** Forgets the runs of which the worker has not said that they run; their orders are void. */
+    void dropUnbegun() {
+        runs.values().removeIf(run -> run.getPhase() != LocalRun.Phase.RUNNING);
+    }
+
     /**
      * Gets what the leader is to be told of as released.
      *
@@ -158,13 +163,13 @@
     }
 
     /**
-     * Starts a run; one that is known already is passed over.
+     * Starts a run; one that is known already is passed over, and one of whose release the leader
+     * has yet to be told: it would begin beside the run that takes its place.
      *
      * @param order the order
      */
     void start(StartOrder order) {
-        LocalRun present = runs.get(order.run());
-        if (present != null) {
+        if (runs.containsKey(order.run()) || released.contains(order.run())) {
             return;
         }
         LocalRun run = new LocalRun(order.run(), order, LocalRun.Phase.STARTING);
@@ -196,10 +201,7 @@
 
     // -----------------------------------------------------------------------
     private void callStart(LocalRun run) {
-        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STARTING) {
-            return;
-        }
-        if (!runs.containsKey(run.getRun())) {
+        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STARTING || isDropped(run)) {
             return;
         }
         String obstacle = findObstacle();
@@ -216,7 +218,7 @@
         }
         run.setCalling(true);
         long until = leaseClock.renew(leaseEnd.get());
-        calls.start(worker.get(), run.getOrder(), until, epoch.get())
+        calls.start(worker.get(), run.getOrder(), until, fence.get())
                 .thenAcceptAsync(result -> started(run, result), loop);
     }
 
@@ -237,6 +239,9 @@
         if (result.kind() != CallResult.Kind.DONE) {
             logCall("start", run, result);
         }
+        if (isDropped(run)) {
+            return;
+        }
         if (run.getPhase() == LocalRun.Phase.STOPPING) {
             callStop(run);
             return;
@@ -292,15 +297,17 @@
         }
     }
 
+    /** What an answer says of a run whose order is void must not count for a later order of it. */
+    private boolean isDropped(LocalRun run) {
+        return runs.get(run.getRun()) != run;
+    }
+
     private boolean isListed(RunId run) {
         return running.stream().anyMatch(one -> one.run().equals(run));
     }
 
     private void callStop(LocalRun run) {
-        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STOPPING) {
-            return;
-        }
-        if (!runs.containsKey(run.getRun())) {
+        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STOPPING || isDropped(run)) {
             return;
         }
         if (!reachable.getAsBoolean()) {
@@ -308,13 +315,16 @@
             return;
         }
         run.setCalling(true);
-        calls.stop(worker.get(), run.getRun(), epoch.get())
+        calls.stop(worker.get(), run.getRun(), fence.get())
                 .thenAcceptAsync(result -> stopped(run, result), loop);
     }
 
     private void stopped(LocalRun run, CallResult result) {
         run.setCalling(false);
         logCall("stop", run, result);
+        if (isDropped(run)) {
+            return;
+        }
         switch (result.kind()) {
             case DONE -> run.stopped(clock.nowMillis());
             case FENCED, OTHER_LIFE -> runs.remove(run.getRun());
@@ -326,7 +336,7 @@
         LOG.info("worker-" + call)
                 .with("run", run.getRun())
                 .with("worker", worker.get().id())
-                .with("epoch", epoch.get())
+                .with("fence", fence.get())
                 .with("result", result.kind())
                 .with("detail", result.detail())
                 .write();
--- a/src/main/java/org/standlink/runner/WorkerCalls.java
+++ b/src/main/java/org/standlink/runner/WorkerCalls.java
@@ -16,7 +16,7 @@
 package org.standlink.runner;
 
 import java.util.concurrent.CompletableFuture;
-import org.standlink.Epoch;
+import org.standlink.Fence;
 import org.standlink.job.RunId;
 import org.standlink.job.WorkerDescription;
 import org.standlink.wire.StartOrder;
@@ -36,28 +36,28 @@
      * @param worker the worker
      * @param order the run
      * @param leaseUntil until when the worker keeps all it runs, on its own clock
-     * @param epoch the epoch of the leader that ordered it
+     * @param fence the fence of the orders in force
      * @return what the worker said; never fails
      */
     CompletableFuture<CallResult> start(
-            WorkerDescription worker, StartOrder order, long leaseUntil, Epoch epoch);
+            WorkerDescription worker, StartOrder order, long leaseUntil, Fence fence);
 
     /**
      * Stops a run; the worker also refuses the run if its start comes later.
      *
      * @param worker the worker
      * @param run the run
-     * @param epoch the epoch of the leader that ordered it
+     * @param fence the fence of the orders in force
      * @return what the worker said; never fails
      */
-    CompletableFuture<CallResult> stop(WorkerDescription worker, RunId run, Epoch epoch);
+    CompletableFuture<CallResult> stop(WorkerDescription worker, RunId run, Fence fence);
 
     /**
      * Prolongs the time for which the worker keeps all it runs, and asks what runs and has ended.
      *
      * @param worker the worker
      * @param leaseUntil until when, on the worker's clock; negative to prolong nothing
-     * @param epoch the epoch of the newest leader known
+     * @param fence the fence of the orders in force
      * @param recordedEnd the last end that has been recorded; the worker forgets it
      * @param waitMillis how long the worker may wait for an end, in milliseconds
      * @return the answer, with an empty list of what runs if the worker did not take the call
@@ -65,7 +65,7 @@
     CompletableFuture<RenewalResult> renew(
             WorkerDescription worker,
             long leaseUntil,
-            Epoch epoch,
+            Fence fence,
             long recordedEnd,
             long waitMillis);
 
@@ -75,9 +75,9 @@
      * @param worker the worker
      * @param run the run
      * @param percent the share, 0 to 100
-     * @param epoch the epoch of the newest leader known
+     * @param fence the fence of the orders in force
      * @return what the worker said; never fails
      */
     CompletableFuture<CallResult> throttle(
-            WorkerDescription worker, RunId run, int percent, Epoch epoch);
+            WorkerDescription worker, RunId run, int percent, Fence fence);
 }
--- a/src/main/java/org/standlink/runner/WorkerLeaseClock.java
+++ b/src/main/java/org/standlink/runner/WorkerLeaseClock.java
@@ -38,7 +38,16 @@
     private long answeredAt;
 
     /** The latest time up to which the worker was told to keep its runs. */
-    private long grantedUntil = Long.MIN_VALUE;
+    private long grantedUntil;
+
+    /**
+     * Constructor.
+     *
+     * @param grantedUntil until when the worker may have been told before to keep its runs
+     */
+    WorkerLeaseClock(long grantedUntil) {
+        this.grantedUntil = grantedUntil;
+    }
 
     /**
      * Takes note of the worker's clock.
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -19,7 +19,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.standlink.Epoch;
+import org.standlink.Fence;
+import org.standlink.cell.CellTimes;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunProgress;
 import org.standlink.job.WorkerDescription;
@@ -65,8 +66,8 @@
     /** Tells until when runs may go on, on the agent's clock. */
     private final Supplier<Long> leaseEnd;
 
-    /** Tells the newest epoch. */
-    private final Supplier<Epoch> epoch;
+    /** Tells the fence of the orders in force. */
+    private final Supplier<Fence> fence;
 
     /** Is told when there is something to report. */
     private final Runnable whenChanged;
@@ -78,7 +79,7 @@
     private final RunTable runs;
 
     /** What the worker's clock says. */
-    private final WorkerLeaseClock leaseClock = new WorkerLeaseClock();
+    private final WorkerLeaseClock leaseClock;
 
     /** Throttles best-effort runs. */
     private final WorkerThrottle throttle;
@@ -92,6 +93,12 @@
     /** The ends that have not been recorded, as the worker said last. */
     private List<RunEnd> ended = List.of();
 
+    /** Whether it has been taken note of that the worker's lease is over. */
+    private boolean lapseNoted;
+
+    /** Whether the leader has yet to take note of it; until then nothing is started here. */
+    private boolean lapseUntold;
+
     /** The last end that was recorded. */
     private long recordedEnd;
 
@@ -106,8 +113,8 @@
     /** Whether the worker has ever answered, so that its lease is known to this agent. */
     private boolean answeredOnce;
 
-    /** The epoch that the worker refused, since it has seen a newer one; null if it did not. */
-    private Epoch refusedEpoch;
+    /** The fence that the worker refused, since it has seen a higher one; null if it did not. */
+    private Fence refusedFence;
 
     /** Whether this supervisor is closed. */
     private boolean closed;
@@ -120,7 +127,7 @@
      * @param clock the clock
      * @param loop the agent's loop
      * @param leaseEnd tells until when runs may go on, on the agent's clock
-     * @param epoch tells the newest epoch
+     * @param fence tells the fence of the orders in force
      * @param whenChanged is told when there is something to report
      * @param observer is told which life of the worker answers
      * @param harm what is believed of images
@@ -131,7 +138,7 @@
             MonotonicClock clock,
             ScheduledExecutorService loop,
             Supplier<Long> leaseEnd,
-            Supplier<Epoch> epoch,
+            Supplier<Fence> fence,
             Runnable whenChanged,
             LifeObserver observer,
             HarmTable harm) {
@@ -140,10 +147,12 @@
         this.clock = clock;
         this.loop = loop;
         this.leaseEnd = leaseEnd;
-        this.epoch = epoch;
+        this.fence = fence;
         this.whenChanged = whenChanged;
         this.observer = observer;
         this.throttle = new WorkerThrottle(harm);
+        // An earlier process of the agent may have told the worker to keep its runs until then.
+        this.leaseClock = new WorkerLeaseClock(clock.nowMillis() + CellTimes.LONGEST_LEASE_MILLIS);
         this.runs =
                 new RunTable(
                         () -> this.worker,
@@ -152,8 +161,8 @@
                         calls,
                         clock,
                         loop,
-                        leaseEnd,
-                        epoch,
+                        this::getLeaseEnd,
+                        fence,
                         whenChanged);
     }
 
@@ -188,11 +197,15 @@
     /**
      * Takes the leader's orders.
      *
-     * @param orders the orders
+     * @param orders the orders, under the fence in force
      */
     void order(RunOrders orders) {
         orders.stops().forEach(runs::stop);
-        orders.starts().forEach(runs::start);
+        if (lapseUntold) {
+            orders.starts().forEach(order -> runs.getReleased().lose(order.run()));
+        } else {
+            orders.starts().forEach(runs::start);
+        }
         if (orders.recordedEnd() > recordedEnd) {
             LOG.info("ends-recorded")
                     .with("worker", worker.id())
@@ -205,6 +218,34 @@
         }
     }
 
+    /** Takes note that a higher fence is in force, so that what has not begun is void. */
+    void fenceRaised() {
+        runs.dropUnbegun();
+    }
+
+    /**
+     * Voids all orders once the worker's lease is over. The report that says so makes the leader
+     * give the runs to others, so that none may be started any more, even if its answer is lost.
+     */
+    void voidIfLapsed() {
+        if (isLapsed() && !lapseNoted) {
+            lapseNoted = true;
+            lapseUntold = true;
+            runs.dropUnbegun();
+            LOG.info("orders-void").with("worker", worker.id()).with("fence", fence.get()).write();
+        }
+    }
+
+    /**
+     * Checks whether the worker has seen a higher fence than the one in force, as another agent or
+     * an earlier process of this one may have called it.
+     *
+     * @return true if the leader has to raise the generation
+     */
+    boolean isFenceRefused() {
+        return fence.get().equals(refusedFence);
+    }
+
     /**
      * Makes a report.
      *
@@ -214,7 +255,7 @@
         return new WorkerReport(
                 worker,
                 reachable,
-                isLapsed(),
+                lapseUntold || isLapsed(),
                 known,
                 running,
                 ended,
@@ -231,7 +272,7 @@
     void reported(WorkerReport sent) {
         runs.getReleased().told(sent.refused(), sent.gone());
         if (sent.lapsed()) {
-            // The leader has given these runs up, so none may be started any more.
+            lapseUntold = false;
             runs.clear();
             forgetLists();
         }
@@ -269,18 +310,23 @@
         return answeredOnce && !reachable && leaseClock.isOver(clock.nowMillis());
     }
 
+    /** Tells until when runs may go on; a lapse that the leader does not know of ends a lease. */
+    private long getLeaseEnd() {
+        return lapseUntold ? 0 : leaseEnd.get();
+    }
+
     // -----------------------------------------------------------------------
     private void renew(long waitMillis) {
         if (closed) {
             return;
         }
-        if (epoch.get().equals(refusedEpoch)) {
-            // Whoever has been replaced stays silent until it knows the newer epoch.
+        if (isFenceRefused()) {
+            // Whoever has been replaced stays silent until it knows the higher fence.
             loop.schedule(() -> renew(0), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        Epoch present = epoch.get();
-        long end = leaseEnd.get();
+        Fence present = fence.get();
+        long end = getLeaseEnd();
         // A worker that does not answer is not told to keep its runs longer: it may have heard.
         boolean prolong = leaseClock.isKnown() && reachable && end > clock.nowMillis();
         long until = prolong ? leaseClock.renew(end) : -1;
@@ -289,7 +335,7 @@
                 .thenAcceptAsync(result -> held(result, present, sentAt), loop);
     }
 
-    private void held(RenewalResult result, Epoch sentEpoch, long sentAt) {
+    private void held(RenewalResult result, Fence sentFence, long sentAt) {
         if (closed) {
             return;
         }
@@ -298,9 +344,14 @@
             observer.replaced(worker.id());
             return;
         }
-        if (kind == CallResult.Kind.FENCED && !sentEpoch.equals(refusedEpoch)) {
-            refusedEpoch = sentEpoch;
-            LOG.info("epoch-refused").with("worker", worker.id()).with("epoch", sentEpoch).write();
+        if (kind == CallResult.Kind.FENCED && fence.get().isAfter(sentFence)) {
+            // A call under the higher fence has overtaken this one; the worker is well.
+            renew(0);
+            return;
+        }
+        if (kind == CallResult.Kind.FENCED && !sentFence.equals(refusedFence)) {
+            refusedFence = sentFence;
+            LOG.info("fence-refused").with("worker", worker.id()).with("fence", sentFence).write();
         }
         leaseClock.answered(result.result().clockMillis(), clock.nowMillis());
         boolean answers = result.isDone();
@@ -315,6 +366,7 @@
             loop.schedule(() -> renew(0), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
+        lapseNoted = false;
         boolean news = !known || !result.ended().isEmpty();
         known = true;
         if (!answeredOnce) {
--- a/src/main/java/org/standlink/wire/AgentGrant.java
+++ b/src/main/java/org/standlink/wire/AgentGrant.java
@@ -17,6 +17,7 @@
 
 import java.util.List;
 import org.standlink.Epoch;
+import org.standlink.LeaseGeneration;
 import org.standlink.policy.HarmTable;
 
 /**
@@ -25,11 +26,16 @@
  * <p>{@code AgentGrant} is thread-safe and immutable.
  *
  * @param epoch the epoch of the leader
+ * @param generation the generation of the agent's lease; orders of an older one are void
  * @param leaseMillis for how long the agent may let its workers keep their runs, counted from when
  *     it sent the heartbeat, in milliseconds
  * @param storeSilentMillis how long ago the store took a call of the leader, in milliseconds
  * @param harm what the leader believes of images; empty if it has not changed
  */
 public record AgentGrant(
-        Epoch epoch, long leaseMillis, long storeSilentMillis, List<HarmTable.Entry> harm)
+        Epoch epoch,
+        LeaseGeneration generation,
+        long leaseMillis,
+        long storeSilentMillis,
+        List<HarmTable.Entry> harm)
         implements Message {}
--- a/src/main/java/org/standlink/wire/AgentReport.java
+++ b/src/main/java/org/standlink/wire/AgentReport.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import org.standlink.Epoch;
 import org.standlink.Incarnation;
+import org.standlink.LeaseGeneration;
 import org.standlink.job.WorkerId;
 
 /**
@@ -28,7 +29,10 @@
  * @param node the machine's name
  * @param address where the agent listens, host and port
  * @param incarnation the run of the agent
+ * @param sequence rises with each report of the agent, so that a late one can be told
  * @param epoch the newest epoch that the agent knows
+ * @param generation the generation of its lease, as it was told last under that epoch
+ * @param refused whether a worker refused that generation, having seen a higher one
  * @param workers the workers beside it
  * @param dead lives of workers that are surely over
  */
@@ -36,7 +40,10 @@
         String node,
         String address,
         Incarnation incarnation,
+        long sequence,
         Epoch epoch,
+        LeaseGeneration generation,
+        boolean refused,
         List<WorkerReport> workers,
         List<WorkerId> dead)
         implements Message {}
--- a/src/main/java/org/standlink/wire/RunOrders.java
+++ b/src/main/java/org/standlink/wire/RunOrders.java
@@ -17,6 +17,7 @@
 
 import java.util.List;
 import org.standlink.Epoch;
+import org.standlink.LeaseGeneration;
 import org.standlink.job.RunId;
 import org.standlink.job.WorkerId;
 
@@ -26,11 +27,17 @@
  * <p>{@code RunOrders} is thread-safe and immutable.
  *
  * @param epoch the epoch of the leader
+ * @param generation the generation of the agent's lease under which they were given
  * @param worker the life of the worker
  * @param starts the runs to start
  * @param stops the runs to stop
  * @param recordedEnd the last end of the worker that has been recorded
  */
 public record RunOrders(
-        Epoch epoch, WorkerId worker, List<StartOrder> starts, List<RunId> stops, long recordedEnd)
+        Epoch epoch,
+        LeaseGeneration generation,
+        WorkerId worker,
+        List<StartOrder> starts,
+        List<RunId> stops,
+        long recordedEnd)
         implements Message {}
--- /dev/null
+++ b/src/test/java/org/standlink/cell/TestAgentBoard.java
@@ -0,0 +1,110 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.Incarnation;
+import org.standlink.LeaseGeneration;
+import org.standlink.wire.AgentReport;
+
+/** Tests when the generation of an agent's lease rises, and which reports count. */
+public class TestAgentBoard {
+
+    private static final Incarnation AGENT = Incarnation.of(1);
+    private static final Incarnation OTHER = Incarnation.of(2);
+
+    private final WorkerBoard workers = new WorkerBoard();
+    private final AgentBoard agents = new AgentBoard(Epoch.of(1), workers);
+
+    private static AgentReport report(
+            Incarnation agent, long sequence, LeaseGeneration generation, boolean refused) {
+        return new AgentReport(
+                "node",
+                "a:1",
+                agent,
+                sequence,
+                Epoch.of(1),
+                generation,
+                refused,
+                List.of(),
+                List.of());
+    }
+
+    private boolean accept(Incarnation agent, long sequence) {
+        return agents.accept(report(agent, sequence, LeaseGeneration.NONE, false), 0);
+    }
+
+    @Test
+    public void aReportThatALaterOneHasOvertakenIsPassedOver() {
+        assertTrue(accept(AGENT, 2));
+        assertFalse(accept(AGENT, 1));
+        assertFalse(accept(AGENT, 2));
+        assertTrue(accept(AGENT, 3));
+        assertTrue(accept(OTHER, 1), "each run of an agent counts for itself");
+    }
+
+    @Test
+    public void noTwoLeasesShareAGeneration() {
+        accept(AGENT, 1);
+        accept(OTHER, 1);
+        LeaseGeneration first = agents.getGeneration(AGENT);
+        assertNotEquals(LeaseGeneration.NONE, first);
+        assertNotEquals(first, agents.getGeneration(OTHER));
+        agents.renew(AGENT, "test");
+        assertTrue(agents.getGeneration(AGENT).isAfter(agents.getGeneration(OTHER)));
+        assertEquals(LeaseGeneration.NONE, agents.getGeneration(null));
+    }
+
+    @Test
+    public void anAgentWhoseWorkerHasSeenMoreGetsAHigherGenerationOnce() {
+        accept(AGENT, 1);
+        LeaseGeneration first = agents.getGeneration(AGENT);
+        agents.accept(report(AGENT, 2, first, true), 0);
+        LeaseGeneration second = agents.getGeneration(AGENT);
+        assertTrue(second.isAfter(first));
+        agents.accept(report(AGENT, 3, first, true), 0);
+        assertEquals(second, agents.getGeneration(AGENT), "the answer was lost or is on its way");
+    }
+
+    @Test
+    public void aNewGenerationHasTheAgentToldAllAnew() {
+        accept(AGENT, 1);
+        WorkerEntry worker = workers.get(CellFixtures.worker("i-1", 8).id(), 6000);
+        worker.setAgent(AGENT);
+        worker.setSynced(agents.getGeneration(AGENT));
+        agents.renew(OTHER, "test");
+        assertEquals(agents.getGeneration(AGENT), worker.getSynced());
+        agents.renew(AGENT, "test");
+        assertEquals(LeaseGeneration.NONE, worker.getSynced());
+    }
+
+    @Test
+    public void anAgentThatIsSilentForLongIsForgotten() {
+        accept(AGENT, 5);
+        LeaseGeneration first = agents.getGeneration(AGENT);
+        agents.forgetSilent(60_001);
+        assertEquals(LeaseGeneration.NONE, agents.getGeneration(AGENT));
+        accept(AGENT, 6);
+        assertTrue(agents.getGeneration(AGENT).isAfter(first));
+    }
+}
--- a/src/test/java/org/standlink/cell/TestMoveDesk.java
+++ b/src/test/java/org/standlink/cell/TestMoveDesk.java
@@ -24,7 +24,7 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
-import org.standlink.Incarnation;
+import org.standlink.LeaseGeneration;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.RunId;
@@ -61,7 +61,7 @@
         WorkerEntry worker =
                 workers.get(CellFixtures.worker(id, cores).id(), clock.nowMillis() + 60_000);
         worker.heard(CellFixtures.worker(id, cores), null, true, clock.nowMillis());
-        worker.setSynced(Incarnation.of(1));
+        worker.setSynced(LeaseGeneration.of(1));
         return worker;
     }
 
--- a/src/test/java/org/standlink/cell/TestReportDesk.java
+++ b/src/test/java/org/standlink/cell/TestReportDesk.java
@@ -26,6 +26,7 @@
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
 import org.standlink.Incarnation;
+import org.standlink.LeaseGeneration;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.RunProgress;
@@ -52,9 +53,11 @@
             new CommitQueue(
                     store, Epoch.of(1), List.of(board, workers), clock, loop, loop, () -> {});
     private final OrderDesk orders = new OrderDesk(Epoch.of(1), board, workers, commits);
+    private final AgentBoard agents = new AgentBoard(Epoch.of(1), workers);
     private final ReportDesk reports =
-            new ReportDesk(board, workers, orders, job -> 2, clock, new HarmTable());
+            new ReportDesk(board, workers, agents, orders, job -> 2, clock, new HarmTable());
     private List<TaskEntry> tasks;
+    private long sequence;
 
     @BeforeEach
     public void assign() {
@@ -81,7 +84,15 @@
                         List.of());
         AgentReport report =
                 new AgentReport(
-                        "node", "a:1", Incarnation.of(1), Epoch.of(1), List.of(part), List.of());
+                        "node",
+                        "a:1",
+                        Incarnation.of(1),
+                        ++sequence,
+                        Epoch.of(1),
+                        LeaseGeneration.of(1),
+                        false,
+                        List.of(part),
+                        List.of());
         reports.handle(null, report, clock.nowMillis() + 6000);
     }
 
@@ -133,7 +144,15 @@
         WorkerBoard restored = new WorkerBoard();
         restored.restore(store.records(Topic.CELL), clock.nowMillis() + 9000);
         tasks.forEach(task -> restored.place(task, 0));
-        ReportDesk next = new ReportDesk(board, restored, orders, job -> 2, clock, new HarmTable());
+        ReportDesk next =
+                new ReportDesk(
+                        board,
+                        restored,
+                        new AgentBoard(Epoch.of(1), restored),
+                        orders,
+                        job -> 2,
+                        clock,
+                        new HarmTable());
         WorkerDescription other =
                 new WorkerDescription(
                         WorkerId.parse("i-2"),
@@ -150,7 +169,15 @@
         next.handle(
                 null,
                 new AgentReport(
-                        "node", "a:1", Incarnation.of(2), Epoch.of(1), List.of(part), List.of()),
+                        "node",
+                        "a:1",
+                        Incarnation.of(2),
+                        ++sequence,
+                        Epoch.of(1),
+                        LeaseGeneration.of(1),
+                        false,
+                        List.of(part),
+                        List.of()),
                 clock.nowMillis() + 6000);
         assertNull(tasks.get(0).getWorker());
         assertNull(restored.find(WORKER.id()));
@@ -162,7 +189,15 @@
         reports.handle(
                 null,
                 new AgentReport(
-                        "node", "a:1", Incarnation.of(1), Epoch.of(1), List.of(), List.of(id)),
+                        "node",
+                        "a:1",
+                        Incarnation.of(1),
+                        ++sequence,
+                        Epoch.of(1),
+                        LeaseGeneration.of(1),
+                        false,
+                        List.of(),
+                        List.of(id)),
                 0);
         assertNull(tasks.get(0).getWorker());
         assertNull(workers.find(id));
--- a/src/test/java/org/standlink/cell/TestScheduler.java
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -20,7 +20,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.standlink.Incarnation;
+import org.standlink.LeaseGeneration;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.StepDefinition;
@@ -41,7 +41,7 @@
     private WorkerEntry worker(String id, int cores) {
         WorkerEntry worker = workers.get(CellFixtures.worker(id, cores).id(), NOW + 6000);
         worker.heard(CellFixtures.worker(id, cores), null, true, NOW);
-        worker.setSynced(Incarnation.of(1));
+        worker.setSynced(LeaseGeneration.of(1));
         return worker;
     }
 
--- a/src/test/java/org/standlink/platform/TestHttpWorkerCalls.java
+++ b/src/test/java/org/standlink/platform/TestHttpWorkerCalls.java
@@ -31,6 +31,8 @@
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.standlink.Epoch;
+import org.standlink.Fence;
+import org.standlink.LeaseGeneration;
 import org.standlink.Resources;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
@@ -52,6 +54,8 @@
 
     private static final RunId RUN = new RunId(TaskName.parse("5c0e7a21d94b36f8.0.1.17"), 2);
 
+    private static final Fence FENCE = Fence.of(Epoch.of(7), LeaseGeneration.of(3));
+
     private final ExecutorService threads = ProcessThreads.newCached("test");
     private HttpServer server;
     private HttpWorkerCalls calls;
@@ -98,7 +102,7 @@
 
     private CallResult start(String checkpoint) {
         StartOrder order = new StartOrder(RUN, "(text)", checkpoint, false, 0, "");
-        return calls.start(worker, order, 486000, Epoch.of(7)).join();
+        return calls.start(worker, order, 486000, FENCE).join();
     }
 
     @Test
@@ -112,7 +116,7 @@
         assertEquals(2, body.path("run_id").asInt());
         assertEquals("(text)", body.path("spec").asText());
         assertEquals(486000, body.path("until_ms").asLong());
-        assertEquals(7, body.path("fencing_token").asLong());
+        assertEquals(FENCE.toToken(), body.path("fencing_token").asLong());
         assertEquals("00000bb87a21d94b", body.path("checkpoint").asText());
     }
 
@@ -154,7 +158,7 @@
         answer =
                 "{\"clock_ms\":482113,\"running\":[[\"5c0e7a21d94b36f8.0.1.17\",2,\"0b\",41,12]],"
                         + "\"ended\":[[58,\"5c0e7a21d94b36f8.0.1.9\",1,\"done\",\"\"]]}";
-        RenewalResult result = calls.renew(worker, 486000, Epoch.of(7), 57, 400).join();
+        RenewalResult result = calls.renew(worker, 486000, FENCE, 57, 400).join();
         assertTrue(result.isDone());
         assertEquals(List.of(new RunProgress(RUN, "0b", 41, 12)), result.running());
         RunId other = new RunId(TaskName.parse("5c0e7a21d94b36f8.0.1.9"), 1);
@@ -166,7 +170,7 @@
 
     @Test
     public void aHoldThatProlongsNothingNamesNoTime() {
-        calls.renew(worker, -1, Epoch.of(7), 0, 0).join();
+        calls.renew(worker, -1, FENCE, 0, 0).join();
         assertFalse(body.has("until_ms"));
         assertFalse(body.has("wait_ms"));
     }
--- a/src/test/java/org/standlink/runner/TestAgentNode.java
+++ b/src/test/java/org/standlink/runner/TestAgentNode.java
@@ -24,9 +24,9 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
+import org.standlink.Fence;
 import org.standlink.Incarnation;
 import org.standlink.Resources;
 import org.standlink.election.LeaderLink;
@@ -79,18 +79,18 @@
 
         @Override
         public CompletableFuture<CallResult> start(
-                WorkerDescription to, StartOrder order, long leaseUntil, Epoch epoch) {
+                WorkerDescription to, StartOrder order, long leaseUntil, Fence fence) {
             return answer(to);
         }
 
         @Override
-        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Epoch epoch) {
+        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Fence fence) {
             return answer(to);
         }
 
         @Override
         public CompletableFuture<RenewalResult> renew(
-                WorkerDescription to, long until, Epoch epoch, long recorded, long waitMillis) {
+                WorkerDescription to, long until, Fence fence, long recorded, long waitMillis) {
             called.add(to.id());
             CompletableFuture<RenewalResult> later = new CompletableFuture<>();
             loop.schedule(
@@ -104,7 +104,7 @@
 
         @Override
         public CompletableFuture<CallResult> throttle(
-                WorkerDescription to, RunId run, int percent, Epoch epoch) {
+                WorkerDescription to, RunId run, int percent, Fence fence) {
             return answer(to);
         }
     }
--- a/src/test/java/org/standlink/runner/TestUnguardedRoom.java
+++ b/src/test/java/org/standlink/runner/TestUnguardedRoom.java
@@ -30,6 +30,8 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
+import org.standlink.Fence;
+import org.standlink.LeaseGeneration;
 import org.standlink.Resources;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
@@ -55,6 +57,7 @@
     private static final long DAY_MILLIS = 25_000;
     private static final long LEADER_MILLIS = 50;
     private static final long LEASE_MILLIS = 6000;
+    private static final Fence FENCE = Fence.of(Epoch.of(1), LeaseGeneration.of(1));
     private static final WorkerId ID = WorkerId.parse("i-1");
     private static final WorkerDescription WORKER =
             new WorkerDescription(
@@ -83,7 +86,7 @@
                             clock,
                             loop,
                             () -> clock.nowMillis() + LEASE_MILLIS,
-                            () -> Epoch.of(1),
+                            () -> FENCE,
                             () -> {},
                             new NoObserver(),
                             new HarmTable());
@@ -119,7 +122,9 @@
             if (random.nextInt(10) == 0 && !taken.isEmpty()) {
                 stops.add(taken.values().iterator().next());
             }
-            supervisor.order(new RunOrders(Epoch.of(1), ID, starts, stops, handledEnd));
+            supervisor.order(
+                    new RunOrders(
+                            Epoch.of(1), FENCE.getGeneration(), ID, starts, stops, handledEnd));
         }
 
         private void free(RunId run) {
@@ -204,13 +209,13 @@
 
             @Override
             public CompletableFuture<CallResult> start(
-                    WorkerDescription to, StartOrder order, long until, Epoch epoch) {
+                    WorkerDescription to, StartOrder order, long until, Fence fence) {
                 return call(() -> begin(order.run(), until));
             }
 
             @Override
             public CompletableFuture<CallResult> stop(
-                    WorkerDescription to, RunId run, Epoch epoch) {
+                    WorkerDescription to, RunId run, Fence fence) {
                 return call(
                         () -> {
                             barred.merge(run.task(), run.number(), Math::max);
@@ -221,7 +226,7 @@
 
             @Override
             public CompletableFuture<RenewalResult> renew(
-                    WorkerDescription to, long until, Epoch epoch, long recorded, long waitMillis) {
+                    WorkerDescription to, long until, Fence fence, long recorded, long waitMillis) {
                 if (clock.nowMillis() > leaseUntil) {
                     List.copyOf(running.keySet()).forEach(run -> end(run, RunEndKind.LAPSED));
                 }
@@ -254,7 +259,7 @@
 
             @Override
             public CompletableFuture<CallResult> throttle(
-                    WorkerDescription to, RunId run, int percent, Epoch epoch) {
+                    WorkerDescription to, RunId run, int percent, Fence fence) {
                 return CompletableFuture.completedFuture(result(CallResult.Kind.DONE));
             }
         }
--- a/src/test/java/org/standlink/runner/TestWorkerLeaseClock.java
+++ b/src/test/java/org/standlink/runner/TestWorkerLeaseClock.java
@@ -33,7 +33,7 @@
             @ForAll @LongRange(max = 10_000) long lease,
             @ForAll @LongRange(max = 2000) long way,
             @ForAll @DoubleRange(min = 1.0, max = 1.02) double slowness) {
-        WorkerLeaseClock clock = new WorkerLeaseClock();
+        WorkerLeaseClock clock = new WorkerLeaseClock(0);
         // The worker read its clock at time 0; the answer came a while later.
         clock.answered(5000, way);
         long end = way + lease;
@@ -44,7 +44,7 @@
 
     @Test
     public void allIsOverOnlyAfterTheLatestTimeEverTold() {
-        WorkerLeaseClock clock = new WorkerLeaseClock();
+        WorkerLeaseClock clock = new WorkerLeaseClock(0);
         clock.answered(0, 100);
         clock.renew(6100);
         clock.renew(4000);
@@ -54,7 +54,7 @@
 
     @Test
     public void anEndThatHasPassedIsToldAsTheWorkersTime() {
-        WorkerLeaseClock clock = new WorkerLeaseClock();
+        WorkerLeaseClock clock = new WorkerLeaseClock(0);
         clock.answered(700, 100);
         assertEquals(700, clock.renew(50));
     }
--- a/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
+++ b/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
@@ -27,6 +27,8 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
+import org.standlink.Fence;
+import org.standlink.LeaseGeneration;
 import org.standlink.Resources;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
@@ -53,7 +55,7 @@
     private final FakeLoop loop = new FakeLoop(clock);
     private final Script worker = new Script();
     private final Lives lives = new Lives();
-    private Epoch epoch = Epoch.of(1);
+    private Fence fence = fence(1);
     private WorkerSupervisor supervisor;
 
     /** Notes which lives were said to answer, or to be over. */
@@ -101,20 +103,20 @@
 
         @Override
         public CompletableFuture<CallResult> start(
-                WorkerDescription to, StartOrder order, long leaseUntil, Epoch epoch) {
+                WorkerDescription to, StartOrder order, long leaseUntil, Fence fence) {
             seen.add("start " + order.run().number());
             return later(result(starts));
         }
 
         @Override
-        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Epoch epoch) {
+        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Fence fence) {
             seen.add("stop " + run.number());
             return later(result(stops));
         }
 
         @Override
         public CompletableFuture<RenewalResult> renew(
-                WorkerDescription to, long until, Epoch epoch, long recorded, long waitMillis) {
+                WorkerDescription to, long until, Fence fence, long recorded, long waitMillis) {
             boolean done = holds == CallResult.Kind.DONE;
             renewals++;
             List<RunEnd> unrecorded =
@@ -128,7 +130,7 @@
 
         @Override
         public CompletableFuture<CallResult> throttle(
-                WorkerDescription to, RunId run, int percent, Epoch epoch) {
+                WorkerDescription to, RunId run, int percent, Fence fence) {
             seen.add("share " + percent);
             return later(result(CallResult.Kind.DONE));
         }
@@ -143,7 +145,7 @@
                         clock,
                         loop,
                         () -> clock.nowMillis() + LEASE_MILLIS,
-                        () -> epoch,
+                        () -> fence,
                         () -> {},
                         lives,
                         new HarmTable());
@@ -151,8 +153,13 @@
         loop.advance(100);
     }
 
+    private static Fence fence(long epoch) {
+        return Fence.of(Epoch.of(epoch), LeaseGeneration.of(1));
+    }
+
     private void order(List<StartOrder> starts, List<RunId> stops, long recorded) {
-        supervisor.order(new RunOrders(Epoch.of(1), ID, starts, stops, recorded));
+        supervisor.order(
+                new RunOrders(Epoch.of(1), LeaseGeneration.of(1), ID, starts, stops, recorded));
     }
 
     private static StartOrder startOrder() {
@@ -304,7 +311,7 @@
         loop.advance(5000);
         assertEquals(before, worker.renewals);
         worker.holds = CallResult.Kind.DONE;
-        epoch = Epoch.of(2);
+        fence = fence(2);
         loop.advance(1000);
         assertTrue(worker.renewals > before);
         assertTrue(supervisor.report().reachable());
--- a/src/test/java/org/standlink/simulation/WorkerPath.java
+++ b/src/test/java/org/standlink/simulation/WorkerPath.java
@@ -18,7 +18,7 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.function.Function;
-import org.standlink.Epoch;
+import org.standlink.Fence;
 import org.standlink.job.RunId;
 import org.standlink.job.WorkerDescription;
 import org.standlink.runner.CallResult;
@@ -71,34 +71,34 @@
     // -----------------------------------------------------------------------
     @Override
     public CompletableFuture<CallResult> start(
-            WorkerDescription to, StartOrder order, long until, Epoch epoch) {
+            WorkerDescription to, StartOrder order, long until, Fence fence) {
         return simple(
                 to,
-                "start " + order.run() + " epoch " + epoch,
-                late -> life.start(order, until, epoch.getValue(), late));
+                "start " + order.run() + " fence " + fence,
+                late -> life.start(order, until, fence.toToken(), late));
     }
 
     @Override
-    public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Epoch epoch) {
+    public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Fence fence) {
         return simple(
-                to, "stop " + run + " epoch " + epoch, late -> life.stop(run, epoch.getValue()));
+                to, "stop " + run + " fence " + fence, late -> life.stop(run, fence.toToken()));
     }
 
     @Override
     public CompletableFuture<CallResult> throttle(
-            WorkerDescription to, RunId run, int percent, Epoch epoch) {
+            WorkerDescription to, RunId run, int percent, Fence fence) {
         return simple(to, "pace", late -> new CallResult(CallResult.Kind.DONE, -1, ""));
     }
 
     @Override
     public CompletableFuture<RenewalResult> renew(
-            WorkerDescription to, long until, Epoch epoch, long recordedEnd, long waitMillis) {
+            WorkerDescription to, long until, Fence fence, long recordedEnd, long waitMillis) {
         return call(
                 "",
                 late ->
                         isOther(to)
                                 ? CompletableFuture.completedFuture(unheard(otherLife()))
-                                : life.renew(until, epoch.getValue(), recordedEnd, waitMillis),
+                                : life.renew(until, fence.toToken(), recordedEnd, waitMillis),
                 unheard(unknown()),
                 CALL_MILLIS + waitMillis);
     }
