Tests of cancelled jobs whose runs are not stopped, as the code fails them

- a run of a cancelled job that is listed while its task is still placed there is taken for one that should be there; its stop is sent once and never again (expected [a.0.0.0#1], was [])
- a stop refused under the epoch of the leader before is dropped, also when the new leader has ordered it meanwhile: that order is passed over, as one is under way (expected a second stop under epoch 2, was only the one under epoch 1)
- a run that is listed after the worker acknowledged its stop, still or only then, is not stopped again, since the agent passes over all further orders to stop it (two tests, expected 2 calls, was 1)
- a leader whose place is taken, or whom the store does not answer, denies a job that it does not know at once; callers take this answer for a cancel, and the job goes on with the other leader (two tests)
- a job whose submission comes after its cancel was answered runs (two tests)

The others pass and show what was ruled out: a stop lost on a silent or closed channel goes over the next one; an agent of another process is told the stops; a new leader stops what the one before cancelled; a run that begins late is stopped though nothing of its job is left; a job cancelled while it is being kept is stopped right after its start.

--- /dev/null
+++ b/src/test/java/org/standlink/cell/TestCellLeader.java
@@ -0,0 +1,291 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.FakeLoop;
+import org.standlink.Incarnation;
+import org.standlink.JobId;
+import org.standlink.job.JobState;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
+import org.standlink.job.RunProgress;
+import org.standlink.job.TaskName;
+import org.standlink.job.WorkerDescription;
+import org.standlink.store.FakeKeyedStore;
+import org.standlink.wire.AgentReport;
+import org.standlink.wire.CancelJob;
+import org.standlink.wire.JobAnswer;
+import org.standlink.wire.JobQuery;
+import org.standlink.wire.Message;
+import org.standlink.wire.SubmitJob;
+import org.standlink.wire.WorkerReport;
+
+/**
+ * Tests that nothing of a cancelled job starts or goes on, whoever has been lost between.
+ *
+ * <p>Seen: runs of cancelled jobs that began or went on. How it came about: an order to stop is
+ * sent once, over a channel that may be silent, by a leader that may be gone. Cause: the leader
+ * took a listed run for one that should be there as long as its task was placed there, and denied
+ * jobs that it did not know without asking the store whether it still leads. Proof: each test lets
+ * one of the two happen, or tells why it does not.
+ */
+public class TestCellLeader {
+
+    private static final WorkerDescription WORKER = CellFixtures.worker("i-1", 8);
+    private static final JobId JOB = JobId.parse("a");
+    private static final RunId RUN = new RunId(TaskName.parse("a.0.0.0"), 1);
+    private static final long HEARTBEAT_MILLIS = 500;
+
+    private final FakeClock clock = new FakeClock();
+    private final FakeLoop loop = new FakeLoop(clock);
+    private final FakeKeyedStore store = new FakeKeyedStore();
+    private final FakeChannel entry = new FakeChannel();
+    private final FakeChannel agent = new FakeChannel();
+    private CellLeader leader;
+    private long call;
+
+    @BeforeEach
+    public void lead() {
+        leader = lead(1);
+    }
+
+    private CellLeader lead(long epoch) {
+        CellLeader next =
+                new CellLeader(
+                        Epoch.of(epoch),
+                        store,
+                        new CellTimes(6000, 120_000),
+                        clock,
+                        clock::nowMillis,
+                        () -> CellFixtures.CONFIGURATION,
+                        loop,
+                        () -> {});
+        next.start();
+        loop.advance(20);
+        return next;
+    }
+
+    /** Asks the leader and lets 50 ms pass; null if it has not answered by then. */
+    private JobAnswer ask(CellLeader asked, Message question) {
+        call++;
+        asked.handle(entry, call, question);
+        loop.advance(50);
+        return (JobAnswer) entry.findAnswer(call);
+    }
+
+    private JobAnswer.Result cancel() {
+        return ask(leader, new CancelJob(JOB, "q")).result();
+    }
+
+    /** Reports what runs and has ended, and lets 50 ms pass. */
+    private void report(FakeChannel from, long agentRun, List<RunId> running, RunEnd... ended) {
+        List<RunProgress> progress =
+                running.stream().map(run -> new RunProgress(run, "", 10, 0)).toList();
+        WorkerReport part =
+                new WorkerReport(
+                        WORKER,
+                        true,
+                        false,
+                        true,
+                        progress,
+                        List.of(ended),
+                        List.of(),
+                        List.of(),
+                        List.of());
+        AgentReport report =
+                new AgentReport(
+                        "node",
+                        "a:1",
+                        Incarnation.of(agentRun),
+                        Epoch.of(1),
+                        List.of(part),
+                        List.of());
+        leader.handle(from, 0, report);
+        loop.advance(50);
+    }
+
+    /** Lets a job of one task run on the worker. */
+    private void begin() {
+        report(agent, 1, List.of());
+        assertEquals(JobAnswer.Result.DONE, ask(leader, submission()).result());
+        assertEquals(List.of(RUN), agent.starts());
+        report(agent, 1, List.of(RUN));
+        assertEquals(List.of(), agent.stops());
+    }
+
+    private static SubmitJob submission() {
+        return new SubmitJob(CellFixtures.job("a", 1));
+    }
+
+    // -----------------------------------------------------------------------
+    @Test
+    public void aCancelledRunIsStoppedBeforeTheNextReport() {
+        begin();
+        assertEquals(JobAnswer.Result.DONE, cancel());
+        assertEquals(List.of(RUN), agent.stops());
+    }
+
+    @Test
+    public void aRunOfACancelledJobIsStoppedAgainAsLongAsItIsListed() {
+        begin();
+        cancel();
+        for (int i = 0; i < 3; i++) {
+            agent.clear();
+            loop.advance(HEARTBEAT_MILLIS);
+            report(agent, 1, List.of(RUN));
+            assertEquals(List.of(RUN), agent.stops());
+        }
+        agent.clear();
+        report(agent, 1, List.of(), new RunEnd(1, RUN, RunEndKind.STOPPED, ""));
+        assertEquals(List.of(), agent.stops());
+    }
+
+    @Test
+    public void aStopThatASilentChannelLostIsSentOverTheNextOne() {
+        loseStop(FakeChannel.Mode.SILENT);
+    }
+
+    @Test
+    public void aStopThatAClosedChannelRefusedIsSentOverTheNextOne() {
+        loseStop(FakeChannel.Mode.CLOSED);
+    }
+
+    private void loseStop(FakeChannel.Mode how) {
+        begin();
+        agent.setMode(how);
+        cancel();
+        FakeChannel next = new FakeChannel();
+        report(next, 1, List.of());
+        assertEquals(List.of(RUN), next.stops());
+    }
+
+    @Test
+    public void aNewAgentOfTheSameWorkerIsToldTheStops() {
+        begin();
+        agent.setMode(FakeChannel.Mode.SILENT);
+        cancel();
+        FakeChannel other = new FakeChannel();
+        report(other, 2, List.of());
+        assertEquals(List.of(RUN), other.stops());
+        // A last report of the earlier agent must not keep the stops from the present one.
+        agent.setMode(FakeChannel.Mode.OPEN);
+        report(agent, 1, List.of());
+        other.clear();
+        report(other, 2, List.of());
+        assertEquals(List.of(RUN), other.stops());
+    }
+
+    @Test
+    public void aNewLeaderStopsWhatTheOneBeforeCancelled() {
+        begin();
+        agent.setMode(FakeChannel.Mode.SILENT);
+        cancel();
+        leader = lead(2);
+        FakeChannel next = new FakeChannel();
+        report(next, 1, List.of());
+        assertEquals(List.of(RUN), next.stops());
+    }
+
+    @Test
+    public void aRunThatBeginsLateIsStoppedAlsoIfNothingOfItsJobIsLeft() {
+        begin();
+        cancel();
+        report(agent, 1, List.of(), new RunEnd(1, RUN, RunEndKind.STOPPED, ""));
+        for (int i = 0; i < 3; i++) {
+            agent.clear();
+            report(agent, 1, List.of(RUN));
+            assertEquals(List.of(RUN), agent.stops());
+        }
+        leader = lead(2);
+        agent.clear();
+        report(agent, 1, List.of(RUN));
+        assertEquals(List.of(RUN), agent.stops());
+    }
+
+    @Test
+    public void aJobCancelledWhileItIsBeingKeptIsStoppedAfterItsStart() {
+        report(agent, 1, List.of());
+        store.setMode(FakeKeyedStore.Mode.DOWN);
+        leader.handle(entry, 1, submission());
+        loop.advance(50);
+        leader.handle(entry, 2, new CancelJob(JOB, "q"));
+        loop.advance(50);
+        assertNull(entry.findAnswer(2));
+        store.setMode(FakeKeyedStore.Mode.UP);
+        loop.advance(300);
+        assertEquals(JobState.CANCELLED, ((JobAnswer) entry.findAnswer(2)).state());
+        assertEquals(agent.starts(), agent.stops());
+        agent.clear();
+        report(agent, 1, List.of());
+        assertEquals(List.of(), agent.starts());
+    }
+
+    // -----------------------------------------------------------------------
+    @Test
+    public void aLeaderWhosePlaceIsTakenDoesNotDenyAJob() {
+        CellLeader next = lead(2);
+        assertEquals(JobAnswer.Result.DONE, ask(next, submission()).result());
+        JobAnswer old = ask(leader, new CancelJob(JOB, "q"));
+        assertNull(old, () -> "a caller takes this for a cancel: " + old);
+    }
+
+    @Test
+    public void aLeaderThatCannotAskTheStoreDoesNotDenyAJob() {
+        store.setMode(FakeKeyedStore.Mode.DOWN);
+        loop.advance(2000);
+        assertEquals(JobAnswer.Result.NOT_DONE, cancel());
+    }
+
+    @Test
+    public void aJobThatWasCancelledBeforeItCameNeverRuns() {
+        report(agent, 1, List.of());
+        assertEquals(JobAnswer.Result.NO_SUCH_JOB, cancel());
+        assertEquals(JobState.CANCELLED, ask(leader, submission()).state());
+        loop.advance(1000);
+        assertEquals(List.of(), agent.starts());
+        assertEquals(JobState.CANCELLED, ask(leader, new JobQuery(JOB, "q")).state());
+    }
+
+    @Test
+    public void aNewLeaderKnowsWhatWasCancelledBeforeItCame() {
+        cancel();
+        leader = lead(2);
+        assertEquals(JobAnswer.Result.NO_SUCH_JOB, ask(leader, new JobQuery(JOB, "q")).result());
+        report(agent, 1, List.of());
+        ask(leader, submission());
+        loop.advance(1000);
+        assertEquals(List.of(), agent.starts());
+    }
+
+    @Test
+    public void aJobThatNeverCameIsNotShown() {
+        assertEquals(JobAnswer.Result.NO_SUCH_JOB, cancel());
+        assertEquals(JobAnswer.Result.NO_SUCH_JOB, ask(leader, new JobQuery(JOB, "q")).result());
+        assertEquals(JobAnswer.Result.NO_SUCH_JOB, cancel());
+        loop.advance(130_000);
+        assertTrue(ask(leader, submission()).state() != JobState.CANCELLED);
+    }
+}
--- a/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
+++ b/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
@@ -81,6 +81,7 @@
         private List<RunProgress> running = List.of();
         private List<RunEnd> ended = List.of();
         private final List<String> seen = new ArrayList<>();
+        private final List<String> stopped = new ArrayList<>();
         private int renewals;
 
         private <T> CompletableFuture<T> later(T value) {
@@ -109,6 +110,7 @@
         @Override
         public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Epoch epoch) {
             seen.add("stop " + run.number());
+            stopped.add("stop " + run.number() + " of " + epoch);
             return later(result(stops));
         }
 
@@ -309,4 +311,46 @@
         assertTrue(worker.renewals > before);
         assertTrue(supervisor.report().reachable());
     }
+
+    @Test
+    public void aStopRefusedUnderAnOldEpochIsGivenAgainUnderTheNewOne() {
+        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        loop.advance(600);
+        worker.stops = CallResult.Kind.FENCED;
+        order(List.of(), List.of(RUN), 0);
+        // The worker hears of the new leader, and the agent is told to stop, before the answer.
+        epoch = Epoch.of(2);
+        order(List.of(), List.of(RUN), 0);
+        loop.advance(20);
+        worker.stops = CallResult.Kind.DONE;
+        loop.advance(500);
+        assertEquals(List.of("stop 1 of 1", "stop 1 of 2"), worker.stopped);
+    }
+
+    @Test
+    public void aStopIsNotGivenAgainUnderAnEpochThatWasRefused() {
+        worker.stops = CallResult.Kind.FENCED;
+        order(List.of(), List.of(RUN), 0);
+        loop.advance(2000);
+        assertEquals(List.of("stop 1 of 1"), worker.stopped);
+    }
+
+    @Test
+    public void aRunThatIsStillListedAfterItsStopIsStoppedAgain() {
+        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        order(List.of(), List.of(RUN), 0);
+        loop.advance(500);
+        assertEquals(1, worker.stopped.size());
+        loop.advance(1500);
+        assertEquals(2, worker.stopped.size());
+    }
+
+    @Test
+    public void aRunThatIsListedOnlyAfterItsStopIsStoppedAgain() {
+        order(List.of(), List.of(RUN), 0);
+        loop.advance(500);
+        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        loop.advance(1500);
+        assertEquals(2, worker.stopped.size());
+    }
 }
