Repeat what stops the runs of cancelled jobs, and keep every cancel

- The leader took a listed run for one that should be there as long as its task was placed there.
It now asks whether the task is still wanted, and repeats the stop with each report that lists it.
- A stop refused under an old epoch was dropped by the agent, and the new leader's order for it had been passed over.
It is now given again, under the next epoch that the agent knows.
- A run still listed a second after its stop was acknowledged was never stopped again, as the agent passes over all further orders to stop it.
The agent now repeats the stop itself.
- A leader denied a job that it did not know without asking the store whether it still leads, and a submission under way could come after the denial.
Callers take both for a cancel.
The leader now keeps the cancel like that of any job: a leader whose place is taken cannot, and a later submission finds the job cancelled.
A job that was never submitted is not shown.

Ruled out, by tests that passed before: stops lost with a channel, an agent or a leader; runs that begin late when nothing of their job is left.

--- a/src/main/java/org/standlink/cell/CallerDesk.java
+++ b/src/main/java/org/standlink/cell/CallerDesk.java
@@ -15,6 +15,7 @@
  */
 package org.standlink.cell;
 
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.standlink.JobId;
@@ -117,8 +118,9 @@
                 .with("store-silent-millis", commits.getSilentMillis())
                 .write();
         JobEntry entry = known == null ? board.add(job) : known;
-        if (known == null) {
+        if (!entry.isAccepted()) {
             entry.accept(clock.nowMillis(), wallClock.getAsLong());
+            board.markChanged(entry);
         }
         long start = clock.nowMillis();
         commits.afterCommit(
@@ -134,8 +136,16 @@
     }
 
     private void cancel(MessageChannel connection, long call, CancelJob cancel) {
-        JobEntry job = findIn(cancel.job(), cancel.queue());
-        if (job == null) {
+        JobEntry known = board.find(cancel.job());
+        if (known == null && commits.isStalled()) {
+            String reason = "the store does not answer";
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, reason));
+            return;
+        }
+        // Callers take the denial of a job for its cancel. Keeping the cancel proves that no other
+        // leader has taken the job, and bars a submission that is still under way.
+        JobEntry job = known == null ? board.add(withoutTasks(cancel)) : known;
+        if (!job.getDefinition().queue().equals(cancel.queue())) {
             connection.answer(call, JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, ""));
             return;
         }
@@ -145,20 +155,21 @@
             LOG.info("cancelled").with("job", job.getId()).write();
             whenFinal.accept(job);
         }
-        commits.afterCommit(() -> connection.answer(call, JobAnswer.ofDone(job.getKeptState())));
+        commits.afterCommit(() -> connection.answer(call, stateOf(job.getId(), cancel.queue())));
     }
 
-    private JobEntry findIn(JobId id, String queue) {
-        JobEntry job = board.find(id);
-        return job != null && job.getDefinition().queue().equals(queue) ? job : null;
+    private static JobDefinition withoutTasks(CancelJob cancel) {
+        return new JobDefinition(cancel.job(), cancel.queue(), "", List.of(), 0, 0, 0);
     }
 
     /** Tells a job's state; one that is not kept yet counts as it was before. */
     private JobAnswer stateOf(JobId id, String queue) {
-        JobEntry job = findIn(id, queue);
-        return job == null
-                ? JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, "")
-                : JobAnswer.ofDone(job.getKeptState());
+        JobEntry job = board.find(id);
+        boolean there =
+                job != null && job.isAccepted() && job.getDefinition().queue().equals(queue);
+        return there
+                ? JobAnswer.ofDone(job.getKeptState())
+                : JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, "");
     }
 
     private JobAnswer waitingIn(String queue) {
--- a/src/main/java/org/standlink/cell/JobEntry.java
+++ b/src/main/java/org/standlink/cell/JobEntry.java
@@ -196,23 +196,6 @@
         return longest;
     }
 
-    /**
-     * Works out how much of the work is left, by what the caller guessed.
-     *
-     * @return the share, 0 to 1; 1 if the caller guessed nothing
-     */
-    double remainingShare() {
-        double all = 0;
-        double left = 0;
-        for (TaskEntry task : allTasks().toList()) {
-            StepDefinition step = task.getStep();
-            double work = (double) step.demand().milliCores() * step.estimatedMillis();
-            all += work;
-            left += task.isDone() ? 0 : work;
-        }
-        return all == 0 ? 1 : left / all;
-    }
-
     /**
      * Checks whether nothing of the job is left to do, also on any worker.
      *
@@ -366,6 +349,15 @@
         acceptedWallMillis = wallMillis;
     }
 
+    /**
+     * Checks whether the job was ever submitted, not only cancelled.
+     *
+     * @return true if so
+     */
+    boolean isAccepted() {
+        return acceptedWallMillis > 0;
+    }
+
     /**
      * Works out when a job that was read had been accepted.
      *
--- a/src/main/java/org/standlink/cell/JobOutlook.java
+++ b/src/main/java/org/standlink/cell/JobOutlook.java
@@ -16,6 +16,7 @@
 package org.standlink.cell;
 
 import org.standlink.job.QueueDefinition;
+import org.standlink.job.StepDefinition;
 
 /**
  * What a job is still worth to its caller, for each part of its work that is left. What is worth
@@ -81,10 +82,25 @@
             return new JobOutlook(Punctuality.ON_TIME, 1 / LEAST_LEFT);
         }
         Punctuality punctuality = punctuality(job, queue, now);
-        double left = Math.max(LEAST_LEFT, job.remainingShare());
+        double left = Math.max(LEAST_LEFT, remainingShare(job));
         return new JobOutlook(punctuality, punctuality.worth / left);
     }
 
+    /**
+     * Works out how much of the work is left, by what the caller guessed; 1 if it guessed nothing.
+     */
+    private static double remainingShare(JobEntry job) {
+        double all = 0;
+        double left = 0;
+        for (TaskEntry task : job.allTasks().toList()) {
+            StepDefinition step = task.getStep();
+            double work = (double) step.demand().milliCores() * step.estimatedMillis();
+            all += work;
+            left += task.isDone() ? 0 : work;
+        }
+        return all == 0 ? 1 : left / all;
+    }
+
     private static Punctuality punctuality(JobEntry job, QueueDefinition queue, long now) {
         double target = queue.targetMillis() + queue.stretch() * job.chainMillis(false);
         double work = (job.hasBegun() ? BEGUN_WORK : NEW_WORK) * job.chainMillis(true);
--- a/src/main/java/org/standlink/cell/OrderDesk.java
+++ b/src/main/java/org/standlink/cell/OrderDesk.java
@@ -138,12 +138,10 @@
         List<StartOrder> starts = new ArrayList<>();
         List<RunId> stops = new ArrayList<>();
         for (TaskEntry task : worker.listTasks()) {
-            boolean wanted =
-                    !task.isDone() && !board.find(task.getName().job()).getState().isFinal();
-            if (!wanted) {
-                stops.add(task.getRun());
-            } else {
+            if (isWanted(task)) {
                 starts.add(startOrder(task));
+            } else {
+                stops.add(task.getRun());
             }
         }
         LOG.info("agent-synced")
@@ -155,6 +153,16 @@
         commits.afterCommit(() -> send(worker.getId(), starts, stops));
     }
 
+    /**
+     * Checks whether a task should run.
+     *
+     * @param task the task
+     * @return false if it is done, or its job is final
+     */
+    boolean isWanted(TaskEntry task) {
+        return !task.isDone() && !board.find(task.getName().job()).getState().isFinal();
+    }
+
     // -----------------------------------------------------------------------
     private StartOrder startOrder(TaskEntry task) {
         StepDefinition step = task.getStep();
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -362,7 +362,9 @@
         List<RunId> stray = new ArrayList<>();
         for (RunProgress progress : part.running()) {
             TaskEntry task = worker.findTask(progress.run().task());
-            boolean expected = task != null && task.getRun().equals(progress.run());
+            // A run that is to end stays placed here until it has; an order to stop it may be lost.
+            boolean expected =
+                    task != null && task.getRun().equals(progress.run()) && orders.isWanted(task);
             (expected ? present : stray).add(progress.run());
         }
         orders.stopStray(worker.getId(), stray);
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -101,6 +101,9 @@
     /** Tells the worker the shares of best-effort runs. */
     private final RunShares shares;
 
+    /** The epoch under which a stop was refused, since the worker has seen a newer one; or null. */
+    private Epoch refusedEpoch;
+
     /**
      * Constructor.
      *
@@ -310,21 +313,26 @@
         if (!runs.containsKey(run.getRun())) {
             return;
         }
-        if (!reachable.getAsBoolean()) {
+        Epoch present = epoch.get();
+        if (!reachable.getAsBoolean() || present.equals(refusedEpoch)) {
             loop.schedule(() -> callStop(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
         run.setCalling(true);
-        calls.stop(worker.get(), run.getRun(), epoch.get())
-                .thenAcceptAsync(result -> stopped(run, result), loop);
+        calls.stop(worker.get(), run.getRun(), present)
+                .thenAcceptAsync(result -> stopped(run, result, present), loop);
     }
 
-    private void stopped(LocalRun run, CallResult result) {
+    private void stopped(LocalRun run, CallResult result, Epoch sentEpoch) {
         run.setCalling(false);
         logCall("stop", run, result);
+        if (result.kind() == CallResult.Kind.FENCED) {
+            // The newer leader's order for the same stop may have been passed over meanwhile.
+            refusedEpoch = sentEpoch;
+        }
         switch (result.kind()) {
             case DONE -> run.stopped(clock.nowMillis());
-            case FENCED, OTHER_LIFE -> runs.remove(run.getRun());
+            case OTHER_LIFE -> runs.remove(run.getRun());
             default -> loop.schedule(() -> callStop(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
@@ -362,7 +370,11 @@
             boolean over =
                     run.getPhase() == LocalRun.Phase.STOPPED
                             && sentAt - run.getStoppedAt() > STOP_MILLIS;
-            if (over && !isListed(run.getRun())) {
+            if (over && isListed(run.getRun())) {
+                // Further orders to stop it are passed over here, so nobody else would repeat it.
+                run.setPhase(LocalRun.Phase.STOPPING);
+                callStop(run);
+            } else if (over) {
                 runs.remove(run.getRun());
                 gone.add(run.getRun());
                 whenChanged.run();
