--- a/src/main/java/org/standlink/cell/OrderDesk.java
+++ b/src/main/java/org/standlink/cell/OrderDesk.java
@@ -140,14 +140,10 @@
         List<StartOrder> starts = new ArrayList<>();
         List<RunId> stops = new ArrayList<>();
         for (TaskEntry task : worker.listTasks()) {
-            boolean wanted =
-                    !task.isDone()
-                            && !task.isStopping()
-                            && !board.find(task.getName().job()).getState().isFinal();
-            if (!wanted) {
-                stops.add(task.getRun());
-            } else {
+            if (isWanted(task)) {
                 starts.add(startOrder(task));
+            } else {
+                stops.add(task.getRun());
             }
         }
         LOG.info("agent-synced")
@@ -160,6 +156,18 @@
         commits.afterCommit(() -> send(worker.getId(), given, starts, stops));
     }
 
+    /**
+     * Checks whether a task should run.
+     *
+     * @param task the task
+     * @return false if it is done or to go on elsewhere, or if its job is final
+     */
+    boolean isWanted(TaskEntry task) {
+        return !task.isDone()
+                && !task.isStopping()
+                && !board.find(task.getName().job()).getState().isFinal();
+    }
+
     // -----------------------------------------------------------------------
     private StartOrder startOrder(TaskEntry task) {
         StepDefinition step = task.getStep();
