--- a/src/test/java/org/standlink/cell/TestScheduler.java
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -73,6 +73,15 @@
         assertEquals(6, schedule(NOW).size());
     }
 
+    @Test
+    public void aWorkerWhoseLeaseIsOverGetsNothingUntilItIsProlonged() {
+        WorkerEntry worker = worker("i-1", 8);
+        add("a", CellFixtures.step(1, List.of(), 0, false));
+        assertTrue(schedule(NOW + 6000).isEmpty());
+        worker.prolong(NOW + 12_000);
+        assertEquals(1, schedule(NOW + 6000).size());
+    }
+
     @Test
     public void aLeavingOrSilentWorkerGetsNothing() {
         WorkerEntry leaving = worker("i-1", 8);
