--- a/src/test/java/org/standlink/gateway/TestJobGateway.java
+++ b/src/test/java/org/standlink/gateway/TestJobGateway.java
@@ -150,6 +150,24 @@
         assertEquals(2, asked.get());
     }
 
+    @Test
+    public void aRefusalAfterALostAnswerDoesNotSayThatNothingRan() {
+        AtomicInteger asked = new AtomicInteger();
+        lead(
+                1,
+                (connection, call, message) -> {
+                    if (asked.getAndIncrement() == 0) {
+                        // It may have been kept by then.
+                        connection.close();
+                    } else {
+                        connection.answer(
+                                call, JobAnswer.of(JobAnswer.Result.NOT_DONE, "no longer leading"));
+                    }
+                });
+        assertEquals(504, ask(JobCall.Kind.SUBMIT).status());
+        assertEquals(2, asked.get());
+    }
+
     @Test
     public void aRequestWaitsForALeaderThatReadsItsState() {
         AtomicInteger asked = new AtomicInteger();
