Answer a refusal after a lost answer as lost, not as not run

A submission is asked for again over a new connection once the first one is lost. If the leader then refused it, the caller was told that it never ran, although the first one may have been kept.

--- a/src/main/java/org/standlink/gateway/JobGateway.java
+++ b/src/main/java/org/standlink/gateway/JobGateway.java
@@ -211,7 +211,9 @@
                 Message answer =
                         leader.call(question, Math.max(1, Math.min(left, ANSWER_MILLIS))).join();
                 if (answer instanceof JobAnswer known) {
-                    return reply(call, known);
+                    boolean refused = known.result() == JobAnswer.Result.NOT_DONE;
+                    // What was asked before the connection was lost may have been done.
+                    return refused && lost != null ? lost(call, lost) : reply(call, known);
                 }
                 if (answer instanceof LeaderNotice notice) {
                     leader.offer(notice, "another process");
