--- a/src/main/java/org/standlink/cell/AgentBoard.java
+++ b/src/main/java/org/standlink/cell/AgentBoard.java
@@ -98,6 +98,23 @@
         return true;
     }
 
+    /**
+     * Checks whether a worker has a newer agent, so that what an earlier process of it has reported
+     * says nothing any more, neither of refusals nor of lapses.
+     *
+     * @param agent the run of the agent that reports
+     * @param worker the worker
+     * @param now the time on the leader's clock, in milliseconds
+     * @return true if an agent of a higher generation looks after the worker
+     */
+    boolean isOvertaken(Incarnation agent, WorkerEntry worker, long now) {
+        Incarnation present = worker.getAgent();
+        return present != null
+                && !present.equals(agent)
+                && now - worker.getHeardAt() < WorkerBoard.SILENT_MILLIS
+                && getGeneration(present).isAfter(getGeneration(agent));
+    }
+
     /**
      * Gets the generation of an agent's lease.
      *
--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -27,7 +27,6 @@
 import org.standlink.LeaseGeneration;
 import org.standlink.StandlinkException;
 import org.standlink.job.Configuration;
-import org.standlink.job.QueueDefinition;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.policy.HarmTable;
 import org.standlink.process.EventLog;
@@ -63,9 +62,6 @@
     /** The pause before a failed step of taking over is repeated, in milliseconds. */
     private static final long PAUSE_MILLIS = 150;
 
-    /** The most runs of a task that may fail if the queue is no longer configured. */
-    private static final int OTHERWISE_ATTEMPTS = 1;
-
     /** The log. */
     private static final EventLog LOG = EventLog.of(CellLeader.class);
 
@@ -99,9 +95,6 @@
     /** The workers. */
     private final WorkerBoard workers = new WorkerBoard();
 
-    /** What is believed of images. */
-    private final HarmTable harm = new HarmTable();
-
     /** Keeps what is believed of images. */
     private final BeliefKeeper beliefs;
 
@@ -120,6 +113,9 @@
     /** The agents. */
     private final AgentBoard agents;
 
+    /** Learns from figures. */
+    private final FigureDesk figures;
+
     /** Handles reports of agents. */
     private final ReportDesk reports;
 
@@ -167,6 +163,7 @@
         this.configuration = configuration;
         this.loop = loop;
         this.whenDeposed = whenDeposed;
+        HarmTable harm = new HarmTable();
         Placement placement = new LeastAskedPlacement(harm);
         this.scheduler = new Scheduler(board, workers, placement);
         this.beliefs = new BeliefKeeper(harm, clock);
@@ -183,8 +180,16 @@
         this.moves = new MoveDesk(workers, placement, orders);
         this.callers = new CallerDesk(board, commits, clock, wallClock, this::noteFinal);
         this.agents = new AgentBoard(epoch, workers);
+        this.figures = new FigureDesk(board, clock, harm);
         this.reports =
-                new ReportDesk(board, workers, agents, orders, this::mostAttempts, clock, harm);
+                new ReportDesk(
+                        board,
+                        workers,
+                        agents,
+                        orders,
+                        job -> configuration.get().getMostAttempts(job.getDefinition().queue()),
+                        clock,
+                        figures);
     }
 
     /** Begins to take over. */
@@ -375,7 +380,7 @@
                         agents.getGeneration(report.incarnation()),
                         entitled ? times.leaseMillis() : 0,
                         silent,
-                        reports.harmFor(connection)));
+                        figures.harmFor(connection)));
     }
 
     private void noteFinal(JobEntry job) {
@@ -389,12 +394,4 @@
             orders.stopAfterCommit(job.allTasks().toList());
         }
     }
-
-    private int mostAttempts(JobEntry job) {
-        return configuration
-                .get()
-                .findQueue(job.getDefinition().queue())
-                .map(QueueDefinition::mostAttempts)
-                .orElse(OTHERWISE_ATTEMPTS);
-    }
 }
--- a/src/main/java/org/standlink/cell/OrderDesk.java
+++ b/src/main/java/org/standlink/cell/OrderDesk.java
@@ -180,6 +180,12 @@
                 step.image());
     }
 
+    /** A run may have been given up while the store was asked to keep the decision to start it. */
+    private boolean isPlaced(RunId run, WorkerId id) {
+        TaskEntry task = board.findTask(run.task());
+        return task != null && task.getRun().equals(run) && id.equals(task.getWorker());
+    }
+
     private void sendNow(WorkerId id, List<StartOrder> starts, List<RunId> stops) {
         WorkerEntry worker = workers.find(id);
         if (worker != null) {
@@ -196,9 +202,11 @@
         if (worker == null || worker.getConnection() == null) {
             return;
         }
+        List<StartOrder> present =
+                starts.stream().filter(start -> isPlaced(start.run(), id)).toList();
         try {
             worker.getConnection()
-                    .send(new RunOrders(epoch, given, id, starts, stops, worker.getRecordedEnd()));
+                    .send(new RunOrders(epoch, given, id, present, stops, worker.getRecordedEnd()));
         } catch (StandlinkException lost) {
             LOG.info("orders-not-sent").with("worker", id).with("cause", lost).write();
         }
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -16,22 +16,17 @@
 package org.standlink.cell;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.WeakHashMap;
 import java.util.function.ToIntFunction;
 import org.standlink.LeaseGeneration;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
-import org.standlink.job.StepDefinition;
 import org.standlink.job.WorkerId;
 import org.standlink.lease.MonotonicClock;
-import org.standlink.policy.HarmTable;
 import org.standlink.process.EventLog;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.MessageChannel;
@@ -54,9 +49,6 @@
      */
     private static final long STALL_MILLIS = 1500;
 
-    /** The time that a worker's figures cover, in milliseconds. */
-    private static final long SAMPLE_MILLIS = 450;
-
     /** The log. */
     private static final EventLog LOG = EventLog.of(ReportDesk.class);
 
@@ -78,11 +70,8 @@
     /** The clock. */
     private final MonotonicClock clock;
 
-    /** What is believed of images. */
-    private final HarmTable harm;
-
-    /** Up to which change of it each agent has been told. */
-    private final Map<MessageChannel, Long> told = new WeakHashMap<>();
+    /** Learns from figures. */
+    private final FigureDesk figures;
 
     /** The jobs that have changed since they were taken last. */
     private Set<JobEntry> touched = new LinkedHashSet<>();
@@ -96,7 +85,7 @@
      * @param orders tells agents what to do
      * @param mostAttempts tells how many runs of a job's task may fail
      * @param clock the clock
-     * @param harm what is believed of images
+     * @param figures learns from figures
      */
     ReportDesk(
             JobBoard board,
@@ -105,14 +94,14 @@
             OrderDesk orders,
             ToIntFunction<JobEntry> mostAttempts,
             MonotonicClock clock,
-            HarmTable harm) {
+            FigureDesk figures) {
         this.board = board;
         this.workers = workers;
         this.agents = agents;
         this.orders = orders;
         this.mostAttempts = mostAttempts;
         this.clock = clock;
-        this.harm = harm;
+        this.figures = figures;
     }
 
     /**
@@ -129,6 +118,13 @@
         }
         for (WorkerReport part : report.workers()) {
             WorkerEntry worker = workers.get(part.worker().id(), leaseUntil);
+            if (agents.isOvertaken(report.incarnation(), worker, clock.nowMillis())) {
+                LOG.info("overtaken-agent")
+                        .with("node", report.node())
+                        .with("worker", worker.getId())
+                        .write();
+                continue;
+            }
             worker.prolong(leaseUntil);
             boolean first = worker.getDescription() == null;
             worker.heard(part.worker(), connection, part.reachable(), clock.nowMillis());
@@ -219,7 +215,7 @@
         }
         part.running().forEach(this::saveProgress);
         worker.getFigures().throttled(part.throttled(), clock.nowMillis());
-        learn(worker, part.running());
+        figures.learn(worker, part.running());
         handleEnds(worker, part.ended());
         for (StartRefusal refusal : part.refused()) {
             refused(worker, refusal);
@@ -235,43 +231,6 @@
         }
     }
 
-    /** Learns from the figures of a worker, once for each half second that they cover. */
-    private void learn(WorkerEntry worker, List<RunProgress> running) {
-        if (!worker.getFigures().beginSample(clock.nowMillis(), SAMPLE_MILLIS)) {
-            return;
-        }
-        Map<String, Double> tails = new HashMap<>();
-        Map<String, Long> used = new HashMap<>();
-        for (RunProgress progress : running) {
-            TaskEntry task = board.findTask(progress.run().task());
-            if (task == null) {
-                continue;
-            }
-            StepDefinition step = task.getStep();
-            if (step.targetMillis() > 0) {
-                tails.merge(step.image(), progress.figure() / step.targetMillis(), Math::max);
-            } else if (step.bestEffort()) {
-                used.merge(step.image(), progress.figure(), Long::sum);
-            }
-        }
-        worker.getFigures()
-                .setWorstTail(
-                        tails.values().stream().mapToDouble(Double::doubleValue).max().orElse(0));
-        tails.forEach((image, ratio) -> harm.observe(image, ratio, used));
-    }
-
-    /**
-     * Tells an agent what is believed of images, if that has changed since it was told last.
-     *
-     * @param agent the connection to the agent
-     * @return the beliefs, empty if they have not changed
-     */
-    List<HarmTable.Entry> harmFor(MessageChannel agent) {
-        long version = harm.getVersion();
-        Long before = told.put(agent, version);
-        return before != null && before == version ? List.of() : harm.list();
-    }
-
     private void saveProgress(RunProgress progress) {
         TaskEntry task = board.findTask(progress.run().task());
         if (task != null && task.getRun().equals(progress.run())) {
--- a/src/main/java/org/standlink/cell/WorkerBoard.java
+++ b/src/main/java/org/standlink/cell/WorkerBoard.java
@@ -48,7 +48,7 @@
     private static final long TRIAL_MILLIS = 1500;
 
     /** How long ago an agent may have been heard for its workers to be used, in milliseconds. */
-    private static final long SILENT_MILLIS = 1500;
+    static final long SILENT_MILLIS = 1500;
 
     /** The log. */
     private static final EventLog LOG = EventLog.of(WorkerBoard.class);
--- a/src/main/java/org/standlink/job/Configuration.java
+++ b/src/main/java/org/standlink/job/Configuration.java
@@ -37,6 +37,9 @@
     /** The configuration before the first. */
     public static final Configuration NONE = new Configuration(0, List.of(), List.of(), 0);
 
+    /** The most runs of a task that may fail if its queue is no longer configured. */
+    private static final int OTHERWISE_ATTEMPTS = 1;
+
     /**
      * Finds the queue of a request: the longest prefix of its path on its host.
      *
@@ -66,6 +69,16 @@
         return queues.stream().filter(queue -> queue.name().equals(name)).findFirst();
     }
 
+    /**
+     * Gets how many runs of a task may fail.
+     *
+     * @param name the name of the queue
+     * @return the number; one if the queue is no longer configured
+     */
+    public int getMostAttempts(String name) {
+        return findQueue(name).map(QueueDefinition::mostAttempts).orElse(OTHERWISE_ATTEMPTS);
+    }
+
     private static boolean longer(QueueDefinition one, QueueDefinition other) {
         return one.pathPrefix().length() > other.pathPrefix().length();
     }
--- a/src/main/java/org/standlink/runner/AgentLease.java
+++ b/src/main/java/org/standlink/runner/AgentLease.java
@@ -15,14 +15,18 @@
  */
 package org.standlink.runner;
 
+import java.util.Collection;
+import java.util.HashMap;
+import java.util.Map;
 import java.util.function.Supplier;
 import org.standlink.Epoch;
 import org.standlink.Fence;
 import org.standlink.LeaseGeneration;
+import org.standlink.job.WorkerId;
 
 /**
- * What the leader has granted an agent: until when its workers may keep their runs, and the fence
- * of the orders that hold.
+ * What the leader has granted an agent: until when each worker may keep its runs, and the fence of
+ * the orders that hold.
  *
  * <p>{@code AgentLease} is mutable and not thread-safe; the agent's loop owns it.
  */
@@ -34,8 +38,8 @@
     /** The highest fence that a leader has told. */
     private Fence granted = Fence.NONE;
 
-    /** Until when runs may go on, on the agent's clock, in milliseconds. */
-    private long end;
+    /** Until when each worker may keep its runs, on the agent's clock, in milliseconds. */
+    private final Map<WorkerId, Long> ends = new HashMap<>();
 
     /**
      * Constructor.
@@ -74,20 +78,31 @@
     }
 
     /**
-     * Prolongs the time for which runs may go on.
+     * Prolongs the time for which workers may keep their runs.
      *
+     * @param named the workers that the report named; the leader's book says nothing of others
      * @param until the time on the agent's clock, in milliseconds
      */
-    void prolong(long until) {
-        end = Math.max(end, until);
+    void prolong(Collection<WorkerId> named, long until) {
+        named.forEach(worker -> ends.merge(worker, until, Math::max));
     }
 
     /**
-     * Gets until when runs may go on.
+     * Forgets a worker whose life is over.
      *
-     * @return the time on the agent's clock, in milliseconds
+     * @param worker the life
      */
-    long getEnd() {
-        return end;
+    void forget(WorkerId worker) {
+        ends.remove(worker);
+    }
+
+    /**
+     * Gets until when a worker may keep its runs.
+     *
+     * @param worker the worker
+     * @return the time on the agent's clock, in milliseconds; 0 if it was never granted
+     */
+    long getEnd(WorkerId worker) {
+        return ends.getOrDefault(worker, 0L);
     }
 }
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -212,7 +212,7 @@
                         calls,
                         clock,
                         loop,
-                        lease::getEnd,
+                        () -> lease.getEnd(worker.id()),
                         lease::getFence,
                         this::changed,
                         this,
@@ -241,6 +241,7 @@
         WorkerSupervisor supervisor = workers.remove(worker);
         if (supervisor != null) {
             supervisor.close();
+            lease.forget(worker);
         }
         if (dead.add(worker)) {
             LOG.info("worker-over").with("worker", worker).with("reason", reason).write();
@@ -354,7 +355,7 @@
             observer.leaderAnswered(grant.storeSilentMillis());
             harm.tell(grant.harm());
             if (grant.leaseMillis() > 0) {
-                lease.prolong(sentAt + grant.leaseMillis());
+                lease.prolong(sent.keySet(), sentAt + grant.leaseMillis());
                 sent.forEach(this::reported);
             }
         }
--- a/src/main/java/org/standlink/runner/RunShares.java
+++ b/src/main/java/org/standlink/runner/RunShares.java
@@ -15,11 +15,7 @@
  */
 package org.standlink.runner;
 
-import java.util.concurrent.Executor;
-import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
-import org.standlink.Fence;
-import org.standlink.job.WorkerDescription;
 
 /**
  * Tells a worker for which share of time its best-effort runs may work.
@@ -28,17 +24,8 @@
  */
 final class RunShares {
 
-    /** Tells what the worker said of itself. */
-    private final Supplier<WorkerDescription> worker;
-
-    /** The calls of workers. */
-    private final WorkerCalls calls;
-
-    /** The agent's loop. */
-    private final Executor loop;
-
-    /** Tells the fence of the orders in force. */
-    private final Supplier<Fence> fence;
+    /** What calls of the worker need. */
+    private final WorkerContext context;
 
     /** Tells the share of an image, in percent. */
     private ToIntFunction<String> byImage = image -> ThrottlePolicy.FULL;
@@ -46,20 +33,10 @@
     /**
      * Constructor.
      *
-     * @param worker tells what the worker said of itself
-     * @param calls the calls of workers
-     * @param loop the agent's loop
-     * @param fence tells the fence of the orders in force
+     * @param context what calls of the worker need
      */
-    RunShares(
-            Supplier<WorkerDescription> worker,
-            WorkerCalls calls,
-            Executor loop,
-            Supplier<Fence> fence) {
-        this.worker = worker;
-        this.calls = calls;
-        this.loop = loop;
-        this.fence = fence;
+    RunShares(WorkerContext context) {
+        this.context = context;
     }
 
     /**
@@ -91,7 +68,8 @@
             return;
         }
         run.setCalling(true);
-        calls.throttle(worker.get(), run.getRun(), wanted, fence.get())
+        context.calls()
+                .throttle(context.worker().get(), run.getRun(), wanted, context.fence().get())
                 .thenAcceptAsync(
                         result -> {
                             run.setCalling(false);
@@ -100,6 +78,6 @@
                             }
                             then.run();
                         },
-                        loop);
+                        context.loop());
     }
 }
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -15,10 +15,11 @@
  */
 package org.standlink.runner;
 
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
@@ -27,8 +28,6 @@
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
-import org.standlink.job.WorkerDescription;
-import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
 import org.standlink.wire.StartOrder;
 import org.standlink.wire.StartRefusal;
@@ -46,8 +45,8 @@
     /** The pause before a failed call is repeated, in milliseconds. */
     private static final long PAUSE_MILLIS = 150;
 
-    /** How long a superseded run may take to be listed, in milliseconds; one look at the worker. */
-    private static final long LIST_MILLIS = 600;
+    /** How many ends a worker lists at once; a longer list may leave one out. */
+    private static final int MOST_ENDS = 500;
 
     /** For how long a stopped run without an end may still be listed, in milliseconds. */
     private static final long STOP_MILLIS = 1000;
@@ -55,8 +54,8 @@
     /** The log. */
     private static final EventLog LOG = EventLog.of(RunTable.class);
 
-    /** Tells what the worker said of itself. */
-    private final Supplier<WorkerDescription> worker;
+    /** What calls of the worker need. */
+    private final WorkerContext context;
 
     /** Tells whether the worker answered the last look at it. */
     private final BooleanSupplier reachable;
@@ -64,27 +63,21 @@
     /** What the worker's clock says. */
     private final WorkerLeaseClock leaseClock;
 
-    /** The calls of workers. */
-    private final WorkerCalls calls;
-
-    /** The clock. */
-    private final MonotonicClock clock;
-
-    /** The agent's loop. */
-    private final ScheduledExecutorService loop;
-
     /** Tells until when runs may go on, on the agent's clock. */
     private final Supplier<Long> leaseEnd;
 
-    /** Tells the fence of the orders in force. */
-    private final Supplier<Fence> fence;
-
     /** Is told when there is something to report. */
     private final Runnable whenChanged;
 
     /** The runs. */
     private final Map<RunId, LocalRun> runs = new LinkedHashMap<>();
 
+    /** The runs that the worker turned away as old ones. */
+    private final SupersededRuns superseded = new SupersededRuns();
+
+    /** The runs whose starts under an older fence may still be carried out. */
+    private final Set<RunId> unsure = new HashSet<>();
+
     /** What the leader is to be told of as released. */
     private final ReleasedRuns released = new ReleasedRuns();
 
@@ -102,48 +95,45 @@
     /**
      * Constructor.
      *
-     * @param worker tells what the worker said of itself
+     * @param context what calls of the worker need
      * @param reachable tells whether the worker answered the last look at it
      * @param leaseClock what the worker's clock says
-     * @param calls the calls of workers
-     * @param clock the clock
-     * @param loop the agent's loop
      * @param leaseEnd tells until when runs may go on, on the agent's clock
-     * @param fence tells the fence of the orders in force
      * @param whenChanged is told when there is something to report
      */
     RunTable(
-            Supplier<WorkerDescription> worker,
+            WorkerContext context,
             BooleanSupplier reachable,
             WorkerLeaseClock leaseClock,
-            WorkerCalls calls,
-            MonotonicClock clock,
-            ScheduledExecutorService loop,
             Supplier<Long> leaseEnd,
-            Supplier<Fence> fence,
             Runnable whenChanged) {
-        this.worker = worker;
+        this.context = context;
         this.reachable = reachable;
         this.leaseClock = leaseClock;
-        this.calls = calls;
-        this.clock = clock;
-        this.loop = loop;
         this.leaseEnd = leaseEnd;
-        this.fence = fence;
         this.whenChanged = whenChanged;
-        this.shares = new RunShares(worker, calls, loop, fence);
+        this.shares = new RunShares(context);
     }
 
     /** Forgets all runs; calls under way have no effect here any more. */
     void clear() {
         runs.clear();
+        superseded.clear();
     }
 
     /** Forgets the runs of which the worker has not said that they run; their orders are void. */
     void dropUnbegun() {
+        runs.values().stream()
+                .filter(run -> run.isCalling() || run.isUncertain())
+                .forEach(run -> unsure.add(run.getRun()));
         runs.values().removeIf(run -> run.getPhase() != LocalRun.Phase.RUNNING);
     }
 
+    /** Takes note that the worker has seen the fence in force, so that it refuses older calls. */
+    void fenceSeen() {
+        unsure.clear();
+    }
+
     /**
      * Gets what the leader is to be told of as released.
      *
@@ -175,6 +165,9 @@
             return;
         }
         LocalRun run = new LocalRun(order.run(), order, LocalRun.Phase.STARTING);
+        if (unsure.contains(order.run())) {
+            run.setUncertain();
+        }
         runs.put(order.run(), run);
         if (lists.isRunning(order.run())) {
             // It was started by an earlier process of this agent, which may have throttled it.
@@ -211,7 +204,7 @@
             if (run.beginWaiting()) {
                 LOG.info("start-waits")
                         .with("run", run.getRun())
-                        .with("worker", worker.get().id())
+                        .with("worker", context.worker().get().id())
                         .with("for", obstacle)
                         .write();
             }
@@ -220,8 +213,9 @@
         }
         run.setCalling(true);
         long until = leaseClock.renew(leaseEnd.get());
-        calls.start(worker.get(), run.getOrder(), until, fence.get())
-                .thenAcceptAsync(result -> started(run, result), loop);
+        context.calls()
+                .start(context.worker().get(), run.getOrder(), until, context.fence().get())
+                .thenAcceptAsync(result -> started(run, result), context.loop());
     }
 
     /** Tells what keeps runs from being started now; empty if nothing does. */
@@ -232,12 +226,12 @@
         if (!reachable.getAsBoolean()) {
             return "an answer of the worker";
         }
-        return leaseEnd.get() <= clock.nowMillis() ? "a lease" : "";
+        return leaseEnd.get() <= context.clock().nowMillis() ? "a lease" : "";
     }
 
     private void started(LocalRun run, CallResult result) {
         run.setCalling(false);
-        leaseClock.answered(result.clockMillis(), clock.nowMillis());
+        leaseClock.answered(result.clockMillis(), context.clock().nowMillis());
         if (result.kind() != CallResult.Kind.DONE) {
             logCall("start", run, result);
         }
@@ -279,21 +273,15 @@
         whenChanged.run();
     }
 
-    /**
-     * The worker has seen the end of this run, or a later one; if the end is not listed, say so.
-     */
+    /** The worker has seen the end of this run, or a later one; its next list tells which. */
     private void superseded(LocalRun run) {
         runs.remove(run.getRun());
-        if (!lists.hasEnded(run.getRun())) {
-            loop.schedule(() -> reportIfGone(run), LIST_MILLIS, TimeUnit.MILLISECONDS);
-        }
+        superseded.add(run.getRun(), context.clock().nowMillis());
     }
 
-    private void reportIfGone(LocalRun run) {
-        if (!lists.hasEnded(run.getRun()) && !lists.isRunning(run.getRun())) {
-            released.lose(run.getRun());
-            whenChanged.run();
-        }
+    private void lose(RunId run) {
+        released.lose(run);
+        whenChanged.run();
     }
 
     /** What an answer says of a run whose order is void must not count for a later order of it. */
@@ -302,21 +290,22 @@
     }
 
     private void afterPause(Runnable call) {
-        loop.schedule(call, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        context.loop().schedule(call, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void callStop(LocalRun run) {
         if (run.isCalling() || run.getPhase() != LocalRun.Phase.STOPPING || isDropped(run)) {
             return;
         }
-        Fence present = fence.get();
+        Fence present = context.fence().get();
         if (!reachable.getAsBoolean() || present.equals(refusedFence)) {
             afterPause(() -> callStop(run));
             return;
         }
         run.setCalling(true);
-        calls.stop(worker.get(), run.getRun(), present)
-                .thenAcceptAsync(result -> stopped(run, result, present), loop);
+        context.calls()
+                .stop(context.worker().get(), run.getRun(), present)
+                .thenAcceptAsync(result -> stopped(run, result, present), context.loop());
     }
 
     private void stopped(LocalRun run, CallResult result, Fence sentFence) {
@@ -330,7 +319,7 @@
             refusedFence = sentFence;
         }
         switch (result.kind()) {
-            case DONE -> run.stopped(clock.nowMillis());
+            case DONE -> run.stopped(context.clock().nowMillis());
             case OTHER_LIFE -> runs.remove(run.getRun());
             default -> afterPause(() -> callStop(run));
         }
@@ -339,8 +328,8 @@
     private void logCall(String call, LocalRun run, CallResult result) {
         LOG.info("worker-" + call)
                 .with("run", run.getRun())
-                .with("worker", worker.get().id())
-                .with("fence", fence.get())
+                .with("worker", context.worker().get().id())
+                .with("fence", context.fence().get())
                 .with("result", result.kind())
                 .with("detail", result.detail())
                 .write();
@@ -364,6 +353,10 @@
                 run.setPhase(LocalRun.Phase.RUNNING);
             }
         }
+        if (nowEnded.size() >= MOST_ENDS) {
+            return;
+        }
+        superseded.takeGone(lists, sentAt).forEach(this::lose);
         for (LocalRun run : List.copyOf(runs.values())) {
             boolean over =
                     run.getPhase() == LocalRun.Phase.STOPPED
@@ -374,8 +367,7 @@
                 callStop(run);
             } else if (over) {
                 runs.remove(run.getRun());
-                released.lose(run.getRun());
-                whenChanged.run();
+                lose(run.getRun());
             }
         }
     }
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -153,17 +153,9 @@
         this.throttle = new WorkerThrottle(harm);
         // An earlier process of the agent may have told the worker to keep its runs until then.
         this.leaseClock = new WorkerLeaseClock(clock.nowMillis() + CellTimes.LONGEST_LEASE_MILLIS);
+        WorkerContext context = new WorkerContext(() -> this.worker, calls, clock, loop, fence);
         this.runs =
-                new RunTable(
-                        () -> this.worker,
-                        () -> reachable,
-                        leaseClock,
-                        calls,
-                        clock,
-                        loop,
-                        this::getLeaseEnd,
-                        fence,
-                        whenChanged);
+                new RunTable(context, () -> reachable, leaseClock, this::getLeaseEnd, whenChanged);
     }
 
     /** Begins to look after the worker. */
@@ -367,6 +359,9 @@
             return;
         }
         lapseNoted = false;
+        if (sentFence.equals(fence.get())) {
+            runs.fenceSeen();
+        }
         boolean news = !known || !result.ended().isEmpty();
         known = true;
         if (!answeredOnce) {
