Heed the order of heartbeats; let no leader without the store deny a job; know an earlier process by the address too

A late heartbeat took back that a worker leaves, so that it got new runs. A leader that cannot ask the store said of a job that another one has accepted that it is unknown. A report of an earlier process that names a life which the leader has forgotten made that life replace the present one at its address.

--- a/src/main/java/org/standlink/cell/AgentBoard.java
+++ b/src/main/java/org/standlink/cell/AgentBoard.java
@@ -20,6 +20,7 @@
 import org.standlink.Epoch;
 import org.standlink.Incarnation;
 import org.standlink.LeaseGeneration;
+import org.standlink.job.WorkerDescription;
 import org.standlink.process.EventLog;
 import org.standlink.wire.AgentReport;
 
@@ -99,20 +100,29 @@
     }
 
     /**
-     * Checks whether a worker has a newer agent, so that what an earlier process of it has reported
-     * says nothing any more, neither of refusals nor of lapses.
+     * Checks whether a worker, or the present life at its address, has a newer agent. What an
+     * earlier process has reported says nothing then: not of refusals and lapses, nor of which life
+     * it is.
      *
      * @param agent the run of the agent that reports
-     * @param worker the worker
+     * @param told what it says of the worker
      * @param now the time on the leader's clock, in milliseconds
-     * @return true if an agent of a higher generation looks after the worker
+     * @return true if an agent of a higher generation looks after what is there
      */
-    boolean isOvertaken(Incarnation agent, WorkerEntry worker, long now) {
-        Incarnation present = worker.getAgent();
-        return present != null
-                && !present.equals(agent)
-                && now - worker.getHeardAt() < WorkerBoard.SILENT_MILLIS
-                && getGeneration(present).isAfter(getGeneration(agent));
+    boolean isOvertaken(Incarnation agent, WorkerDescription told, long now) {
+        LeaseGeneration generation = getGeneration(agent);
+        return workers.getWorkers().stream()
+                .filter(
+                        one ->
+                                one.getId().equals(told.id())
+                                        || one.getAddress().equals(told.address()))
+                .filter(one -> now - one.getHeardAt() < WorkerBoard.SILENT_MILLIS)
+                .map(WorkerEntry::getAgent)
+                .anyMatch(
+                        present ->
+                                present != null
+                                        && !present.equals(agent)
+                                        && getGeneration(present).isAfter(generation));
     }
 
     /**
--- a/src/main/java/org/standlink/cell/CallerDesk.java
+++ b/src/main/java/org/standlink/cell/CallerDesk.java
@@ -38,6 +38,9 @@
  */
 final class CallerDesk {
 
+    /** Why nothing was done, in answers and in the log. */
+    private static final String STORE_SILENT = "the store does not answer";
+
     /** The log. */
     private static final EventLog LOG = EventLog.of(CallerDesk.class);
 
@@ -91,7 +94,7 @@
         } else if (message instanceof CancelJob cancel) {
             cancel(connection, call, cancel);
         } else if (message instanceof JobQuery query) {
-            connection.answer(call, stateOf(query.job(), query.queue()));
+            connection.answer(call, lookUp(query));
         } else if (message instanceof QueueQuery query) {
             connection.answer(call, waitingIn(query.queue()));
         }
@@ -101,15 +104,13 @@
     private void submit(MessageChannel connection, long call, JobDefinition job) {
         JobEntry known = board.find(job.id());
         if (known == null && commits.isStalled()) {
-            String reason = "the store does not answer";
-            LOG.info("refused").with("job", job.id()).with("reason", reason).write();
-            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, reason));
+            LOG.info("refused").with("job", job.id()).with("reason", STORE_SILENT).write();
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, STORE_SILENT));
             return;
         }
         if (known != null && commits.isStalled()) {
             // It may have been kept; waiting for that would hold the caller up.
-            String reason = "the store does not answer";
-            connection.answer(call, JobAnswer.of(JobAnswer.Result.UNKNOWN, reason));
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.UNKNOWN, STORE_SILENT));
             return;
         }
         LOG.info("received")
@@ -138,8 +139,7 @@
     private void cancel(MessageChannel connection, long call, CancelJob cancel) {
         JobEntry known = board.find(cancel.job());
         if (known == null && commits.isStalled()) {
-            String reason = "the store does not answer";
-            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, reason));
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, STORE_SILENT));
             return;
         }
         // Callers take the denial of a job for its cancel. Keeping the cancel proves that no other
@@ -158,6 +158,13 @@
         commits.afterCommit(() -> connection.answer(call, stateOf(job.getId(), cancel.queue())));
     }
 
+    /** Another leader may know a job that this one does not know, while the store is silent. */
+    private JobAnswer lookUp(JobQuery query) {
+        return board.find(query.job()) == null && commits.isStalled()
+                ? JobAnswer.of(JobAnswer.Result.NOT_DONE, STORE_SILENT)
+                : stateOf(query.job(), query.queue());
+    }
+
     private static JobDefinition withoutTasks(CancelJob cancel) {
         return new JobDefinition(cancel.job(), cancel.queue(), "", List.of(), 0, 0, 0);
     }
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -117,14 +117,14 @@
             return false;
         }
         for (WorkerReport part : report.workers()) {
-            WorkerEntry worker = workers.get(part.worker().id(), leaseUntil);
-            if (agents.isOvertaken(report.incarnation(), worker, clock.nowMillis())) {
+            if (agents.isOvertaken(report.incarnation(), part.worker(), clock.nowMillis())) {
                 LOG.info("overtaken-agent")
                         .with("node", report.node())
-                        .with("worker", worker.getId())
+                        .with("worker", part.worker().id())
                         .write();
                 continue;
             }
+            WorkerEntry worker = workers.get(part.worker().id(), leaseUntil);
             worker.prolong(leaseUntil);
             boolean first = worker.getDescription() == null;
             worker.heard(part.worker(), connection, part.reachable(), clock.nowMillis());
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -115,7 +115,7 @@
     private final AgentLease lease = new AgentLease(this::epoch);
 
     /** The number of the last report. */
-    private long sequence;
+    private long lastReport;
 
     /** When the last report was sent. */
     private long reportedAt;
@@ -168,7 +168,7 @@
     // -----------------------------------------------------------------------
     @Override
     public void heartbeat(WorkerDescription worker, long sequence) {
-        loop.execute(() -> heartbeatOnLoop(worker));
+        loop.execute(() -> heartbeatOnLoop(worker, sequence));
     }
 
     @Override
@@ -190,13 +190,13 @@
     }
 
     // -----------------------------------------------------------------------
-    private void heartbeatOnLoop(WorkerDescription worker) {
+    private void heartbeatOnLoop(WorkerDescription worker, long sequence) {
         if (dead.contains(worker.id())) {
             return;
         }
         WorkerSupervisor present = workers.get(worker.id());
         if (present != null) {
-            present.heartbeat(worker);
+            present.heartbeat(worker, sequence);
             return;
         }
         LOG.info("worker-found")
@@ -218,6 +218,7 @@
                         this,
                         harm);
         workers.put(worker.id(), made);
+        made.heartbeat(worker, sequence);
         made.start();
     }
 
@@ -316,7 +317,7 @@
                         node,
                         address,
                         self,
-                        ++sequence,
+                        ++lastReport,
                         epoch(),
                         lease.getFence().getGeneration(),
                         workers.values().stream().anyMatch(WorkerSupervisor::isFenceRefused),
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -87,6 +87,9 @@
     /** What the worker said of itself. */
     private WorkerDescription worker;
 
+    /** The highest number of a heartbeat that was heard. */
+    private long lastHeartbeat;
+
     /** What runs, as the worker said last. */
     private List<RunProgress> running = List.of();
 
@@ -173,8 +176,14 @@
      * Takes note of what the worker said of itself.
      *
      * @param told the description
+     * @param number the number of the heartbeat; an earlier one than heard before is passed over,
+     *     as it may take back that the worker leaves
      */
-    void heartbeat(WorkerDescription told) {
+    void heartbeat(WorkerDescription told, long number) {
+        if (number < lastHeartbeat) {
+            return;
+        }
+        lastHeartbeat = number;
         boolean leaves = told.draining() && !worker.draining();
         worker = told;
         if (leaves) {
--- a/src/test/java/org/standlink/cell/TestCellLeader.java
+++ b/src/test/java/org/standlink/cell/TestCellLeader.java
@@ -265,6 +265,13 @@
         assertEquals(JobAnswer.Result.NOT_DONE, cancel());
     }
 
+    @Test
+    public void aLeaderThatCannotAskTheStoreDoesNotSayThatAJobIsUnknown() {
+        store.setMode(FakeKeyedStore.Mode.DOWN);
+        loop.advance(2000);
+        assertEquals(JobAnswer.Result.NOT_DONE, ask(leader, new JobQuery(JOB, "q")).result());
+    }
+
     @Test
     public void aJobThatWasCancelledBeforeItCameNeverRuns() {
         report(agent, 1, List.of());
--- a/src/test/java/org/standlink/runner/TestAgentNode.java
+++ b/src/test/java/org/standlink/runner/TestAgentNode.java
@@ -69,6 +69,7 @@
 
         private WorkerId present;
         private final List<WorkerId> called = new ArrayList<>();
+        private WorkerDescription last;
 
         private CompletableFuture<CallResult> answer(WorkerDescription to) {
             boolean same = to.id().equals(present);
@@ -92,6 +93,7 @@
         public CompletableFuture<RenewalResult> renew(
                 WorkerDescription to, long until, Fence fence, long recorded, long waitMillis) {
             called.add(to.id());
+            last = to;
             CompletableFuture<RenewalResult> later = new CompletableFuture<>();
             loop.schedule(
                     () -> {
@@ -109,6 +111,18 @@
         }
     }
 
+    private static WorkerDescription leaving(String id) {
+        WorkerDescription life = life(id);
+        return new WorkerDescription(
+                life.id(),
+                life.service(),
+                life.address(),
+                life.capacity(),
+                life.labels(),
+                true,
+                1000);
+    }
+
     private static WorkerDescription life(String id) {
         return new WorkerDescription(
                 WorkerId.parse(id),
@@ -139,6 +153,15 @@
         assertTrue(!address.called.contains(WorkerId.parse("old")));
     }
 
+    @Test
+    public void aLateHeartbeatDoesNotTakeBackThatAWorkerLeaves() {
+        address.present = WorkerId.parse("one");
+        agent.heartbeat(leaving("one"), 5);
+        agent.heartbeat(life("one"), 4);
+        loop.advance(1000);
+        assertTrue(address.last.draining());
+    }
+
     @Test
     public void aNewLifeThatAnswersReplacesTheOneBefore() {
         address.present = WorkerId.parse("old");
--- a/src/test/java/org/standlink/runner/TestVoidOrders.java
+++ b/src/test/java/org/standlink/runner/TestVoidOrders.java
@@ -215,6 +215,23 @@
         assertEquals(List.of(), report().refused());
     }
 
+    @Test
+    public void aVoidCallThatIsFencedDoesNotTakeTheOrderGivenAnewWithIt() {
+        worker.starts = CallResult.Kind.FENCED;
+        worker.startMillis = SLOW_MILLIS;
+        order();
+        loop.advance(100);
+        fence = Fence.of(Epoch.of(2), LeaseGeneration.of(1));
+        supervisor.fenceRaised();
+        leased = false;
+        order();
+        loop.advance(1000);
+        worker.starts = CallResult.Kind.DONE;
+        leased = true;
+        loop.advance(1000);
+        assertEquals(List.of("start under 1.1", "start under 2.1"), worker.seen);
+    }
+
     @Test
     public void aRunWhoseRefusalIsNotYetToldIsNotStartedAgain() {
         worker.starts = CallResult.Kind.NO_ROOM;
