--- /dev/null
+++ b/src/test/java/org/standlink/simulation/FaultDesk.java
@@ -0,0 +1,173 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.simulation;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+
+/** Draws the faults of a day and lets them happen. */
+final class FaultDesk {
+
+    /** How long authority and a lease take together, with some time before and after. */
+    private static final long FIRST_LAPSE_MILLIS = 8400;
+
+    private static final long LAST_LAPSE_MILLIS = 9800;
+    private static final long LONGEST_MILLIS = 10_000;
+    private static final int MOST_FAULTS = 16;
+
+    private final World world;
+    private final SimulatedCell cell;
+
+    FaultDesk(SimulatedCell cell) {
+        this.cell = cell;
+        this.world = cell.getWorld();
+    }
+
+    /** Draws the faults of one day. */
+    static List<Fault> draw(long seed, int machines, long from, long until) {
+        Random random = new Random(seed * 31 + 7);
+        List<Fault> faults = new ArrayList<>();
+        int count = 3 + random.nextInt(MOST_FAULTS - 2);
+        Fault.Kind[] kinds = Fault.Kind.values();
+        for (int i = 0; i < count; i++) {
+            long at = from + random.nextInt((int) (until - from));
+            Fault.Kind kind = kinds[random.nextInt(kinds.length)];
+            long millis = 300 + random.nextInt((int) LONGEST_MILLIS - 300);
+            if (random.nextInt(4) == 0) {
+                long span = LAST_LAPSE_MILLIS - FIRST_LAPSE_MILLIS;
+                millis = FIRST_LAPSE_MILLIS + random.nextInt((int) span);
+            } else if (random.nextBoolean()) {
+                millis /= 4;
+            }
+            faults.add(new Fault(at, kind, random.nextInt(machines), millis, random.nextInt(1000)));
+        }
+        return faults;
+    }
+
+    /** Lets all faults happen in their time. */
+    void schedule(List<Fault> faults) {
+        faults.forEach(fault -> world.later(fault.at() - world.elapsed(), () -> begin(fault)));
+    }
+
+    // -----------------------------------------------------------------------
+    private void begin(Fault fault) {
+        world.note("FAULT " + fault);
+        cell.getReferee().impaired(fault.millis());
+        switch (fault.kind()) {
+            case STORE_AWAY -> cell.getWeather().away(fault.millis());
+            case STORE_REFUSES -> cell.getWeather().refuse(fault.millis());
+            case STORE_SLOW -> cell.getWeather().slow(fault.millis());
+            case STORE_UNHEARD -> cell.getWeather().loseAnswers(fault.millis());
+            case STORE_CUT -> cell.newestLeader().getStore().getOwn().away(fault.millis());
+            case LEADER_REPLACED -> replaceLeader(fault);
+            case LEADER_CRASH -> crashLeader(fault);
+            case LEADER_FROZEN ->
+                    cell.newestLeader().freeze(fault.millis(), fault.choice() % 2 == 0);
+            default -> beginOn(cell.getMachines().get(fault.machine()), fault);
+        }
+    }
+
+    private void beginOn(SimulatedMachine machine, Fault fault) {
+        int choice = fault.choice();
+        switch (fault.kind()) {
+            case WORKER_UNSURE -> machine.getPath().unsure(fault.millis(), 20 + choice % 60);
+            case WORKER_SILENT -> machine.getPath().silence(fault.millis());
+            case WORKER_CRASH -> crashWorker(machine, fault);
+            case LINK_HELD, LINK_LOST -> hinder(machine, fault);
+            case CHANNEL_SILENT -> machine.silenceChannel(choice % 3 != 0, choice % 3 != 1);
+            case AGENT_RESTART -> restart(machine, fault);
+            default -> throw new IllegalArgumentException("no fault of a machine: " + fault);
+        }
+    }
+
+    private static void hinder(SimulatedMachine machine, Fault fault) {
+        List<Pipe.Direction> directions = new ArrayList<>();
+        if (fault.choice() % 3 != 0) {
+            directions.add(machine.getUp());
+        }
+        if (fault.choice() % 3 != 1) {
+            directions.add(machine.getDown());
+        }
+        for (Pipe.Direction direction : directions) {
+            if (fault.kind() == Fault.Kind.LINK_HELD) {
+                direction.hold(fault.millis());
+            } else {
+                direction.lose(fault.millis());
+            }
+        }
+    }
+
+    private void crashWorker(SimulatedMachine machine, Fault fault) {
+        if (machine.getPath().getLife().isUp()) {
+            machine.crashWorker();
+            world.later(
+                    Math.min(fault.millis(), 2000),
+                    () -> {
+                        if (!machine.getPath().getLife().isUp()) {
+                            machine.beginLife();
+                        }
+                    });
+        }
+    }
+
+    /** The process is back at once, or after a while. */
+    private void restart(SimulatedMachine machine, Fault fault) {
+        if (!machine.hasAgent()) {
+            return;
+        }
+        machine.endAgent();
+        long pause = fault.choice() % 2 == 0 ? 50 : Math.min(fault.millis(), 8000);
+        world.later(
+                pause,
+                () -> {
+                    if (!machine.hasAgent()) {
+                        machine.startAgent(cell.newestNotice());
+                    }
+                });
+    }
+
+    /** Each agent learns of the new leader at a time of its own. */
+    private void replaceLeader(Fault fault) {
+        if (!cell.isLeaderless()) {
+            cell.lead();
+            announce(fault);
+        }
+    }
+
+    private void crashLeader(Fault fault) {
+        if (!cell.isLeaderless()) {
+            cell.crashLeader();
+            world.later(
+                    Math.min(fault.millis(), 3000),
+                    () -> {
+                        if (cell.isLeaderless()) {
+                            cell.lead();
+                            announce(fault);
+                        }
+                    });
+        }
+    }
+
+    private void announce(Fault fault) {
+        long longest = fault.choice() % 4 == 0 ? 8000 : 1500;
+        for (SimulatedMachine machine : cell.getMachines()) {
+            long pause = world.draw(0, longest);
+            cell.getReferee().impaired(pause);
+            world.later(pause, () -> machine.tell(cell.newestNotice()));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/standlink/simulation/SimulatedDay.java
@@ -0,0 +1,149 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.simulation;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.standlink.JobId;
+import org.standlink.job.JobDefinition;
+import org.standlink.job.JobState;
+import org.standlink.job.TaskName;
+
+/** One day of a cell: jobs come and are cancelled, faults happen, and then all is calm. */
+final class SimulatedDay {
+
+    private static final int MACHINES = 3;
+    private static final long BEGIN_MILLIS = 1000;
+    private static final long FAULTS_MILLIS = 36_000;
+    private static final long CALM_MILLIS = 20_000;
+
+    /** How long a task that lasts may take to run again after an end. */
+    private static final long AGAIN_MILLIS = 6000;
+
+    private static final int MOST_LASTING = 5;
+
+    private final World world;
+    private final SimulatedCell cell;
+    private final List<Fault> faults;
+    private final Map<JobId, JobState> states = new HashMap<>();
+
+    SimulatedDay(long seed) {
+        this(seed, FaultDesk.draw(seed, MACHINES, BEGIN_MILLIS + 1000, FAULTS_MILLIS));
+    }
+
+    SimulatedDay(long seed, List<Fault> faults) {
+        this.world = new World(seed);
+        this.faults = faults;
+        this.cell = new SimulatedCell(world, MACHINES, seed % 3 == 0);
+    }
+
+    List<Fault> getFaults() {
+        return faults;
+    }
+
+    List<String> getNotes() {
+        return world.getNotes();
+    }
+
+    int countStarts() {
+        return cell.getReferee().countStarts();
+    }
+
+    /** Plays the day, and lists what was found. */
+    List<String> play() {
+        world.playUntil(BEGIN_MILLIS);
+        new FaultDesk(cell).schedule(faults);
+        planJobs();
+        world.playUntil(FAULTS_MILLIS);
+        world.note("calm");
+        cell.heal();
+        world.playUntil(FAULTS_MILLIS + CALM_MILLIS);
+        List<JobDefinition> accepted = cell.getCallers().getAccepted();
+        accepted.forEach(job -> cell.getCallers().askState(job.id(), s -> states.put(job.id(), s)));
+        List<TaskName> idle = idleTasks();
+        world.playUntil(FAULTS_MILLIS + CALM_MILLIS + AGAIN_MILLIS);
+        idle.retainAll(idleTasks());
+        for (JobDefinition job : accepted) {
+            judge(job, idle);
+        }
+        return cell.getReferee().finish();
+    }
+
+    // -----------------------------------------------------------------------
+    private void planJobs() {
+        int lasting = 0;
+        long count = world.draw(8, 16);
+        for (int i = 0; i < count; i++) {
+            int tasks = (int) world.draw(1, 4);
+            boolean lasts = world.chance(30) && lasting + tasks <= MOST_LASTING;
+            lasting += lasts ? tasks : 0;
+            JobDefinition job =
+                    SimulatedCallers.job(
+                            String.format("%016x", i + 1), tasks, lasts ? 0 : drawWork());
+            long at = world.draw(0, FAULTS_MILLIS - BEGIN_MILLIS - 1);
+            world.later(at, () -> cell.getCallers().submit(job));
+            if (world.chance(lasts ? 60 : 40)) {
+                long after = world.draw(10, lasts ? 15_000 : 5000);
+                world.later(at + after, () -> cell.getCallers().cancel(job.id()));
+            }
+        }
+    }
+
+    private long drawWork() {
+        return world.chance(70) ? world.draw(200, 2500) : world.draw(2500, 9000);
+    }
+
+    private List<TaskName> idleTasks() {
+        List<TaskName> idle = new ArrayList<>();
+        for (JobDefinition job : cell.getCallers().getAccepted()) {
+            SimulatedCallers.tasks(job).stream()
+                    .filter(task -> !cell.getReferee().isAtWork(task))
+                    .forEach(idle::add);
+        }
+        return idle;
+    }
+
+    private void judge(JobDefinition job, List<TaskName> idle) {
+        JobState state = states.get(job.id());
+        if (state == null) {
+            cell.getReferee().blame("STUCK the state of " + job.id() + " is not told");
+            return;
+        }
+        boolean cancelled = cell.getReferee().isCancelled(job.id());
+        if (cancelled && !state.isFinal()) {
+            cell.getReferee().blame("STUCK " + job.id() + " is " + state + " though cancelled");
+        }
+        List<TaskName> tasks = SimulatedCallers.tasks(job);
+        if (!state.isFinal()) {
+            boolean stuck =
+                    job.steps().get(0).longRunning()
+                            ? tasks.stream().anyMatch(idle::contains)
+                            : idle.containsAll(tasks);
+            if (stuck) {
+                cell.getReferee().blame("STUCK " + job.id() + " is " + state);
+            }
+        }
+        boolean done = tasks.stream().allMatch(cell.getReferee()::isWellEnded);
+        if (state == JobState.COMPLETED && !done) {
+            cell.getReferee().blame("UNDONE " + job.id() + " is " + state);
+        }
+        if (state.isFinal() && tasks.stream().anyMatch(cell.getReferee()::isAtWork)) {
+            cell.getReferee().blame("STRAY " + job.id() + " is " + state + " and at work");
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/org/standlink/simulation/TestCellSimulation.java
@@ -0,0 +1,88 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/**
+ * Plays days of a whole cell with faults that are drawn from fixed seeds, and judges what the
+ * workers did.
+ *
+ * <p>More seeds than the usual ones are played with {@code -Dstandlink.simulation.seeds=500}, from
+ * the one that {@code -Dstandlink.simulation.first} names. {@code -Dstandlink.simulation.trace=7}
+ * plays only seed 7 with as few faults as still show what was found, and tells all that happened.
+ */
+public class TestCellSimulation {
+
+    private static final int USUAL_SEEDS = 40;
+    private static final int FEWEST_STARTS = 5;
+
+    @Test
+    public void noDayWithFaultsBreaksARule() {
+        Long traced = Long.getLong("standlink.simulation.trace");
+        if (traced != null) {
+            trace(traced);
+            return;
+        }
+        int first = Integer.getInteger("standlink.simulation.first", 1);
+        int count = Integer.getInteger("standlink.simulation.seeds", USUAL_SEEDS);
+        TreeMap<Long, List<String>> red = new TreeMap<>();
+        for (long seed = first; seed < first + count; seed++) {
+            SimulatedDay day = new SimulatedDay(seed);
+            List<String> found = day.play();
+            if (!found.isEmpty()) {
+                red.put(seed, found);
+            }
+            assertTrue(day.countStarts() >= FEWEST_STARTS, "started too little, seed " + seed);
+        }
+        StringBuilder told = new StringBuilder();
+        red.forEach(
+                (seed, found) -> told.append("\nseed ").append(seed).append(": ").append(found));
+        assertEquals(0, red.size(), () -> "of " + count + told);
+    }
+
+    /** Leaves out one fault after the other as long as the day still breaks a rule. */
+    private static void trace(long seed) {
+        List<Fault> faults = new ArrayList<>(new SimulatedDay(seed).getFaults());
+        SimulatedDay last = new SimulatedDay(seed, faults);
+        List<String> found = last.play();
+        boolean shorter = !found.isEmpty();
+        while (shorter) {
+            shorter = false;
+            for (int i = 0; i < faults.size() && !shorter; i++) {
+                List<Fault> fewer = new ArrayList<>(faults);
+                fewer.remove(i);
+                SimulatedDay trial = new SimulatedDay(seed, fewer);
+                List<String> still = trial.play();
+                if (!still.isEmpty()) {
+                    shorter = true;
+                    faults = fewer;
+                    last = trial;
+                    found = still;
+                }
+            }
+        }
+        List<String> all = new ArrayList<>(found);
+        last.getNotes().forEach(System.err::println);
+        assertEquals(List.of(), all);
+    }
+}
