--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -15,7 +15,6 @@
  */
 package org.standlink.runner;
 
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -24,7 +23,7 @@
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
-import org.standlink.Epoch;
+import org.standlink.Fence;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
@@ -77,8 +76,8 @@
     /** Tells until when runs may go on, on the agent's clock. */
     private final Supplier<Long> leaseEnd;
 
-    /** Tells the newest epoch. */
-    private final Supplier<Epoch> epoch;
+    /** Tells the fence of the orders in force. */
+    private final Supplier<Fence> fence;
 
     /** Is told when there is something to report. */
     private final Runnable whenChanged;
@@ -86,11 +85,8 @@
     /** The runs. */
     private final Map<RunId, LocalRun> runs = new LinkedHashMap<>();
 
-    /** What was refused and has not been reported. */
-    private final List<StartRefusal> refused = new ArrayList<>();
-
-    /** What is gone without an end and has not been reported. */
-    private final List<RunId> gone = new ArrayList<>();
+    /** What the leader is to be told of as released. */
+    private final ReleasedRuns released = new ReleasedRuns();
 
     /** What runs, as the worker said last. */
     private List<RunProgress> running = List.of();
@@ -111,7 +107,7 @@
      * @param clock the clock
      * @param loop the agent's loop
      * @param leaseEnd tells until when runs may go on, on the agent's clock
-     * @param epoch tells the newest epoch
+     * @param fence tells the fence of the orders in force
      * @param whenChanged is told when there is something to report
      */
     RunTable(
@@ -122,7 +118,7 @@
             MonotonicClock clock,
             ScheduledExecutorService loop,
             Supplier<Long> leaseEnd,
-            Supplier<Epoch> epoch,
+            Supplier<Fence> fence,
             Runnable whenChanged) {
         this.worker = worker;
         this.reachable = reachable;
@@ -131,9 +127,9 @@
         this.clock = clock;
         this.loop = loop;
         this.leaseEnd = leaseEnd;
-        this.epoch = epoch;
+        this.fence = fence;
         this.whenChanged = whenChanged;
-        this.shares = new RunShares(worker, calls, loop, epoch);
+        this.shares = new RunShares(worker, calls, loop, fence);
     }
 
     /** Forgets all runs; calls under way have no effect here any more. */
@@ -141,33 +137,18 @@
         runs.clear();
     }
 
-    /**
-     * Gets what was refused and has not been reported.
-     *
-     * @return the refusals
-     */
-    List<StartRefusal> getRefused() {
-        return List.copyOf(refused);
+    /** Forgets the runs of which the worker has not said that they run; their orders are void. */
+    void dropUnbegun() {
+        runs.values().removeIf(run -> run.getPhase() != LocalRun.Phase.RUNNING);
     }
 
     /**
-     * Gets what is gone without an end and has not been reported.
+     * Gets what the leader is to be told of as released.
      *
-     * @return the runs
+     * @return the runs, which change
      */
-    List<RunId> getGone() {
-        return List.copyOf(gone);
-    }
-
-    /**
-     * Takes note that the leader has been told.
-     *
-     * @param toldRefused the refusals
-     * @param toldGone the runs that are gone
-     */
-    void reported(List<StartRefusal> toldRefused, List<RunId> toldGone) {
-        refused.removeAll(toldRefused);
-        gone.removeAll(toldGone);
+    ReleasedRuns getReleased() {
+        return released;
     }
 
     /**
@@ -182,13 +163,13 @@
     }
 
     /**
-     * Starts a run; one that is known already is passed over.
+     * Starts a run; one that is known already is passed over, and one of whose release the leader
+     * has yet to be told: it would begin beside the run that takes its place.
      *
      * @param order the order
      */
     void start(StartOrder order) {
-        LocalRun present = runs.get(order.run());
-        if (present != null) {
+        if (runs.containsKey(order.run()) || released.contains(order.run())) {
             return;
         }
         LocalRun run = new LocalRun(order.run(), order, LocalRun.Phase.STARTING);
@@ -220,30 +201,47 @@
 
     // -----------------------------------------------------------------------
     private void callStart(LocalRun run) {
-        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STARTING) {
-            return;
-        }
-        if (!runs.containsKey(run.getRun())) {
+        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STARTING || isDropped(run)) {
             return;
         }
-        if (!leaseClock.isKnown()
-                || !reachable.getAsBoolean()
-                || leaseEnd.get() <= clock.nowMillis()) {
+        String obstacle = findObstacle();
+        if (!obstacle.isEmpty()) {
+            if (run.beginWaiting()) {
+                LOG.info("start-waits")
+                        .with("run", run.getRun())
+                        .with("worker", worker.get().id())
+                        .with("for", obstacle)
+                        .write();
+            }
             loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
         run.setCalling(true);
         long until = leaseClock.renew(leaseEnd.get());
-        calls.start(worker.get(), run.getOrder(), until, epoch.get())
+        calls.start(worker.get(), run.getOrder(), until, fence.get())
                 .thenAcceptAsync(result -> started(run, result), loop);
     }
 
+    /** Tells what keeps runs from being started now; empty if nothing does. */
+    private String findObstacle() {
+        if (!leaseClock.isKnown()) {
+            return "the worker's clock";
+        }
+        if (!reachable.getAsBoolean()) {
+            return "an answer of the worker";
+        }
+        return leaseEnd.get() <= clock.nowMillis() ? "a lease" : "";
+    }
+
     private void started(LocalRun run, CallResult result) {
         run.setCalling(false);
         leaseClock.answered(result.clockMillis(), clock.nowMillis());
         if (result.kind() != CallResult.Kind.DONE) {
             logCall("start", run, result);
         }
+        if (isDropped(run)) {
+            return;
+        }
         if (run.getPhase() == LocalRun.Phase.STOPPING) {
             callStop(run);
             return;
@@ -276,7 +274,7 @@
         }
         runs.remove(run.getRun());
         boolean unwell = result.kind() == CallResult.Kind.UNWELL;
-        refused.add(new StartRefusal(run.getRun(), result.detail(), unwell));
+        released.refuse(new StartRefusal(run.getRun(), result.detail(), unwell));
         whenChanged.run();
     }
 
@@ -294,20 +292,22 @@
     private void reportIfGone(LocalRun run) {
         boolean listed = ended.stream().anyMatch(end -> end.run().equals(run.getRun()));
         if (!listed && !isListed(run.getRun())) {
-            gone.add(run.getRun());
+            released.lose(run.getRun());
             whenChanged.run();
         }
     }
 
+    /** What an answer says of a run whose order is void must not count for a later order of it. */
+    private boolean isDropped(LocalRun run) {
+        return runs.get(run.getRun()) != run;
+    }
+
     private boolean isListed(RunId run) {
         return running.stream().anyMatch(one -> one.run().equals(run));
     }
 
     private void callStop(LocalRun run) {
-        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STOPPING) {
-            return;
-        }
-        if (!runs.containsKey(run.getRun())) {
+        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STOPPING || isDropped(run)) {
             return;
         }
         if (!reachable.getAsBoolean()) {
@@ -315,13 +315,16 @@
             return;
         }
         run.setCalling(true);
-        calls.stop(worker.get(), run.getRun(), epoch.get())
+        calls.stop(worker.get(), run.getRun(), fence.get())
                 .thenAcceptAsync(result -> stopped(run, result), loop);
     }
 
     private void stopped(LocalRun run, CallResult result) {
         run.setCalling(false);
         logCall("stop", run, result);
+        if (isDropped(run)) {
+            return;
+        }
         switch (result.kind()) {
             case DONE -> run.stopped(clock.nowMillis());
             case FENCED, OTHER_LIFE -> runs.remove(run.getRun());
@@ -333,7 +336,7 @@
         LOG.info("worker-" + call)
                 .with("run", run.getRun())
                 .with("worker", worker.get().id())
-                .with("epoch", epoch.get())
+                .with("fence", fence.get())
                 .with("result", result.kind())
                 .with("detail", result.detail())
                 .write();
@@ -364,7 +367,7 @@
                             && sentAt - run.getStoppedAt() > STOP_MILLIS;
             if (over && !isListed(run.getRun())) {
                 runs.remove(run.getRun());
-                gone.add(run.getRun());
+                released.lose(run.getRun());
                 whenChanged.run();
             }
         }
