--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -88,15 +88,17 @@
     /** What the leader is to be told of as released. */
     private final ReleasedRuns released = new ReleasedRuns();
 
-    /** What runs, as the worker said last. */
-    private List<RunProgress> running = List.of();
-
-    /** The ends that have not been recorded, as the worker said last. */
-    private List<RunEnd> ended = List.of();
+    /** What the worker said last. */
+    private WorkerLists lists = WorkerLists.NONE;
 
     /** Tells the worker the shares of best-effort runs. */
     private final RunShares shares;
 
+    /**
+     * The fence under which a stop was refused, since the worker has seen a higher one; or null.
+     */
+    private Fence refusedFence;
+
     /**
      * Constructor.
      *
@@ -163,8 +165,8 @@
     }
 
     /**
-     * Starts a run; one that is known already is passed over, and one of whose release the leader
-     * has yet to be told: it would begin beside the run that takes its place.
+     * Starts a run; one that is known already is passed over, and one whose release the leader has
+     * yet to be told of: it would begin beside the run that takes its place.
      *
      * @param order the order
      */
@@ -174,7 +176,7 @@
         }
         LocalRun run = new LocalRun(order.run(), order, LocalRun.Phase.STARTING);
         runs.put(order.run(), run);
-        if (isListed(order.run())) {
+        if (lists.isRunning(order.run())) {
             // It was started by an earlier process of this agent, which may have throttled it.
             run.setShare(LocalRun.UNKNOWN_SHARE);
         }
@@ -213,7 +215,7 @@
                         .with("for", obstacle)
                         .write();
             }
-            loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            afterPause(() -> callStart(run));
             return;
         }
         run.setCalling(true);
@@ -253,10 +255,9 @@
             }
             case UNKNOWN -> {
                 run.setUncertain();
-                loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+                afterPause(() -> callStart(run));
             }
-            case LEASE_PAST ->
-                    loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            case LEASE_PAST -> afterPause(() -> callStart(run));
             case NO_ROOM, UNWELL, INVALID -> refused(run, result);
             case SUPERSEDED -> superseded(run);
             case FENCED, OTHER_LIFE -> runs.remove(run.getRun());
@@ -283,15 +284,13 @@
      */
     private void superseded(LocalRun run) {
         runs.remove(run.getRun());
-        boolean listed = ended.stream().anyMatch(end -> end.run().equals(run.getRun()));
-        if (!listed) {
+        if (!lists.hasEnded(run.getRun())) {
             loop.schedule(() -> reportIfGone(run), LIST_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
     private void reportIfGone(LocalRun run) {
-        boolean listed = ended.stream().anyMatch(end -> end.run().equals(run.getRun()));
-        if (!listed && !isListed(run.getRun())) {
+        if (!lists.hasEnded(run.getRun()) && !lists.isRunning(run.getRun())) {
             released.lose(run.getRun());
             whenChanged.run();
         }
@@ -302,33 +301,38 @@
         return runs.get(run.getRun()) != run;
     }
 
-    private boolean isListed(RunId run) {
-        return running.stream().anyMatch(one -> one.run().equals(run));
+    private void afterPause(Runnable call) {
+        loop.schedule(call, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void callStop(LocalRun run) {
         if (run.isCalling() || run.getPhase() != LocalRun.Phase.STOPPING || isDropped(run)) {
             return;
         }
-        if (!reachable.getAsBoolean()) {
-            loop.schedule(() -> callStop(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        Fence present = fence.get();
+        if (!reachable.getAsBoolean() || present.equals(refusedFence)) {
+            afterPause(() -> callStop(run));
             return;
         }
         run.setCalling(true);
-        calls.stop(worker.get(), run.getRun(), fence.get())
-                .thenAcceptAsync(result -> stopped(run, result), loop);
+        calls.stop(worker.get(), run.getRun(), present)
+                .thenAcceptAsync(result -> stopped(run, result, present), loop);
     }
 
-    private void stopped(LocalRun run, CallResult result) {
+    private void stopped(LocalRun run, CallResult result, Fence sentFence) {
         run.setCalling(false);
         logCall("stop", run, result);
         if (isDropped(run)) {
             return;
         }
+        if (result.kind() == CallResult.Kind.FENCED) {
+            // The newer leader's order for the same stop may have been passed over meanwhile.
+            refusedFence = sentFence;
+        }
         switch (result.kind()) {
             case DONE -> run.stopped(clock.nowMillis());
-            case FENCED, OTHER_LIFE -> runs.remove(run.getRun());
-            default -> loop.schedule(() -> callStop(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            case OTHER_LIFE -> runs.remove(run.getRun());
+            default -> afterPause(() -> callStop(run));
         }
     }
 
@@ -350,12 +354,11 @@
      * @param sentAt when the worker was asked
      */
     void settle(List<RunProgress> nowRunning, List<RunEnd> nowEnded, long sentAt) {
-        running = nowRunning;
-        ended = nowEnded;
-        for (RunEnd end : ended) {
+        lists = new WorkerLists(nowRunning, nowEnded);
+        for (RunEnd end : nowEnded) {
             runs.remove(end.run());
         }
-        for (RunProgress progress : running) {
+        for (RunProgress progress : nowRunning) {
             LocalRun run = runs.get(progress.run());
             if (run != null && run.getPhase() == LocalRun.Phase.STARTING) {
                 run.setPhase(LocalRun.Phase.RUNNING);
@@ -365,7 +368,11 @@
             boolean over =
                     run.getPhase() == LocalRun.Phase.STOPPED
                             && sentAt - run.getStoppedAt() > STOP_MILLIS;
-            if (over && !isListed(run.getRun())) {
+            if (over && lists.isRunning(run.getRun())) {
+                // Further orders to stop it are passed over here, so nobody else would repeat it.
+                run.setPhase(LocalRun.Phase.STOPPING);
+                callStop(run);
+            } else if (over) {
                 runs.remove(run.getRun());
                 released.lose(run.getRun());
                 whenChanged.run();
