--- a/src/test/java/org/standlink/simulation/Fault.java
+++ b/src/test/java/org/standlink/simulation/Fault.java
@@ -44,6 +44,8 @@
         WORKER_SILENT,
         /** A worker crashes, and another life begins. */
         WORKER_CRASH,
+        /** A worker says that it leaves, and another life begins later. */
+        WORKER_LEAVES,
         /** Messages between an agent and the leader are held up. */
         LINK_HELD,
         /** Messages between an agent and the leader are lost. */
@@ -52,6 +54,10 @@
         CHANNEL_SILENT,
         /** An agent process is started anew. */
         AGENT_RESTART,
+        /** An agent's process stands still. */
+        AGENT_FROZEN,
+        /** The leader stands still, and another one begins meanwhile. */
+        LEADER_OVERTAKEN,
         /** Another leader begins; the one before believes that it still leads. */
         LEADER_REPLACED,
         /** The leader's process ends, and another leader begins. */
--- a/src/test/java/org/standlink/simulation/FaultDesk.java
+++ b/src/test/java/org/standlink/simulation/FaultDesk.java
@@ -27,8 +27,15 @@
 
     private static final long LAST_LAPSE_MILLIS = 9800;
     private static final long LONGEST_MILLIS = 10_000;
+    private static final long LEAVE_MILLIS = 3000;
     private static final int MOST_FAULTS = 16;
 
+    /** Every so many days has few faults, and so many another has all of them close together. */
+    private static final int FORMS = 5;
+
+    private static final int FEW_FAULTS = 3;
+    private static final long BURST_MILLIS = 6000;
+
     private final World world;
     private final SimulatedCell cell;
 
@@ -41,10 +48,14 @@
     static List<Fault> draw(long seed, int machines, long from, long until) {
         Random random = new Random(seed * 31 + 7);
         List<Fault> faults = new ArrayList<>();
-        int count = 3 + random.nextInt(MOST_FAULTS - 2);
+        boolean few = seed % FORMS == 0;
+        boolean burst = seed % FORMS == 1;
+        int count = few ? 1 + random.nextInt(FEW_FAULTS) : 3 + random.nextInt(MOST_FAULTS - 2);
+        long begin = burst ? from + random.nextInt((int) (until - from - BURST_MILLIS)) : from;
+        long end = burst ? begin + BURST_MILLIS : until;
         Fault.Kind[] kinds = Fault.Kind.values();
         for (int i = 0; i < count; i++) {
-            long at = from + random.nextInt((int) (until - from));
+            long at = begin + random.nextInt((int) (end - begin));
             Fault.Kind kind = kinds[random.nextInt(kinds.length)];
             long millis = 300 + random.nextInt((int) LONGEST_MILLIS - 300);
             if (random.nextInt(4) == 0) {
@@ -74,6 +85,7 @@
             case STORE_UNHEARD -> cell.getWeather().loseAnswers(fault.millis());
             case STORE_CUT -> cell.newestLeader().getStore().getOwn().away(fault.millis());
             case LEADER_REPLACED -> replaceLeader(fault);
+            case LEADER_OVERTAKEN -> overtakeLeader(fault);
             case LEADER_CRASH -> crashLeader(fault);
             case LEADER_FROZEN ->
                     cell.newestLeader().freeze(fault.millis(), fault.choice() % 2 == 0);
@@ -90,6 +102,8 @@
             case LINK_HELD, LINK_LOST -> hinder(machine, fault);
             case CHANNEL_SILENT -> machine.silenceChannel(choice % 3 != 0, choice % 3 != 1);
             case AGENT_RESTART -> restart(machine, fault);
+            case AGENT_FROZEN -> machine.freezeAgent(fault.millis());
+            case WORKER_LEAVES -> leave(machine);
             default -> throw new IllegalArgumentException("no fault of a machine: " + fault);
         }
     }
@@ -124,6 +138,20 @@
         }
     }
 
+    private void leave(SimulatedMachine machine) {
+        if (machine.getPath().getLife().isUp()) {
+            machine.leave();
+            cell.getReferee().impaired(LEAVE_MILLIS);
+            world.later(
+                    LEAVE_MILLIS,
+                    () -> {
+                        if (!machine.getPath().getLife().isUp()) {
+                            machine.beginLife();
+                        }
+                    });
+        }
+    }
+
     /** The process is back at once, or after a while. */
     private void restart(SimulatedMachine machine, Fault fault) {
         if (!machine.hasAgent()) {
@@ -148,6 +176,13 @@
         }
     }
 
+    private void overtakeLeader(Fault fault) {
+        if (!cell.isLeaderless()) {
+            cell.newestLeader().freeze(fault.millis(), fault.choice() % 2 == 0);
+            world.later(Math.min(fault.millis(), 1300), () -> replaceLeader(fault));
+        }
+    }
+
     private void crashLeader(Fault fault) {
         if (!cell.isLeaderless()) {
             cell.crashLeader();
--- a/src/test/java/org/standlink/simulation/Pipe.java
+++ b/src/test/java/org/standlink/simulation/Pipe.java
@@ -22,8 +22,13 @@
 
     private final World world;
     private final Direction direction;
+
+    /** How much later a channel that was held up may go on than new ones work. */
+    private static final long LONGEST_BACKOFF_MILLIS = 5000;
+
     private boolean dead;
     private long lastDue;
+    private long backoffMillis = -1;
 
     /** The state of the way between two machines in one direction. */
     static final class Direction {
@@ -36,7 +41,7 @@
             this.world = world;
         }
 
-        /** Holds messages up for a while; they come in order afterwards. */
+        /** Holds messages up for a while; those of one channel come in order, some time after. */
         void hold(long millis) {
             heldUntil = Math.max(heldUntil, world.now() + millis);
         }
@@ -74,6 +79,12 @@
             return;
         }
         long due = Math.max(direction.heldUntil, world.now()) + world.draw(1, 4);
+        if (direction.heldUntil > world.now()) {
+            if (backoffMillis < 0) {
+                backoffMillis = world.chance(50) ? world.draw(0, LONGEST_BACKOFF_MILLIS) : 0;
+            }
+            due += backoffMillis;
+        }
         lastDue = Math.max(lastDue, due);
         world.later(lastDue - world.now(), arrival);
     }
--- a/src/test/java/org/standlink/simulation/SimulatedMachine.java
+++ b/src/test/java/org/standlink/simulation/SimulatedMachine.java
@@ -33,6 +33,7 @@
     static final String SERVICE = "s";
 
     private static final long HEARTBEAT_MILLIS = 400;
+    private static final long DRAIN_MILLIS = 1500;
 
     private final World world;
     private final Referee referee;
@@ -49,6 +50,7 @@
     private int lives;
     private int processes;
     private long sequence;
+    private boolean draining;
 
     SimulatedMachine(
             World world,
@@ -126,7 +128,7 @@
     /** Ends the worker's life without a word. */
     void crashWorker() {
         world.note("CRASH of " + path.getLife().getId());
-        WorkerDescription last = describe();
+        WorkerDescription last = describe(false);
         path.getLife().crash();
         // A heartbeat of the life that is over may come after those of the next one.
         world.later(
@@ -138,6 +140,31 @@
                 });
     }
 
+    /** The worker says that it leaves, and ends after a while. */
+    void leave() {
+        WorkerLife leaving = path.getLife();
+        world.note("leaves " + leaving.getId());
+        draining = true;
+        heartbeat();
+        world.later(
+                DRAIN_MILLIS,
+                () -> {
+                    if (path.getLife() == leaving && leaving.isUp()) {
+                        leaving.crash();
+                        if (process != null) {
+                            agent.left(leaving.getId());
+                        }
+                    }
+                });
+    }
+
+    /** Lets nothing of the agent run for a while. */
+    void freezeAgent(long millis) {
+        if (process != null) {
+            process.freeze(millis);
+        }
+    }
+
     /** Ends all that hinders; the agent process is started by others. */
     void heal() {
         up.heal();
@@ -151,6 +178,7 @@
     /** Begins another life of the worker, at the same address. */
     void beginLife() {
         lives++;
+        draining = false;
         WorkerId id = WorkerId.parse(name + "-" + lives);
         path.setLife(new WorkerLife(world, referee, id, capacity, guarded));
     }
@@ -174,13 +202,14 @@
     // -----------------------------------------------------------------------
     private void heartbeat() {
         if (process != null && path.getLife().isUp()) {
-            agent.heartbeat(describe(), ++sequence);
+            agent.heartbeat(describe(draining), ++sequence);
         }
     }
 
-    private WorkerDescription describe() {
+    private WorkerDescription describe(boolean leaves) {
         WorkerId id = path.getLife().getId();
-        return new WorkerDescription(id, SERVICE, name + ":1", capacity, List.of(), false, 0);
+        long rest = leaves ? DRAIN_MILLIS : 0;
+        return new WorkerDescription(id, SERVICE, name + ":1", capacity, List.of(), leaves, rest);
     }
 
     private void deliver(World.ProcessLoop own, Message message) {
