--- a/src/test/java/org/standlink/simulation/WorkerPath.java
+++ b/src/test/java/org/standlink/simulation/WorkerPath.java
@@ -38,6 +38,7 @@
     private long silentUntil;
     private long unsureUntil;
     private int unsurePercent;
+    private long doneAfterMillis = -1;
 
     WorkerPath(World world) {
         this.world = world;
@@ -56,6 +57,12 @@
         silentUntil = Math.max(silentUntil, world.now() + millis);
     }
 
+    /** No call is answered for a while, and each one is done so long after it was made. */
+    void silence(long millis, long lateMillis) {
+        silence(millis);
+        doneAfterMillis = lateMillis;
+    }
+
     /** Calls may stay without an answer for a while, and be done at once, late or not at all. */
     void unsure(long millis, int percent) {
         unsureUntil = Math.max(unsureUntil, world.now() + millis);
@@ -129,7 +136,9 @@
             return answer;
         }
         long fate = world.draw(0, 3);
-        if (fate == 0 && !silent) {
+        if (silent && doneAfterMillis >= 0) {
+            world.later(doneAfterMillis, () -> doLate(name, effect, true));
+        } else if (fate == 0 && !silent) {
             world.later(world.draw(1, 4), () -> doLate(name, effect, false));
         } else if (fate <= 2) {
             long late = world.draw(FIRST_LATE_MILLIS, LAST_LATE_MILLIS);
