--- a/src/test/java/org/standlink/simulation/Fault.java
+++ b/src/test/java/org/standlink/simulation/Fault.java
@@ -63,6 +63,20 @@
         /** The leader's process ends, and another leader begins. */
         LEADER_CRASH,
         /** The leader's loop, or all of its process, stands still. */
-        LEADER_FROZEN
+        LEADER_FROZEN;
+
+        /** Lists those that are about one machine. */
+        static Kind[] ofMachines() {
+            return new Kind[] {
+                WORKER_UNSURE,
+                WORKER_SILENT,
+                WORKER_CRASH,
+                LINK_HELD,
+                LINK_LOST,
+                CHANNEL_SILENT,
+                AGENT_RESTART,
+                AGENT_FROZEN
+            };
+        }
     }
 }
--- a/src/test/java/org/standlink/simulation/FaultDesk.java
+++ b/src/test/java/org/standlink/simulation/FaultDesk.java
@@ -30,9 +30,15 @@
     private static final long LEAVE_MILLIS = 3000;
     private static final int MOST_FAULTS = 16;
 
-    /** Every so many days has few faults, and so many another has all of them close together. */
+    /** The forms of days: with few faults, with a burst, with clusters at one machine each. */
     private static final int FORMS = 5;
 
+    private static final int FEW_FORM = 0;
+    private static final int BURST_FORM = 1;
+    private static final int LAST_CLUSTER_FORM = 3;
+    private static final long CLUSTER_MILLIS = 11_000;
+    private static final long TOGETHER_MILLIS = 5000;
+    private static final int MOST_IN_CLUSTER = 6;
     private static final int FEW_FAULTS = 3;
     private static final long BURST_MILLIS = 6000;
 
@@ -48,14 +54,40 @@
     static List<Fault> draw(long seed, int machines, long from, long until) {
         Random random = new Random(seed * 31 + 7);
         List<Fault> faults = new ArrayList<>();
-        boolean few = seed % FORMS == 0;
-        boolean burst = seed % FORMS == 1;
-        int count = few ? 1 + random.nextInt(FEW_FAULTS) : 3 + random.nextInt(MOST_FAULTS - 2);
-        long begin = burst ? from + random.nextInt((int) (until - from - BURST_MILLIS)) : from;
-        long end = burst ? begin + BURST_MILLIS : until;
         Fault.Kind[] kinds = Fault.Kind.values();
+        int form = (int) (seed % FORMS);
+        if (form == FEW_FORM) {
+            add(faults, random, kinds, -1, machines, 1 + random.nextInt(FEW_FAULTS), from, until);
+        } else if (form == BURST_FORM) {
+            long begin = from + random.nextInt((int) (until - from - BURST_MILLIS));
+            int count = 3 + random.nextInt(MOST_FAULTS - 2);
+            add(faults, random, kinds, -1, machines, count, begin, begin + BURST_MILLIS);
+        } else if (form <= LAST_CLUSTER_FORM) {
+            for (long begin = from; begin < until; begin += CLUSTER_MILLIS) {
+                int count = 2 + random.nextInt(MOST_IN_CLUSTER - 1);
+                int machine = random.nextInt(machines);
+                Fault.Kind[] near = Fault.Kind.ofMachines();
+                add(faults, random, near, machine, machines, count, begin, begin + TOGETHER_MILLIS);
+            }
+        } else {
+            int count = 3 + random.nextInt(MOST_FAULTS - 2);
+            add(faults, random, kinds, -1, machines, count, from, until);
+        }
+        return faults;
+    }
+
+    /** Draws faults of one machine, or of all if the number is negative. */
+    private static void add(
+            List<Fault> faults,
+            Random random,
+            Fault.Kind[] kinds,
+            int machine,
+            int machines,
+            int count,
+            long from,
+            long until) {
         for (int i = 0; i < count; i++) {
-            long at = begin + random.nextInt((int) (end - begin));
+            long at = from + random.nextInt((int) (until - from));
             Fault.Kind kind = kinds[random.nextInt(kinds.length)];
             long millis = 300 + random.nextInt((int) LONGEST_MILLIS - 300);
             if (random.nextInt(4) == 0) {
@@ -64,9 +96,9 @@
             } else if (random.nextBoolean()) {
                 millis /= 4;
             }
-            faults.add(new Fault(at, kind, random.nextInt(machines), millis, random.nextInt(1000)));
+            int where = machine < 0 ? random.nextInt(machines) : machine;
+            faults.add(new Fault(at, kind, where, millis, random.nextInt(1000)));
         }
-        return faults;
     }
 
     /** Lets all faults happen in their time. */
