--- a/src/test/java/org/standlink/simulation/Channel.java
+++ b/src/test/java/org/standlink/simulation/Channel.java
@@ -121,6 +121,11 @@
         waiting.values().forEach(answer -> answer.completeExceptionally(lost()));
     }
 
+    /** Holds up what the agent sends over this channel from now on. */
+    void holdUp(long millis) {
+        up.holdUp(millis);
+    }
+
     /** Lets nothing through any more, without a word to either side. */
     void goSilent(boolean upwards, boolean downwards) {
         if (upwards) {
--- a/src/test/java/org/standlink/simulation/Pipe.java
+++ b/src/test/java/org/standlink/simulation/Pipe.java
@@ -71,6 +71,11 @@
         dead = true;
     }
 
+    /** Holds up what is sent from now on; other channels are not concerned. */
+    void holdUp(long millis) {
+        lastDue = Math.max(lastDue, world.now() + millis);
+    }
+
     void send(Runnable arrival) {
         if (direction.losesUntil > world.now()) {
             dead = true;
--- a/src/test/java/org/standlink/simulation/SimulatedMachine.java
+++ b/src/test/java/org/standlink/simulation/SimulatedMachine.java
@@ -191,6 +191,14 @@
         }
     }
 
+    /** What the agent sends over its open channel comes later, while new channels work. */
+    void holdUpChannel(long millis) {
+        Channel open = process == null ? null : link.getChannel();
+        if (open != null) {
+            open.holdUp(millis);
+        }
+    }
+
     /** A leader's process has ended, and with it its channels. */
     void lost(SimulatedLeader leader) {
         Channel open = process == null ? null : link.getChannel();
