--- a/src/test/java/org/standlink/simulation/SimulatedMachine.java
+++ b/src/test/java/org/standlink/simulation/SimulatedMachine.java
@@ -33,6 +33,7 @@
     static final String SERVICE = "s";
 
     private static final long HEARTBEAT_MILLIS = 400;
+    private static final long DRAIN_MILLIS = 1500;
 
     private final World world;
     private final Referee referee;
@@ -49,6 +50,7 @@
     private int lives;
     private int processes;
     private long sequence;
+    private boolean draining;
 
     SimulatedMachine(
             World world,
@@ -104,6 +106,11 @@
         heartbeat();
     }
 
+    /** Checks whether an agent process runs. */
+    boolean hasAgent() {
+        return process != null;
+    }
+
     /** Ends the agent process; its memory is lost. */
     void endAgent() {
         world.note("agent of " + name + " ends");
@@ -121,12 +128,57 @@
     /** Ends the worker's life without a word. */
     void crashWorker() {
         world.note("CRASH of " + path.getLife().getId());
+        WorkerDescription last = describe(false);
         path.getLife().crash();
+        // A heartbeat of the life that is over may come after those of the next one.
+        world.later(
+                world.draw(0, 5000),
+                () -> {
+                    if (process != null) {
+                        agent.heartbeat(last, sequence);
+                    }
+                });
+    }
+
+    /** The worker says that it leaves, and ends after a while. */
+    void leave() {
+        WorkerLife leaving = path.getLife();
+        world.note("leaves " + leaving.getId());
+        draining = true;
+        heartbeat();
+        world.later(
+                DRAIN_MILLIS,
+                () -> {
+                    if (path.getLife() == leaving && leaving.isUp()) {
+                        leaving.crash();
+                        if (process != null) {
+                            agent.left(leaving.getId());
+                        }
+                    }
+                });
+    }
+
+    /** Lets nothing of the agent run for a while. */
+    void freezeAgent(long millis) {
+        if (process != null) {
+            process.freeze(millis);
+        }
+    }
+
+    /** Ends all that hinders; the agent process is started by others. */
+    void heal() {
+        up.heal();
+        down.heal();
+        path.heal();
+        if (!path.getLife().isUp()) {
+            beginLife();
+        }
     }
 
     /** Begins another life of the worker, at the same address. */
     void beginLife() {
         lives++;
+        draining = false;
         WorkerId id = WorkerId.parse(name + "-" + lives);
         path.setLife(new WorkerLife(world, referee, id, capacity, guarded));
     }
@@ -139,6 +191,14 @@
         }
     }
 
+    /** What the agent sends over its open channel comes later, while new channels work. */
+    void holdUpChannel(long millis) {
+        Channel open = process == null ? null : link.getChannel();
+        if (open != null) {
+            open.holdUp(millis);
+        }
+    }
+
     /** A leader's process has ended, and with it its channels. */
     void lost(SimulatedLeader leader) {
         Channel open = process == null ? null : link.getChannel();
@@ -150,19 +210,16 @@
     // -----------------------------------------------------------------------
     private void heartbeat() {
         if (process != null && path.getLife().isUp()) {
-            agent.heartbeat(
-                    new WorkerDescription(
-                            path.getLife().getId(),
-                            SERVICE,
-                            name + ":1",
-                            capacity,
-                            List.of(),
-                            false,
-                            0),
-                    ++sequence);
+            agent.heartbeat(describe(draining), ++sequence);
         }
     }
 
+    private WorkerDescription describe(boolean leaves) {
+        WorkerId id = path.getLife().getId();
+        long rest = leaves ? DRAIN_MILLIS : 0;
+        return new WorkerDescription(id, SERVICE, name + ":1", capacity, List.of(), leaves, rest);
+    }
+
     private void deliver(World.ProcessLoop own, Message message) {
         if (own != process) {
             return;
