--- a/src/test/java/org/standlink/simulation/Fault.java
+++ b/src/test/java/org/standlink/simulation/Fault.java
@@ -58,6 +58,8 @@
         AGENT_FROZEN,
         /** The leader stands still, and another one begins meanwhile. */
         LEADER_OVERTAKEN,
+        /** The leader is cut off from the store for long, and another one begins. */
+        LEADER_CUT_OFF,
         /** Another leader begins; the one before believes that it still leads. */
         LEADER_REPLACED,
         /** The leader's process ends, and another leader begins. */
--- a/src/test/java/org/standlink/simulation/FaultDesk.java
+++ b/src/test/java/org/standlink/simulation/FaultDesk.java
@@ -27,6 +27,7 @@
 
     private static final long LAST_LAPSE_MILLIS = 9800;
     private static final long LONGEST_MILLIS = 10_000;
+    private static final long CUT_OFF_MILLIS = 20_000;
     private static final long LEAVE_MILLIS = 3000;
     private static final int MOST_FAULTS = 16;
 
@@ -63,7 +64,7 @@
             int count = 3 + random.nextInt(MOST_FAULTS - 2);
             add(faults, random, kinds, -1, machines, count, begin, begin + BURST_MILLIS);
         } else if (form <= LAST_CLUSTER_FORM) {
-            for (long begin = from; begin < until; begin += CLUSTER_MILLIS) {
+            for (long begin = from; begin + TOGETHER_MILLIS < until; begin += CLUSTER_MILLIS) {
                 int count = 2 + random.nextInt(MOST_IN_CLUSTER - 1);
                 int machine = random.nextInt(machines);
                 Fault.Kind[] near = Fault.Kind.ofMachines();
@@ -118,6 +119,7 @@
             case STORE_CUT -> cell.newestLeader().getStore().getOwn().away(fault.millis());
             case LEADER_REPLACED -> replaceLeader(fault);
             case LEADER_OVERTAKEN -> overtakeLeader(fault);
+            case LEADER_CUT_OFF -> cutLeaderOff(fault);
             case LEADER_CRASH -> crashLeader(fault);
             case LEADER_FROZEN ->
                     cell.newestLeader().freeze(fault.millis(), fault.choice() % 2 == 0);
@@ -190,6 +192,11 @@
             return;
         }
         machine.endAgent();
+        if (fault.choice() % 3 == 0) {
+            // The new process hears of its worker hardly more than that it is there.
+            world.later(
+                    world.draw(20, 700), () -> machine.getPath().silence(world.draw(500, 5000)));
+        }
         long pause = fault.choice() % 2 == 0 ? 50 : Math.min(fault.millis(), 8000);
         world.later(
                 pause,
@@ -215,6 +222,14 @@
         }
     }
 
+    /** The one before grants for as long as it may, and some agents hear of no other for longer. */
+    private void cutLeaderOff(Fault fault) {
+        if (!cell.isLeaderless()) {
+            cell.newestLeader().getStore().getOwn().away(CUT_OFF_MILLIS);
+            world.later(Math.min(fault.millis(), 1500), () -> replaceLeader(fault));
+        }
+    }
+
     private void crashLeader(Fault fault) {
         if (!cell.isLeaderless()) {
             cell.crashLeader();
@@ -231,6 +246,7 @@
 
     private void announce(Fault fault) {
         long longest = fault.choice() % 4 == 0 ? 8000 : 1500;
+        longest = fault.kind() == Fault.Kind.LEADER_CUT_OFF ? CUT_OFF_MILLIS : longest;
         for (SimulatedMachine machine : cell.getMachines()) {
             long pause = world.draw(0, longest);
             cell.getReferee().impaired(pause);
--- /dev/null
+++ b/src/test/java/org/standlink/simulation/TestReferee.java
@@ -0,0 +1,161 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.simulation;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.standlink.Resources;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
+import org.standlink.job.TaskName;
+import org.standlink.job.WorkerId;
+
+/** Tests that what breaks a rule is found, and that the rules' exceptions are heeded. */
+public class TestReferee {
+
+    private static final TaskName TASK = TaskName.parse("aaaaaaaaaaaaaaaa.0.0.0");
+    private static final RunId FIRST = new RunId(TASK, 1);
+    private static final RunId SECOND = new RunId(TASK, 2);
+
+    private final World world = new World();
+    private final Referee referee = new Referee(world);
+    private final WorkerLife one = life("i-1");
+    private final WorkerLife two = life("i-2");
+
+    private WorkerLife life(String id) {
+        return new WorkerLife(
+                world, referee, WorkerId.parse(id), new Resources(1000, 1000, 0), false);
+    }
+
+    private void assertFound(String... kinds) {
+        List<String> found = referee.finish();
+        assertEquals(kinds.length, found.size(), found::toString);
+        for (int i = 0; i < kinds.length; i++) {
+            assertTrue(found.get(i).contains(kinds[i]), found::toString);
+        }
+    }
+
+    @Test
+    public void twoRunsOfATaskAtOnceAreFound() {
+        referee.begun(one, FIRST, false);
+        referee.begun(two, SECOND, false);
+        assertFound("TWICE");
+    }
+
+    @Test
+    public void oneRunOnTwoWorkersIsFound() {
+        referee.begun(one, FIRST, false);
+        referee.begun(two, FIRST, false);
+        assertFound("TWICE");
+    }
+
+    @Test
+    public void aRunAfterOneThatDiedWithItsWorkerIsRight() {
+        referee.begun(one, FIRST, false);
+        referee.died(one, FIRST);
+        referee.begun(two, SECOND, false);
+        assertFound();
+    }
+
+    @Test
+    public void aStartAfterAGoodEndThatIsRecordedLaterIsFound() {
+        endWellAndBeginAgain();
+        referee.recorded(one, 1);
+        assertFound("AGAIN");
+    }
+
+    @Test
+    public void aStartAfterAGoodEndThatIsNeverRecordedIsRight() {
+        endWellAndBeginAgain();
+        assertFound();
+    }
+
+    @Test
+    public void aGoodEndCountsForNothingOnceTheHoldHasRunOut() {
+        endWellAndBeginAgain();
+        referee.lapsed(one);
+        referee.recorded(one, 1);
+        assertFound();
+    }
+
+    private void endWellAndBeginAgain() {
+        referee.begun(one, FIRST, false);
+        world.playUntil(100);
+        referee.over(one, FIRST, RunEndKind.DONE, 1);
+        world.playUntil(200);
+        referee.begun(two, SECOND, false);
+    }
+
+    @Test
+    public void aRunThatBeginsLongAfterTheCancelIsFound() {
+        referee.cancelAcknowledged(TASK.job());
+        world.playUntil(3200);
+        referee.begun(one, FIRST, false);
+        assertFound("UNASKED");
+    }
+
+    @Test
+    public void aRunThatBeginsSoonAfterTheCancelIsRight() {
+        referee.cancelAcknowledged(TASK.job());
+        world.playUntil(2900);
+        referee.begun(one, FIRST, false);
+        world.playUntil(3300);
+        referee.over(one, FIRST, RunEndKind.STOPPED, 1);
+        world.playUntil(9000);
+        assertFound();
+    }
+
+    @Test
+    public void aRunAtWorkLongAfterTheCancelIsFoundOnce() {
+        referee.begun(one, FIRST, false);
+        referee.cancelAcknowledged(TASK.job());
+        world.playUntil(9000);
+        assertFound("UNASKED");
+    }
+
+    @Test
+    public void anImpairmentExcusesARunOfACancelledJobForAWhile() {
+        referee.begun(one, FIRST, false);
+        referee.cancelAcknowledged(TASK.job());
+        referee.impaired(4000);
+        world.playUntil(6900);
+        assertFound();
+        world.playUntil(7200);
+        assertFound("UNASKED");
+    }
+
+    @Test
+    public void aRunThatIsBegunLateCountsFromItsBeginning() {
+        referee.cancelAcknowledged(TASK.job());
+        world.playUntil(5000);
+        referee.begun(one, FIRST, true);
+        world.playUntil(7900);
+        assertFound();
+        world.playUntil(8200);
+        assertFound("UNASKED");
+    }
+
+    @Test
+    public void aWorkerOverItsRoomIsFound() {
+        referee.room(one, new Resources(1000, 100, 0), new Resources(1000, 1000, 0), FIRST);
+        assertFound();
+        referee.room(one, new Resources(2000, 200, 0), new Resources(1000, 1000, 0), SECOND);
+        assertFound("ROOM");
+    }
+}
