--- a/src/test/java/org/standlink/simulation/FaultDesk.java
+++ b/src/test/java/org/standlink/simulation/FaultDesk.java
@@ -17,31 +17,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 
-/** Draws the faults of a day and lets them happen. */
+/** Lets the faults of a day happen. */
 final class FaultDesk {
 
-    /** How long authority and a lease take together, with some time before and after. */
-    private static final long FIRST_LAPSE_MILLIS = 8400;
-
-    private static final long LAST_LAPSE_MILLIS = 9800;
-    private static final long LONGEST_MILLIS = 10_000;
     private static final long CUT_OFF_MILLIS = 20_000;
     private static final long LEAVE_MILLIS = 3000;
-    private static final int MOST_FAULTS = 16;
-
-    /** The forms of days: with few faults, with a burst, with clusters at one machine each. */
-    private static final int FORMS = 5;
-
-    private static final int FEW_FORM = 0;
-    private static final int BURST_FORM = 1;
-    private static final int LAST_CLUSTER_FORM = 3;
-    private static final long CLUSTER_MILLIS = 11_000;
-    private static final long TOGETHER_MILLIS = 5000;
-    private static final int MOST_IN_CLUSTER = 6;
-    private static final int FEW_FAULTS = 3;
-    private static final long BURST_MILLIS = 6000;
 
     private final World world;
     private final SimulatedCell cell;
@@ -51,57 +32,6 @@
         this.world = cell.getWorld();
     }
 
-    /** Draws the faults of one day. */
-    static List<Fault> draw(long seed, int machines, long from, long until) {
-        Random random = new Random(seed * 31 + 7);
-        List<Fault> faults = new ArrayList<>();
-        Fault.Kind[] kinds = Fault.Kind.values();
-        int form = (int) (seed % FORMS);
-        if (form == FEW_FORM) {
-            add(faults, random, kinds, -1, machines, 1 + random.nextInt(FEW_FAULTS), from, until);
-        } else if (form == BURST_FORM) {
-            long begin = from + random.nextInt((int) (until - from - BURST_MILLIS));
-            int count = 3 + random.nextInt(MOST_FAULTS - 2);
-            add(faults, random, kinds, -1, machines, count, begin, begin + BURST_MILLIS);
-        } else if (form <= LAST_CLUSTER_FORM) {
-            for (long begin = from; begin + TOGETHER_MILLIS < until; begin += CLUSTER_MILLIS) {
-                int count = 2 + random.nextInt(MOST_IN_CLUSTER - 1);
-                int machine = random.nextInt(machines);
-                Fault.Kind[] near = Fault.Kind.ofMachines();
-                add(faults, random, near, machine, machines, count, begin, begin + TOGETHER_MILLIS);
-            }
-        } else {
-            int count = 3 + random.nextInt(MOST_FAULTS - 2);
-            add(faults, random, kinds, -1, machines, count, from, until);
-        }
-        return faults;
-    }
-
-    /** Draws faults of one machine, or of all if the number is negative. */
-    private static void add(
-            List<Fault> faults,
-            Random random,
-            Fault.Kind[] kinds,
-            int machine,
-            int machines,
-            int count,
-            long from,
-            long until) {
-        for (int i = 0; i < count; i++) {
-            long at = from + random.nextInt((int) (until - from));
-            Fault.Kind kind = kinds[random.nextInt(kinds.length)];
-            long millis = 300 + random.nextInt((int) LONGEST_MILLIS - 300);
-            if (random.nextInt(4) == 0) {
-                long span = LAST_LAPSE_MILLIS - FIRST_LAPSE_MILLIS;
-                millis = FIRST_LAPSE_MILLIS + random.nextInt((int) span);
-            } else if (random.nextBoolean()) {
-                millis /= 4;
-            }
-            int where = machine < 0 ? random.nextInt(machines) : machine;
-            faults.add(new Fault(at, kind, where, millis, random.nextInt(1000)));
-        }
-    }
-
     /** Lets all faults happen in their time. */
     void schedule(List<Fault> faults) {
         faults.forEach(fault -> world.later(fault.at() - world.elapsed(), () -> begin(fault)));
--- a/src/test/java/org/standlink/simulation/SimulatedDay.java
+++ b/src/test/java/org/standlink/simulation/SimulatedDay.java
@@ -43,7 +43,7 @@
     private final Map<JobId, JobState> states = new HashMap<>();
 
     SimulatedDay(long seed) {
-        this(seed, FaultDesk.draw(seed, MACHINES, BEGIN_MILLIS + 1000, FAULTS_MILLIS));
+        this(seed, FaultPlan.draw(seed, MACHINES, BEGIN_MILLIS + 1000, FAULTS_MILLIS));
     }
 
     SimulatedDay(long seed, List<Fault> faults) {
