--- a/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
+++ b/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
@@ -18,6 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -30,6 +31,7 @@
 import org.standlink.job.RunProgress;
 import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.StartRefusal;
@@ -143,4 +145,35 @@
         loop.advance(100);
         assertEquals(List.of(), elsewhere.starts());
     }
+
+    @Test
+    public void aLateReportOfAnEarlierProcessDoesNotBringAnEarlierLifeBack() {
+        FakeChannel present = new FakeChannel();
+        WorkerDescription next =
+                new WorkerDescription(
+                        WorkerId.parse("i-3"),
+                        WORKER.service(),
+                        WORKER.address(),
+                        WORKER.capacity(),
+                        WORKER.labels(),
+                        false,
+                        0);
+        // Another life at the same address; what was at work in the life before is over.
+        report(present, 2, part(next, false, List.of(), List.of()));
+        loop.advance(100);
+        assertEquals(List.of(NEXT), elsewhere.starts());
+        leader.handle(entry, 2, new SubmitJob(CellFixtures.job("b", 8)));
+        loop.advance(50);
+        List<RunId> told = present.starts();
+        assertFalse(told.isEmpty());
+        report(agent, 1, part(WORKER, false, List.of(RUN), List.of()));
+        loop.advance(100);
+        List<RunId> starts = new ArrayList<>(agent.starts());
+        starts.addAll(elsewhere.starts());
+        starts.addAll(present.starts());
+        for (RunId run : told) {
+            RunId again = new RunId(run.task(), run.number() + 1);
+            assertFalse(starts.contains(again), () -> again + " beside " + run);
+        }
+    }
 }
--- a/src/test/java/org/standlink/runner/TestOldAnswers.java
+++ b/src/test/java/org/standlink/runner/TestOldAnswers.java
@@ -28,8 +28,8 @@
 import org.standlink.Fence;
 import org.standlink.LeaseGeneration;
 import org.standlink.Resources;
-import org.standlink.job.RunEnd;
 import org.standlink.job.RunId;
+import org.standlink.job.RunProgress;
 import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
@@ -64,7 +64,7 @@
 
         private CallResult.Kind starts = CallResult.Kind.DONE;
         private CallResult.Kind renewals = CallResult.Kind.DONE;
-        private List<RunEnd> ended = List.of();
+        private List<RunProgress> running = List.of();
 
         private <T> CompletableFuture<T> after(long millis, T value) {
             CompletableFuture<T> answer = new CompletableFuture<>();
@@ -102,7 +102,7 @@
                 WorkerDescription to, long until, Fence under, long recorded, long waitMillis) {
             return after(
                     Math.max(delay(renewals, waitMillis), waitMillis),
-                    new RenewalResult(result(renewals), List.of(), ended));
+                    new RenewalResult(result(renewals), running, List.of()));
         }
 
         @Override
@@ -173,4 +173,14 @@
         loop.advance(50);
         assertEquals(List.of(), supervisor.report().refused());
     }
+
+    @Test
+    public void aRunAtWorkSinceAnEarlierProcessIsNotGivenBackByAWorkerThatIsUnwell() {
+        worker.running = List.of(new RunProgress(RUN, "", 10, 0));
+        loop.advance(500);
+        worker.starts = CallResult.Kind.UNWELL;
+        order();
+        loop.advance(50);
+        assertEquals(List.of(), supervisor.report().refused());
+    }
 }
