--- a/src/main/java/org/standlink/runner/LocalRun.java
+++ b/src/main/java/org/standlink/runner/LocalRun.java
@@ -58,6 +58,9 @@
     /** Whether its start has waited for the worker or for a lease. */
     private boolean waited;
 
+    /** Since when it may be at work, as an earlier process may have started it; or negative. */
+    private long maybeAtWorkSince = -1;
+
     /** When the worker said that it will stop it. */
     private long stoppedAt;
 
@@ -166,6 +169,35 @@
         return first;
     }
 
+    /**
+     * Takes note that an earlier process of the agent may have started it.
+     *
+     * @param now the time on the agent's clock
+     */
+    void setMaybeAtWork(long now) {
+        maybeAtWorkSince = now;
+    }
+
+    /**
+     * Checks whether an earlier process may have started it, and no list has shown otherwise.
+     *
+     * @return true if so
+     */
+    boolean isMaybeAtWork() {
+        return maybeAtWorkSince >= 0;
+    }
+
+    /**
+     * Takes note of a list that does not name it as running.
+     *
+     * @param askedAt when the worker was asked, on the agent's clock
+     */
+    void notListed(long askedAt) {
+        if (askedAt >= maybeAtWorkSince) {
+            maybeAtWorkSince = -1;
+        }
+    }
+
     /**
      * Gets when the worker said that it will stop it.
      *
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -87,9 +87,7 @@
     /** Tells the worker the shares of best-effort runs. */
     private final RunShares shares;
 
-    /**
-     * The fence under which a stop was refused, since the worker has seen a higher one; or null.
-     */
+    /** The fence under which a stop was refused, as the worker has seen a higher one; or null. */
     private Fence refusedFence;
 
     /**
@@ -159,8 +157,9 @@
      * yet to be told of: it would begin beside the run that takes its place.
      *
      * @param order the order
+     * @param toldAnew whether an earlier process of the agent may have been given it
      */
-    void start(StartOrder order) {
+    void start(StartOrder order, boolean toldAnew) {
         if (runs.containsKey(order.run()) || released.contains(order.run())) {
             return;
         }
@@ -169,6 +168,9 @@
             run.setUncertain();
         }
         runs.put(order.run(), run);
+        if (toldAnew) {
+            run.setMaybeAtWork(context.clock().nowMillis());
+        }
         if (lists.isRunning(order.run())) {
             // It was started by an earlier process of this agent, which may have throttled it.
             run.setShare(LocalRun.UNKNOWN_SHARE);
@@ -267,6 +269,11 @@
             stop(run.getRun());
             return;
         }
+        if (run.isMaybeAtWork() && result.kind() != CallResult.Kind.NO_ROOM) {
+            // An unwell worker refuses also what it runs; its next list tells.
+            afterPause(() -> callStart(run));
+            return;
+        }
         runs.remove(run.getRun());
         boolean unwell = result.kind() == CallResult.Kind.UNWELL;
         released.refuse(new StartRefusal(run.getRun(), result.detail(), unwell));
@@ -347,6 +354,9 @@
         for (RunEnd end : nowEnded) {
             runs.remove(end.run());
         }
+        runs.values().stream()
+                .filter(run -> !lists.isRunning(run.getRun()))
+                .forEach(run -> run.notListed(sentAt));
         for (RunProgress progress : nowRunning) {
             LocalRun run = runs.get(progress.run());
             if (run != null && run.getPhase() == LocalRun.Phase.STARTING) {
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -96,6 +96,9 @@
     /** The ends that have not been recorded, as the worker said last. */
     private List<RunEnd> ended = List.of();
 
+    /** Whether orders to start have come under the fence in force. */
+    private boolean startsTold;
+
     /** Whether it has been taken note of that the worker's lease is over. */
     private boolean lapseNoted;
 
@@ -205,7 +208,10 @@
         if (lapseUntold) {
             orders.starts().forEach(order -> runs.getReleased().lose(order.run()));
         } else {
-            orders.starts().forEach(runs::start);
+            // The first that are told under a fence are all that should run, also since before.
+            boolean toldAnew = !startsTold;
+            startsTold |= !orders.starts().isEmpty();
+            orders.starts().forEach(order -> runs.start(order, toldAnew));
         }
         if (orders.recordedEnd() > recordedEnd) {
             LOG.info("ends-recorded")
@@ -221,6 +227,7 @@
 
     /** Takes note that a higher fence is in force, so that what has not begun is void. */
     void fenceRaised() {
+        startsTold = false;
         runs.dropUnbegun();
     }
 
--- a/src/test/java/org/standlink/simulation/FaultDesk.java
+++ b/src/test/java/org/standlink/simulation/FaultDesk.java
@@ -57,25 +57,42 @@
         Fault.Kind[] kinds = Fault.Kind.values();
         int form = (int) (seed % FORMS);
         if (form == FEW_FORM) {
-            add(faults, random, kinds, -1, machines, 1 + random.nextInt(FEW_FAULTS), from, until);
+            add(
+                    faults,
+                    random,
+                    kinds,
+                    -1,
+                    machines,
+                    1 + random.nextInt(FEW_FAULTS),
+                    new Span(from, until));
         } else if (form == BURST_FORM) {
             long begin = from + random.nextInt((int) (until - from - BURST_MILLIS));
             int count = 3 + random.nextInt(MOST_FAULTS - 2);
-            add(faults, random, kinds, -1, machines, count, begin, begin + BURST_MILLIS);
+            add(faults, random, kinds, -1, machines, count, new Span(begin, begin + BURST_MILLIS));
         } else if (form <= LAST_CLUSTER_FORM) {
             for (long begin = from; begin < until; begin += CLUSTER_MILLIS) {
                 int count = 2 + random.nextInt(MOST_IN_CLUSTER - 1);
                 int machine = random.nextInt(machines);
                 Fault.Kind[] near = Fault.Kind.ofMachines();
-                add(faults, random, near, machine, machines, count, begin, begin + TOGETHER_MILLIS);
+                add(
+                        faults,
+                        random,
+                        near,
+                        machine,
+                        machines,
+                        count,
+                        new Span(begin, begin + TOGETHER_MILLIS));
             }
         } else {
             int count = 3 + random.nextInt(MOST_FAULTS - 2);
-            add(faults, random, kinds, -1, machines, count, from, until);
+            add(faults, random, kinds, -1, machines, count, new Span(from, until));
         }
         return faults;
     }
 
+    /** A stretch of the day, in milliseconds from its begin. */
+    private record Span(long from, long until) {}
+
     /** Draws faults of one machine, or of all if the number is negative. */
     private static void add(
             List<Fault> faults,
@@ -84,15 +101,14 @@
             int machine,
             int machines,
             int count,
-            long from,
-            long until) {
+            Span span) {
         for (int i = 0; i < count; i++) {
-            long at = from + random.nextInt((int) (until - from));
+            long at = span.from() + random.nextInt((int) (span.until() - span.from()));
             Fault.Kind kind = kinds[random.nextInt(kinds.length)];
             long millis = 300 + random.nextInt((int) LONGEST_MILLIS - 300);
             if (random.nextInt(4) == 0) {
-                long span = LAST_LAPSE_MILLIS - FIRST_LAPSE_MILLIS;
-                millis = FIRST_LAPSE_MILLIS + random.nextInt((int) span);
+                long lapses = LAST_LAPSE_MILLIS - FIRST_LAPSE_MILLIS;
+                millis = FIRST_LAPSE_MILLIS + random.nextInt((int) lapses);
             } else if (random.nextBoolean()) {
                 millis /= 4;
             }
