--- a/src/test/java/org/standlink/leader/TestGivenUpAttempts.java
+++ b/src/test/java/org/standlink/leader/TestGivenUpAttempts.java
@@ -314,6 +314,24 @@
         assertSafe();
     }
 
+    @Test
+    void anOldLeaderIsNotKeptServingItselfByLateHeartbeats() {
+        start(LONG);
+        assertTrue(cell.countRunning("vm-1") > 0);
+        cell.sendLate("vm-2");
+        cell.sendLate("vm-3");
+        cell.claim("vm-2");
+        cell.setFollowsOldLeader("vm-1");
+        cell.run(17);
+        cell.deliverLate();
+        cell.deliverLate();
+        for (int i = 0; i < 40; i++) {
+            cell.step();
+            assertSafe();
+        }
+        assertEquals(0, cell.countRunning("vm-1"));
+    }
+
     @Test
     void anOlderHeartbeatOfTheSameRunIsRefused() {
         start(FILL);
