Count for nothing what outlived its lease: ends decided, reports and heartbeats of a time that is over

Cause of each fault, and the mend: - An attempt whose end was proposed was withheld from its agent only if the agent had been silent. Stopped before its start, handed back by a leaving agent or cancelled and added again, it was handed out again while the release was on its way. Now each attempt whose end is decided is handed out only to be stopped, until the fold shows the end; leaving it out of the list would make the agent forget how it ended. - A report could end attempts whatever lease it told of. It must name the generation in force, so that one of an earlier run of the agent, or from before a silence, counts for nothing. - A leader counted a heartbeat for its own lease by when it came. It counts by the answer that the heartbeat proves to have had, as the successor's wait of two node leases assumes. - The wait for the old leader's authority was counted from the begin of the read that showed the claim, though the claim may have landed during it. The fold is replaced only when it has come as far as the old one. - A leader that refused the first heartbeat of an agent failed at each decision; it takes the agent as unheard.

Ruled out: remembering the runs of agents that are over (a run may be heard of first by its late heartbeat); taking a call for the worker lease up no sooner than a worker lease after an unanswered one (a reset of a connection would end all tasks of the worker).

After: TestGivenUpAttempts, TestGivenUpProperties, TestLeaderService, TestCellLeader, TestCellProperties, TestLogFollower: 48 run, no failure.

--- a/src/main/java/org/standlink/leader/AgentRecord.java
+++ b/src/main/java/org/standlink/leader/AgentRecord.java
@@ -43,6 +43,9 @@
     /** When it was last granted a lease, in milliseconds. */
     private long grantedMillis;
 
+    /** A time after which the last heartbeat was surely sent, in milliseconds. */
+    private long sentAfterMillis = Long.MIN_VALUE;
+
     /** The last heartbeat, null until heard. */
     private Heartbeat last;
 
@@ -74,6 +77,11 @@
             generation = generation.next();
         }
         acknowledged |= heartbeat.epoch().equals(epoch);
+        // One that leaves out what the last one told was sent after the last one's answer was had.
+        // Nothing else is known of when it was sent: it may have been on its way for long.
+        if (!heartbeat.full()) {
+            sentAfterMillis = grantedMillis;
+        }
         last = heartbeat;
         grantedMillis = nowMillis;
         lost = false;
@@ -98,6 +106,20 @@
         return heartbeat.full() || sameRun && !lost && heartbeat.number() == last.number() + 1;
     }
 
+    /**
+     * Checks whether the reports can be believed to end attempts: they tell of work under the lease
+     * in force, carried out with a live worker lease. A heartbeat of an earlier run, or from before
+     * a silence, names another generation, as it was given none since.
+     *
+     * @param epoch the epoch of this leader
+     * @return true if so
+     */
+    boolean isReportCurrent(Epoch epoch) {
+        return last.epoch().equals(epoch)
+                && last.generation().equals(generation)
+                && last.workerReady();
+    }
+
     /**
      * Gets the reports, which the last heartbeat alone does not tell.
      *
@@ -150,6 +172,18 @@
         return grantedMillis;
     }
 
+    /**
+     * Checks whether the agent surely followed this leader within a time.
+     *
+     * @param epoch the epoch of this leader
+     * @param spanMillis how long ago at most, in milliseconds
+     * @param nowMillis the time, in milliseconds
+     * @return true if its last heartbeat names the epoch and is not older than that
+     */
+    boolean hasFollowed(Epoch epoch, long spanMillis, long nowMillis) {
+        return last.epoch().equals(epoch) && sentAfterMillis > nowMillis - spanMillis;
+    }
+
     LeaseGeneration getGeneration() {
         return generation;
     }
--- a/src/main/java/org/standlink/leader/CellLeader.java
+++ b/src/main/java/org/standlink/leader/CellLeader.java
@@ -41,8 +41,9 @@
  * The leader of one cell under one epoch: grants node leases and decides which attempts have ended.
  *
  * <p>The leader acts only on what the fold of the log shows. What it has decided but not yet seen
- * in the fold it proposes again and again, and never takes back: a task whose release was proposed
- * because its agent was silent is not handed to that agent any more, even if it comes back first.
+ * in the fold it proposes again and again, and never takes back: an attempt whose end was proposed
+ * is not handed to its agent any more, even if the agent comes back or the job is added again
+ * first.
  *
  * <p>{@code CellLeader} is mutable and not thread-safe; its owner guards it.
  */
@@ -63,7 +64,10 @@
     /** Decides on new work. */
     private final CellPlanner planner;
 
-    /** When the claim was seen in the log, in milliseconds. */
+    /**
+     * When the claim had been seen in the log, in milliseconds. The old leader may have confirmed
+     * its epoch until the claim landed, which was while it was read at the latest.
+     */
     private final long claimedMillis;
 
     /** When the last read of the log that showed this epoch in force began, in milliseconds. */
@@ -81,9 +85,6 @@
     /** Ends of attempts that the fold does not show yet. */
     private final Map<TaskId, TaskEvent> endings = new HashMap<>();
 
-    /** The endings decided because an agent was silent. */
-    private final Map<TaskId, TaskEvent> silentEndings = new HashMap<>();
-
     /**
      * Constructor.
      *
@@ -91,6 +92,7 @@
      * @param incarnation the run of this process
      * @param times the lengths of leases
      * @param planner decides on new work
+     * @param claimedMillis when the claim had been seen in the log, in milliseconds
      * @param confirmedMillis when the read of the log that showed the claim began, in milliseconds
      */
     public CellLeader(
@@ -98,12 +100,13 @@
             Incarnation incarnation,
             LeaseTimes times,
             CellPlanner planner,
+            long claimedMillis,
             long confirmedMillis) {
         this.epoch = epoch;
         this.incarnation = incarnation;
         this.times = times;
         this.planner = planner;
-        this.claimedMillis = confirmedMillis;
+        this.claimedMillis = claimedMillis;
         this.confirmedMillis = confirmedMillis;
     }
 
@@ -153,13 +156,15 @@
         if (heartbeat.vm().equals(state.getLeader()) && !mayServeItself(state, bundle, nowMillis)) {
             throw notLeading();
         }
-        AgentRecord agent = agents.computeIfAbsent(heartbeat.vm(), key -> new AgentRecord());
+        AgentRecord agent = agents.getOrDefault(heartbeat.vm(), new AgentRecord());
         if (!agent.canTake(heartbeat)) {
             throw new StandlinkException(
                     ErrorCode.INVALID_MESSAGE,
                     "heartbeat " + heartbeat.number() + " does not follow the last one",
                     "tell everything in the next one");
         }
+        // Only now: an agent whose heartbeat was refused is as unheard as before.
+        agents.put(heartbeat.vm(), agent);
         agent.heard(heartbeat, epoch, nowMillis);
         if (bundle != null) {
             planner.learn(heartbeat, agent.getReports(), state, bundle);
@@ -241,7 +246,6 @@
     // -----------------------------------------------------------------------
     private void dropFolded(CellState state) {
         endings.values().removeIf(event -> !isPending(event, state));
-        silentEndings.values().removeIf(event -> !isPending(event, state));
     }
 
     private static boolean isPending(TaskEvent event, CellState state) {
@@ -253,16 +257,15 @@
         AgentRecord agent = agents.get(task.worker());
         if (agent == null) {
             if (nowMillis >= endOfOldLeases(task.worker())) {
-                endSilently(task, null);
+                end(TaskEvent.Kind.RELEASE, task, null);
             }
             return;
         }
         if (agent.isLost()) {
-            endSilently(task, null);
+            end(TaskEvent.Kind.RELEASE, task, null);
             return;
         }
-        Heartbeat heartbeat = agent.getLast();
-        if (heartbeat.epoch().equals(epoch) && heartbeat.workerReady()) {
+        if (agent.isReportCurrent(epoch)) {
             endByReport(task, agent, bundle, nowMillis);
         }
     }
@@ -299,10 +302,6 @@
         return event;
     }
 
-    private void endSilently(TaskState task, String checkpoint) {
-        silentEndings.put(task.task(), end(TaskEvent.Kind.RELEASE, task, checkpoint));
-    }
-
     private boolean isSilent(VmId vm, AgentRecord agent, long nowMillis) {
         long end = agent.getGrantedMillis() + times.nodeMillis() + times.silentAgentMillis();
         // Until it has acknowledged this epoch it may still take leases of the old leader.
@@ -352,10 +351,12 @@
         List<Assignment> result = new ArrayList<>();
         for (TaskState task : state.getTasks()) {
             boolean here = task.isAssigned() && task.worker().equals(vm);
-            if (here
-                    && CellPlanner.isManaged(bundle, task.task())
-                    && !silentEndings.containsKey(task.task())) {
-                result.add(planner.assignment(task, bundle));
+            if (here && CellPlanner.isManaged(bundle, task.task())) {
+                // Given up, whatever the reason, it may only be stopped until the fold shows its
+                // end. Stopped before its start, neither agent nor worker would refuse it; kept in
+                // the list, the agent goes on to remember how it ended.
+                boolean givenUp = endings.containsKey(task.task());
+                result.add(planner.assignment(task, bundle, givenUp));
             }
         }
         return result;
--- a/src/main/java/org/standlink/leader/CellPlanner.java
+++ b/src/main/java/org/standlink/leader/CellPlanner.java
@@ -133,9 +133,10 @@
      *
      * @param task an assigned task of a managed job
      * @param bundle the bundle in force
+     * @param givenUp whether the end of the attempt is decided
      * @return the assignment
      */
-    Assignment assignment(TaskState task, Bundle bundle) {
+    Assignment assignment(TaskState task, Bundle bundle, boolean givenUp) {
         JobSpecification job = bundle.findJob(task.task().getJob()).orElseThrow();
         int urgency = job.urgency() == Urgency.URGENT ? URGENT_PRIORITY : 0;
         return new Assignment(
@@ -145,7 +146,7 @@
                 urgency + job.priority(),
                 job.runSeconds(),
                 task.checkpoint(),
-                orders.isStopping(task),
+                givenUp || orders.isStopping(task),
                 orders.getThrottle(task.task()));
     }
 
--- a/src/main/java/org/standlink/leader/LeaderService.java
+++ b/src/main/java/org/standlink/leader/LeaderService.java
@@ -288,7 +288,8 @@
 
     private void takeUp(CellState state, long readStart) {
         CellPlanner planner = new CellPlanner(cell, hourOfDay);
-        leader = new CellLeader(state.getEpoch(), incarnation, times, planner, readStart);
+        long claimed = clock.nowMillis();
+        leader = new CellLeader(state.getEpoch(), incarnation, times, planner, claimed, readStart);
         sequence = state.getSequence();
         announceUntilMillis = clock.nowMillis() + ANNOUNCE_MILLIS;
         snapshotMillis = readStart - retentionMillis;
--- a/src/main/java/org/standlink/leader/SelfLease.java
+++ b/src/main/java/org/standlink/leader/SelfLease.java
@@ -30,7 +30,8 @@
  * it does so only while it has read the log, or heard from more than half of the other agents,
  * within the length of a node lease. Once a successor has been acknowledged by so many of them that
  * no such half is left, the last lease that the old leader can have granted to itself ends two node
- * leases later.
+ * leases later. A heartbeat counts by when it was sent, as one that was long on its way says
+ * nothing of whom its agent follows now.
  *
  * <p>{@code SelfLease} is thread-safe and immutable.
  */
@@ -68,8 +69,7 @@
                         .filter(vm -> !vm.equals(self))
                         .map(agents::get)
                         .filter(agent -> agent != null && agent.isHeard())
-                        .filter(agent -> agent.getLast().epoch().equals(epoch))
-                        .filter(agent -> nowMillis - agent.getGrantedMillis() < times.nodeMillis())
+                        .filter(agent -> agent.hasFollowed(epoch, times.nodeMillis(), nowMillis))
                         .count();
         return heard > others / 2;
     }
--- a/src/main/java/org/standlink/log/LogFollower.java
+++ b/src/main/java/org/standlink/log/LogFollower.java
@@ -110,23 +110,44 @@
     }
 
     private void startAnew(long firstRetained) {
+        LogFold fresh = foldAnew(firstRetained);
+        synchronized (this) {
+            fold = fresh;
+            gap = true;
+        }
+    }
+
+    /**
+     * Folds the log from a later start, to where the fold in use has come at the least. What is
+     * read must never go back to the state of the snapshots: a leader would hand out anew what it
+     * gave up.
+     */
+    private LogFold foldAnew(long firstRetained) {
         LogFold fresh = new LogFold(firstRetained, listener);
         long from = firstRetained;
         long end = firstRetained + 1;
         while (from < end) {
             LogBatch batch = log.read(from, BATCH);
             if (batch.firstRetained() > from) {
-                startAnew(batch.firstRetained());
-                return;
+                return foldAnew(batch.firstRetained());
             }
             batch.entries().forEach(entry -> snapshotOf(entry).ifPresent(fresh::load));
             from += batch.entries().size();
             end = batch.end();
         }
-        synchronized (this) {
-            fold = fresh;
-            gap = true;
+        while (fresh.getNext() < end) {
+            LogBatch batch = log.read(fresh.getNext(), BATCH);
+            if (batch.firstRetained() > fresh.getNext()) {
+                return foldAnew(batch.firstRetained());
+            }
+            // What came since is folded later, as it may be a snapshot that fills a gap.
+            applyBefore(end, batch, fresh);
         }
+        return fresh;
+    }
+
+    private static void applyBefore(long end, LogBatch batch, LogFold fresh) {
+        batch.entries().stream().filter(entry -> entry.offset() < end).forEach(fresh::apply);
     }
 
     private int foldAll(LogBatch batch) {
