Failing test: the first report of an earlier process that comes after the present one's

Found by a model of an agent between leader and worker (trace: process 2 is heard first and given run 1, process 1's report of a lapse comes and gets the higher generation, run 1 is given up while it begins). Generations go by arrival, so they cannot tell which process is the later one. The tests' machines are named by the worker's address now, as two lives at one address are on one machine.

--- a/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
+++ b/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
@@ -99,7 +99,7 @@
     private void report(FakeChannel from, long agentRun, WorkerReport part) {
         AgentReport report =
                 new AgentReport(
-                        "node-" + part.worker().id(),
+                        "node-" + part.worker().address(),
                         "a:1",
                         Incarnation.of(agentRun),
                         ++sequence,
@@ -146,6 +146,20 @@
         assertEquals(List.of(), elsewhere.starts());
     }
 
+    @Test
+    public void aFirstReportOfAnEarlierProcessThatComesLateSaysNothing() {
+        FakeChannel earlier = new FakeChannel();
+        FakeChannel present = new FakeChannel();
+        report(present, 3, part(WORKER, false, List.of(), List.of()));
+        report(present, 3, part(WORKER, false, List.of(RUN), List.of()));
+        // Also if the present one has not been heard for a while.
+        loop.advance(2000);
+        report(elsewhere, 9, part(OTHER, false, List.of(), List.of()));
+        report(earlier, 2, part(WORKER, true, List.of(), List.of()));
+        loop.advance(100);
+        assertEquals(List.of(), elsewhere.starts());
+    }
+
     @Test
     public void aLateReportOfAnEarlierProcessDoesNotBringAnEarlierLifeBack() {
         FakeChannel present = new FakeChannel();
