--- a/src/test/java/org/standlink/simulation/SimulatedCallers.java
+++ b/src/test/java/org/standlink/simulation/SimulatedCallers.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.standlink.JobId;
@@ -99,7 +100,7 @@
                     if (taken) {
                         referee.cancelAcknowledged(job);
                     }
-                    return taken;
+                    return taken || isForgotten(job, answer);
                 });
     }
 
@@ -108,16 +109,22 @@
         return List.copyOf(accepted.values());
     }
 
-    /** Asks for the state of a job. */
-    void askState(JobId job, Consumer<JobState> then) {
+    /** A job that was accepted and is not known any more was final long ago. */
+    private boolean isForgotten(JobId job, JobAnswer answer) {
+        return accepted.containsKey(job) && answer.result() == JobAnswer.Result.NO_SUCH_JOB;
+    }
+
+    /** Asks for the state of a job that was accepted; none is told of one that is forgotten. */
+    void askState(JobId job, Consumer<Optional<JobState>> then) {
         ask(
                 new JobQuery(job, SimulatedCell.QUEUE),
                 answer -> {
                     boolean known = answer.result() == JobAnswer.Result.DONE;
-                    if (known) {
-                        then.accept(answer.state());
+                    boolean forgotten = isForgotten(job, answer);
+                    if (known || forgotten) {
+                        then.accept(Optional.ofNullable(answer.state()));
                     }
-                    return known;
+                    return known || forgotten;
                 });
     }
 
--- a/src/test/java/org/standlink/simulation/SimulatedCell.java
+++ b/src/test/java/org/standlink/simulation/SimulatedCell.java
@@ -32,7 +32,6 @@
 
     private static final int MOST_ATTEMPTS = 4;
     private static final int CORES = 3;
-    private static final CellTimes TIMES = new CellTimes(CellTimes.LONGEST_LEASE_MILLIS, 1_000_000);
     private static final Configuration CONFIGURATION =
             new Configuration(
                     1,
@@ -54,14 +53,21 @@
     private final Referee referee;
     private final FakeKeyedStore store = new FakeKeyedStore();
     private final StoreWeather weather;
+    private final CellTimes times;
     private final List<SimulatedLeader> leaders = new ArrayList<>();
     private final List<SimulatedLeader> gone = new ArrayList<>();
     private final List<SimulatedMachine> machines = new ArrayList<>();
     private final SimulatedCallers callers;
 
-    /** A cell of so many machines, whose workers guard their room or do not. */
+    /** A cell of so many machines that forgets no jobs. */
     SimulatedCell(World world, int count, boolean guarded) {
+        this(world, count, guarded, Integer.MAX_VALUE);
+    }
+
+    /** A cell of so many machines, whose workers guard their room or do not. */
+    SimulatedCell(World world, int count, boolean guarded, long statusMillis) {
         this.world = world;
+        this.times = new CellTimes(CellTimes.LONGEST_LEASE_MILLIS, statusMillis);
         this.referee = new Referee(world);
         this.weather = new StoreWeather(world);
         this.callers = new SimulatedCallers(world, referee, this::newestLeader);
@@ -118,7 +124,7 @@
                         Epoch.of(leaders.size() + 1),
                         store,
                         weather,
-                        TIMES,
+                        times,
                         CONFIGURATION,
                         this::newestNotice);
         leaders.add(made);
--- a/src/test/java/org/standlink/simulation/SimulatedDay.java
+++ b/src/test/java/org/standlink/simulation/SimulatedDay.java
@@ -19,6 +19,7 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Optional;
 import org.standlink.JobId;
 import org.standlink.job.JobDefinition;
 import org.standlink.job.JobState;
@@ -35,12 +36,17 @@
     /** How long a task that lasts may take to run again after an end. */
     private static final long AGAIN_MILLIS = 6000;
 
+    /** How long final jobs are known: on some days so short that they are forgotten. */
+    private static final long SHORT_STATUS_MILLIS = 15_000;
+
+    private static final long LONG_STATUS_MILLIS = 1_000_000;
+
     private static final int MOST_LASTING = 5;
 
     private final World world;
     private final SimulatedCell cell;
     private final List<Fault> faults;
-    private final Map<JobId, JobState> states = new HashMap<>();
+    private final Map<JobId, Optional<JobState>> states = new HashMap<>();
 
     SimulatedDay(long seed) {
         this(seed, FaultPlan.draw(seed, MACHINES, BEGIN_MILLIS + 1000, FAULTS_MILLIS));
@@ -49,7 +55,8 @@
     SimulatedDay(long seed, List<Fault> faults) {
         this.world = new World(seed);
         this.faults = faults;
-        this.cell = new SimulatedCell(world, MACHINES, seed % 3 == 0);
+        long statusMillis = seed % 4 == 0 ? SHORT_STATUS_MILLIS : LONG_STATUS_MILLIS;
+        this.cell = new SimulatedCell(world, MACHINES, seed % 3 == 0, statusMillis);
     }
 
     List<Fault> getFaults() {
@@ -119,31 +126,32 @@
     }
 
     private void judge(JobDefinition job, List<TaskName> idle) {
-        JobState state = states.get(job.id());
-        if (state == null) {
+        Optional<JobState> told = states.get(job.id());
+        List<TaskName> tasks = SimulatedCallers.tasks(job);
+        boolean cancelled = cell.getReferee().isCancelled(job.id());
+        boolean done = tasks.stream().allMatch(cell.getReferee()::isWellEnded);
+        boolean atWork = tasks.stream().anyMatch(cell.getReferee()::isAtWork);
+        if (told == null) {
             cell.getReferee().blame("STUCK the state of " + job.id() + " is not told");
             return;
         }
-        boolean cancelled = cell.getReferee().isCancelled(job.id());
-        if (cancelled && !state.isFinal()) {
+        JobState state = told.orElse(null);
+        boolean open = state != null && !state.isFinal();
+        if (open && cancelled) {
             cell.getReferee().blame("STUCK " + job.id() + " is " + state + " though cancelled");
-        }
-        List<TaskName> tasks = SimulatedCallers.tasks(job);
-        if (!state.isFinal()) {
-            boolean stuck =
-                    job.steps().get(0).longRunning()
-                            ? tasks.stream().anyMatch(idle::contains)
-                            : idle.containsAll(tasks);
-            if (stuck) {
-                cell.getReferee().blame("STUCK " + job.id() + " is " + state);
-            }
-        }
-        boolean done = tasks.stream().allMatch(cell.getReferee()::isWellEnded);
-        if (state == JobState.COMPLETED && !done) {
+        } else if (open && isIdle(job, tasks, idle)) {
+            cell.getReferee().blame("STUCK " + job.id() + " is " + state);
+        } else if (state == JobState.COMPLETED && !done) {
             cell.getReferee().blame("UNDONE " + job.id() + " is " + state);
-        }
-        if (state.isFinal() && tasks.stream().anyMatch(cell.getReferee()::isAtWork)) {
+        } else if (!open && atWork) {
             cell.getReferee().blame("STRAY " + job.id() + " is " + state + " and at work");
         }
     }
+
+    /** A job that lasts is to have all tasks at work, another one any. */
+    private static boolean isIdle(JobDefinition job, List<TaskName> tasks, List<TaskName> idle) {
+        return job.steps().get(0).longRunning()
+                ? tasks.stream().anyMatch(idle::contains)
+                : idle.containsAll(tasks);
+    }
 }
--- a/src/test/java/org/standlink/simulation/WorkerPath.java
+++ b/src/test/java/org/standlink/simulation/WorkerPath.java
@@ -30,6 +30,7 @@
 final class WorkerPath implements WorkerCalls {
 
     private static final long CALL_MILLIS = 500;
+    private static final int UNWELL_PERCENT = 25;
     private static final long FIRST_LATE_MILLIS = 2000;
     private static final long LAST_LATE_MILLIS = 12_000;
 
@@ -63,7 +64,10 @@
         doneAfterMillis = lateMillis;
     }
 
-    /** Calls may stay without an answer for a while, and be done at once, late or not at all. */
+    /**
+     * Calls may stay without an answer for a while, and be done at once, late or not at all; or the
+     * worker says that it is unwell, and does nothing.
+     */
     void unsure(long millis, int percent) {
         unsureUntil = Math.max(unsureUntil, world.now() + millis);
         unsurePercent = percent;
@@ -106,7 +110,7 @@
                         isOther(to)
                                 ? CompletableFuture.completedFuture(unheard(otherLife()))
                                 : life.renew(until, fence.toToken(), recordedEnd, waitMillis),
-                unheard(unknown()),
+                WorkerPath::unheard,
                 CALL_MILLIS + waitMillis);
     }
 
@@ -118,16 +122,17 @@
                 late ->
                         CompletableFuture.completedFuture(
                                 isOther(to) ? otherLife() : effect.apply(late)),
-                unknown(),
+                result -> result,
                 CALL_MILLIS);
     }
 
     private <T> CompletableFuture<T> call(
             String name,
             Function<Boolean, CompletableFuture<T>> effect,
-            T unheard,
+            Function<CallResult, T> failed,
             long timeoutMillis) {
         CompletableFuture<T> answer = new CompletableFuture<>();
+        T unheard = failed.apply(unknown());
         world.later(timeoutMillis, () -> answer.complete(unheard));
         boolean silent = silentUntil > world.now();
         boolean unsure = unsureUntil > world.now() && world.chance(unsurePercent);
@@ -135,6 +140,11 @@
             world.later(world.draw(1, 4), () -> doNow(name, effect, unheard, answer));
             return answer;
         }
+        if (unsure && !silent && world.chance(UNWELL_PERCENT)) {
+            T unwell = failed.apply(new CallResult(CallResult.Kind.UNWELL, -1, "simulated"));
+            world.later(world.draw(2, 8), () -> answer.complete(unwell));
+            return answer;
+        }
         long fate = world.draw(0, 3);
         if (silent && doneAfterMillis >= 0) {
             world.later(doneAfterMillis, () -> doLate(name, effect, true));
