Tell the later process of an agent by its channel, not by who was heard first

Cause: the leader took a process that it had not heard before for the newest, however old its report. Processes of one machine's agent follow one another, so the one whose channel was accepted later is the later one; a report over an older channel of another process says nothing any more. That needs no time window and no addresses of workers. An agent of another machine that does not reach a worker which is heard elsewhere says nothing of its runs either; the leader's book is prolonged for it all the same, as it is granted a lease.

--- a/src/main/java/org/standlink/cell/AgentBoard.java
+++ b/src/main/java/org/standlink/cell/AgentBoard.java
@@ -20,9 +20,9 @@
 import org.standlink.Epoch;
 import org.standlink.Incarnation;
 import org.standlink.LeaseGeneration;
-import org.standlink.job.WorkerDescription;
 import org.standlink.process.EventLog;
 import org.standlink.wire.AgentReport;
+import org.standlink.wire.WorkerReport;
 
 /**
  * The agents that were heard, and the generation of each one's lease.
@@ -50,6 +50,9 @@
     /** The agents. */
     private final Map<Incarnation, Entry> agents = new HashMap<>();
 
+    /** The process of each machine's agent that was started last, by the machine's name. */
+    private final Map<String, Incarnation> present = new HashMap<>();
+
     /** The last generation that was given; no two leases share one. */
     private LeaseGeneration last = LeaseGeneration.NONE;
 
@@ -59,6 +62,9 @@
         /** The generation of its lease. */
         private LeaseGeneration generation;
 
+        /** The highest number of a channel that it opened. */
+        private long channel;
+
         /** The number of its last report. */
         private long sequence;
 
@@ -81,16 +87,24 @@
      * Takes note of a report.
      *
      * @param report the report
+     * @param channel the number of the channel that it came over
      * @param now the time on the leader's clock, in milliseconds
-     * @return false if a later report has come before, so that this one says nothing any more
+     * @return false if a later report, or a later process of the agent, has been heard before, so
+     *     that this one says nothing any more
      */
-    boolean accept(AgentReport report, long now) {
+    boolean accept(AgentReport report, long channel, long now) {
+        if (isOvertaken(report, channel)) {
+            LOG.info("overtaken-agent").with("node", report.node()).write();
+            return false;
+        }
         Entry agent = agents.computeIfAbsent(report.incarnation(), key -> new Entry());
         if (report.sequence() <= agent.sequence) {
             LOG.info("late-report").with("node", report.node()).write();
             return false;
         }
+        present.put(report.node(), report.incarnation());
         agent.sequence = report.sequence();
+        agent.channel = Math.max(agent.channel, channel);
         agent.heardAt = now;
         boolean asks = report.refused() && report.generation().equals(agent.generation);
         if (agent.generation == null || asks) {
@@ -100,29 +114,32 @@
     }
 
     /**
-     * Checks whether a worker, or the present life at its address, has a newer agent. What an
-     * earlier process has reported says nothing then: not of refusals and lapses, nor of which life
-     * it is.
+     * Checks whether another process of the agent has opened its channel later. Its processes
+     * follow one another, so that this one has ended; which of two was heard first says nothing.
+     */
+    private boolean isOvertaken(AgentReport report, long channel) {
+        Incarnation newest = present.get(report.node());
+        Entry entry = agents.get(newest);
+        return entry != null && !report.incarnation().equals(newest) && channel < entry.channel;
+    }
+
+    /**
+     * Checks whether an agent that does not reach a worker tells of it while another one does. The
+     * worker has moved there, so that its silence here says nothing of what runs.
      *
      * @param agent the run of the agent that reports
-     * @param told what it says of the worker
+     * @param part what it reports of the worker
      * @param now the time on the leader's clock, in milliseconds
-     * @return true if an agent of a higher generation looks after what is there
+     * @return true if another agent looks after the worker
      */
-    boolean isOvertaken(Incarnation agent, WorkerDescription told, long now) {
-        LeaseGeneration generation = getGeneration(agent);
-        return workers.getWorkers().stream()
-                .filter(
-                        one ->
-                                one.getId().equals(told.id())
-                                        || one.getAddress().equals(told.address()))
-                .filter(one -> now - one.getHeardAt() < WorkerBoard.SILENT_MILLIS)
-                .map(WorkerEntry::getAgent)
-                .anyMatch(
-                        present ->
-                                present != null
-                                        && !present.equals(agent)
-                                        && getGeneration(present).isAfter(generation));
+    boolean isElsewhere(Incarnation agent, WorkerReport part, long now) {
+        WorkerEntry worker = workers.find(part.worker().id());
+        return worker != null
+                && !part.reachable()
+                && worker.isReachable()
+                && worker.getAgent() != null
+                && !worker.getAgent().equals(agent)
+                && now - worker.getHeardAt() < WorkerBoard.SILENT_MILLIS;
     }
 
     /**
@@ -167,5 +184,6 @@
      */
     void forgetSilent(long now) {
         agents.values().removeIf(agent -> now - agent.heardAt > FORGET_MILLIS);
+        present.values().retainAll(agents.keySet());
     }
 }
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -113,19 +113,15 @@
      * @return false if a later report has come before, so that nothing was done
      */
     boolean handle(MessageChannel connection, AgentReport report, long leaseUntil) {
-        if (!agents.accept(report, clock.nowMillis())) {
+        if (!agents.accept(report, connection.getNumber(), clock.nowMillis())) {
             return false;
         }
         for (WorkerReport part : report.workers()) {
-            if (agents.isOvertaken(report.incarnation(), part.worker(), clock.nowMillis())) {
-                LOG.info("overtaken-agent")
-                        .with("node", report.node())
-                        .with("worker", part.worker().id())
-                        .write();
-                continue;
-            }
             WorkerEntry worker = workers.get(part.worker().id(), leaseUntil);
             worker.prolong(leaseUntil);
+            if (agents.isElsewhere(report.incarnation(), part, clock.nowMillis())) {
+                continue;
+            }
             boolean first = worker.getDescription() == null;
             worker.heard(part.worker(), connection, part.reachable(), clock.nowMillis());
             worker.setAgent(report.incarnation());
--- a/src/test/java/org/standlink/cell/FakeChannel.java
+++ b/src/test/java/org/standlink/cell/FakeChannel.java
@@ -19,6 +19,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.concurrent.atomic.AtomicLong;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
 import org.standlink.job.RunId;
@@ -39,6 +40,9 @@
         CLOSED
     }
 
+    private static final AtomicLong LAST_NUMBER = new AtomicLong();
+
+    private final long number = LAST_NUMBER.incrementAndGet();
     private final List<RunOrders> orders = new ArrayList<>();
     private final Map<Long, Message> answers = new LinkedHashMap<>();
     private Mode mode = Mode.OPEN;
@@ -82,6 +86,11 @@
         }
     }
 
+    @Override
+    public long getNumber() {
+        return number;
+    }
+
     @Override
     public void answer(long call, Message message) {
         if (mode == Mode.OPEN) {
--- a/src/test/java/org/standlink/cell/TestAgentBoard.java
+++ b/src/test/java/org/standlink/cell/TestAgentBoard.java
@@ -51,7 +51,7 @@
     }
 
     private boolean accept(Incarnation agent, long sequence) {
-        return agents.accept(report(agent, sequence, LeaseGeneration.NONE, false), 0);
+        return agents.accept(report(agent, sequence, LeaseGeneration.NONE, false), 1, 0);
     }
 
     @Test
@@ -63,6 +63,17 @@
         assertTrue(accept(OTHER, 1), "each run of an agent counts for itself");
     }
 
+    @Test
+    public void aProcessThatALaterOneHasOvertakenIsPassedOver() {
+        AgentReport present = report(AGENT, 1, LeaseGeneration.NONE, false);
+        AgentReport earlier = report(OTHER, 1, LeaseGeneration.NONE, false);
+        assertTrue(agents.accept(present, 8, 0));
+        assertFalse(
+                agents.accept(earlier, 7, 0), "its channel is older, though heard for the first");
+        assertTrue(agents.accept(earlier, 9, 0), "a newer channel is that of a later process");
+        assertFalse(agents.accept(report(AGENT, 2, LeaseGeneration.NONE, false), 8, 0));
+    }
+
     @Test
     public void noTwoLeasesShareAGeneration() {
         accept(AGENT, 1);
@@ -79,10 +90,10 @@
     public void anAgentWhoseWorkerHasSeenMoreGetsAHigherGenerationOnce() {
         accept(AGENT, 1);
         LeaseGeneration first = agents.getGeneration(AGENT);
-        agents.accept(report(AGENT, 2, first, true), 0);
+        agents.accept(report(AGENT, 2, first, true), 1, 0);
         LeaseGeneration second = agents.getGeneration(AGENT);
         assertTrue(second.isAfter(first));
-        agents.accept(report(AGENT, 3, first, true), 0);
+        agents.accept(report(AGENT, 3, first, true), 1, 0);
         assertEquals(second, agents.getGeneration(AGENT), "the answer was lost or is on its way");
     }
 
--- a/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
+++ b/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
@@ -97,9 +97,13 @@
     }
 
     private void report(FakeChannel from, long agentRun, WorkerReport part) {
+        report("node-" + part.worker().address(), from, agentRun, part);
+    }
+
+    private void report(String node, FakeChannel from, long agentRun, WorkerReport part) {
         AgentReport report =
                 new AgentReport(
-                        "node-" + part.worker().address(),
+                        node,
                         "a:1",
                         Incarnation.of(agentRun),
                         ++sequence,
@@ -160,6 +164,15 @@
         assertEquals(List.of(), elsewhere.starts());
     }
 
+    @Test
+    public void anAgentThatAWorkerHasLeftDoesNotGiveUpWhatRunsThere() {
+        FakeChannel moved = new FakeChannel();
+        report("another machine", moved, 3, part(WORKER, false, List.of(RUN), List.of()));
+        report(agent, 1, part(WORKER, true, List.of(), List.of()));
+        loop.advance(100);
+        assertEquals(List.of(), elsewhere.starts());
+    }
+
     @Test
     public void aLateReportOfAnEarlierProcessDoesNotBringAnEarlierLifeBack() {
         FakeChannel present = new FakeChannel();
--- a/src/test/java/org/standlink/cell/TestReportDesk.java
+++ b/src/test/java/org/standlink/cell/TestReportDesk.java
@@ -64,6 +64,7 @@
                     clock,
                     new FigureDesk(board, clock, new HarmTable()));
     private List<TaskEntry> tasks;
+    private final FakeChannel channel = new FakeChannel();
     private long sequence;
 
     @BeforeEach
@@ -100,7 +101,7 @@
                         false,
                         List.of(part),
                         List.of());
-        reports.handle(null, report, clock.nowMillis() + 6000);
+        reports.handle(channel, report, clock.nowMillis() + 6000);
     }
 
     private RunEnd done(int number) {
@@ -174,7 +175,7 @@
                         other, true, false, true, List.of(), List.of(), List.of(), List.of(),
                         List.of());
         next.handle(
-                null,
+                new FakeChannel(),
                 new AgentReport(
                         "node",
                         "a:1",
@@ -194,7 +195,7 @@
     public void aWorkerWhoseLifeIsOverKeepsNothing() {
         WorkerId id = WORKER.id();
         reports.handle(
-                null,
+                new FakeChannel(),
                 new AgentReport(
                         "node",
                         "a:1",
--- a/src/test/java/org/standlink/simulation/SimulatedCallers.java
+++ b/src/test/java/org/standlink/simulation/SimulatedCallers.java
@@ -156,6 +156,11 @@
             this.taker = taker;
         }
 
+        @Override
+        public long getNumber() {
+            return 0;
+        }
+
         @Override
         public void send(Message unasked) {}
 
