--- a/src/test/java/org/standlink/simulation/FaultDesk.java
+++ b/src/test/java/org/standlink/simulation/FaultDesk.java
@@ -17,30 +17,12 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Random;
 
-/** Draws the faults of a day and lets them happen. */
+/** Lets the faults of a day happen. */
 final class FaultDesk {
 
-    /** How long authority and a lease take together, with some time before and after. */
-    private static final long FIRST_LAPSE_MILLIS = 8400;
-
-    private static final long LAST_LAPSE_MILLIS = 9800;
-    private static final long LONGEST_MILLIS = 10_000;
+    private static final long CUT_OFF_MILLIS = 20_000;
     private static final long LEAVE_MILLIS = 3000;
-    private static final int MOST_FAULTS = 16;
-
-    /** The forms of days: with few faults, with a burst, with clusters at one machine each. */
-    private static final int FORMS = 5;
-
-    private static final int FEW_FORM = 0;
-    private static final int BURST_FORM = 1;
-    private static final int LAST_CLUSTER_FORM = 3;
-    private static final long CLUSTER_MILLIS = 11_000;
-    private static final long TOGETHER_MILLIS = 5000;
-    private static final int MOST_IN_CLUSTER = 6;
-    private static final int FEW_FAULTS = 3;
-    private static final long BURST_MILLIS = 6000;
 
     private final World world;
     private final SimulatedCell cell;
@@ -50,73 +32,6 @@
         this.world = cell.getWorld();
     }
 
-    /** Draws the faults of one day. */
-    static List<Fault> draw(long seed, int machines, long from, long until) {
-        Random random = new Random(seed * 31 + 7);
-        List<Fault> faults = new ArrayList<>();
-        Fault.Kind[] kinds = Fault.Kind.values();
-        int form = (int) (seed % FORMS);
-        if (form == FEW_FORM) {
-            add(
-                    faults,
-                    random,
-                    kinds,
-                    -1,
-                    machines,
-                    1 + random.nextInt(FEW_FAULTS),
-                    new Span(from, until));
-        } else if (form == BURST_FORM) {
-            long begin = from + random.nextInt((int) (until - from - BURST_MILLIS));
-            int count = 3 + random.nextInt(MOST_FAULTS - 2);
-            add(faults, random, kinds, -1, machines, count, new Span(begin, begin + BURST_MILLIS));
-        } else if (form <= LAST_CLUSTER_FORM) {
-            for (long begin = from; begin < until; begin += CLUSTER_MILLIS) {
-                int count = 2 + random.nextInt(MOST_IN_CLUSTER - 1);
-                int machine = random.nextInt(machines);
-                Fault.Kind[] near = Fault.Kind.ofMachines();
-                add(
-                        faults,
-                        random,
-                        near,
-                        machine,
-                        machines,
-                        count,
-                        new Span(begin, begin + TOGETHER_MILLIS));
-            }
-        } else {
-            int count = 3 + random.nextInt(MOST_FAULTS - 2);
-            add(faults, random, kinds, -1, machines, count, new Span(from, until));
-        }
-        return faults;
-    }
-
-    /** A stretch of the day, in milliseconds from its begin. */
-    private record Span(long from, long until) {}
-
-    /** Draws faults of one machine, or of all if the number is negative. */
-    private static void add(
-            List<Fault> faults,
-            Random random,
-            Fault.Kind[] kinds,
-            int machine,
-            int machines,
-            int count,
-            Span span) {
-        for (int i = 0; i < count; i++) {
-            long at = span.from() + random.nextInt((int) (span.until() - span.from()));
-            Fault.Kind kind = kinds[random.nextInt(kinds.length)];
-            long millis = 300 + random.nextInt((int) LONGEST_MILLIS - 300);
-            if (random.nextInt(4) == 0) {
-                long lapses = LAST_LAPSE_MILLIS - FIRST_LAPSE_MILLIS;
-                millis = FIRST_LAPSE_MILLIS + random.nextInt((int) lapses);
-            } else if (random.nextBoolean()) {
-                millis /= 4;
-            }
-            int where = machine < 0 ? random.nextInt(machines) : machine;
-            faults.add(new Fault(at, kind, where, millis, random.nextInt(1000)));
-        }
-    }
-
     /** Lets all faults happen in their time. */
     void schedule(List<Fault> faults) {
         faults.forEach(fault -> world.later(fault.at() - world.elapsed(), () -> begin(fault)));
@@ -134,6 +49,7 @@
             case STORE_CUT -> cell.newestLeader().getStore().getOwn().away(fault.millis());
             case LEADER_REPLACED -> replaceLeader(fault);
             case LEADER_OVERTAKEN -> overtakeLeader(fault);
+            case LEADER_CUT_OFF -> cutLeaderOff(fault);
             case LEADER_CRASH -> crashLeader(fault);
             case LEADER_FROZEN ->
                     cell.newestLeader().freeze(fault.millis(), fault.choice() % 2 == 0);
@@ -206,6 +122,11 @@
             return;
         }
         machine.endAgent();
+        if (fault.choice() % 3 == 0) {
+            // The new process hears of its worker hardly more than that it is there.
+            world.later(
+                    world.draw(20, 700), () -> machine.getPath().silence(world.draw(500, 5000)));
+        }
         long pause = fault.choice() % 2 == 0 ? 50 : Math.min(fault.millis(), 8000);
         world.later(
                 pause,
@@ -231,6 +152,14 @@
         }
     }
 
+    /** The one before grants for as long as it may, and some agents hear of no other for longer. */
+    private void cutLeaderOff(Fault fault) {
+        if (!cell.isLeaderless()) {
+            cell.newestLeader().getStore().getOwn().away(CUT_OFF_MILLIS);
+            world.later(Math.min(fault.millis(), 1500), () -> replaceLeader(fault));
+        }
+    }
+
     private void crashLeader(Fault fault) {
         if (!cell.isLeaderless()) {
             cell.crashLeader();
@@ -247,6 +176,7 @@
 
     private void announce(Fault fault) {
         long longest = fault.choice() % 4 == 0 ? 8000 : 1500;
+        longest = fault.kind() == Fault.Kind.LEADER_CUT_OFF ? CUT_OFF_MILLIS : longest;
         for (SimulatedMachine machine : cell.getMachines()) {
             long pause = world.draw(0, longest);
             cell.getReferee().impaired(pause);
