Late reports of an earlier process: right nodes, and a new leader

The test of the earlier life named another machine than the earlier process had, and the one of the run at work asked before the list with it had come; both would have failed a right mend. Agents in TestOvertakenDecisions now name the fence that they were granted.

--- a/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
+++ b/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
@@ -19,20 +19,23 @@
 import static org.junit.jupiter.api.Assertions.assertFalse;
 
 import java.util.ArrayList;
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
+import org.standlink.Fence;
 import org.standlink.Incarnation;
-import org.standlink.LeaseGeneration;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
 import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
 import org.standlink.store.FakeKeyedStore;
+import org.standlink.wire.AgentGrant;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.StartRefusal;
 import org.standlink.wire.SubmitJob;
@@ -59,13 +62,23 @@
     private final FakeChannel agent = new FakeChannel();
     private final FakeChannel elsewhere = new FakeChannel();
     private CellLeader leader;
+    private final Map<Long, Fence> fences = new HashMap<>();
     private long sequence;
 
     @BeforeEach
     public void begin() {
-        leader =
+        leader = lead(1);
+        report(agent, 1, part(WORKER, false, List.of(), List.of()));
+        leader.handle(entry, 1, new SubmitJob(CellFixtures.job("a", 1)));
+        loop.advance(50);
+        assertEquals(List.of(RUN), agent.starts());
+        report(elsewhere, 9, part(OTHER, false, List.of(), List.of()));
+    }
+
+    private CellLeader lead(long epoch) {
+        CellLeader next =
                 new CellLeader(
-                        Epoch.of(1),
+                        Epoch.of(epoch),
                         store,
                         new CellTimes(6000, 120_000),
                         clock,
@@ -73,13 +86,9 @@
                         () -> CellFixtures.CONFIGURATION,
                         loop,
                         () -> {});
-        leader.start();
+        next.start();
         loop.advance(20);
-        report(agent, 1, part(WORKER, false, List.of(), List.of()));
-        leader.handle(entry, 1, new SubmitJob(CellFixtures.job("a", 1)));
-        loop.advance(50);
-        assertEquals(List.of(RUN), agent.starts());
-        report(elsewhere, 9, part(OTHER, false, List.of(), List.of()));
+        return next;
     }
 
     private static WorkerReport part(
@@ -96,20 +105,33 @@
                 List.of());
     }
 
+    /** Reports, and once more if the answer names another fence than the report did. */
     private void report(FakeChannel from, long agentRun, WorkerReport part) {
+        Fence named = fences.getOrDefault(agentRun, Fence.NONE);
+        reportOnce(from, agentRun, part);
+        if (!fences.getOrDefault(agentRun, Fence.NONE).equals(named)) {
+            reportOnce(from, agentRun, part);
+        }
+    }
+
+    private void reportOnce(FakeChannel from, long agentRun, WorkerReport part) {
+        Fence known = fences.getOrDefault(agentRun, Fence.NONE);
         AgentReport report =
                 new AgentReport(
-                        "node-" + part.worker().id(),
+                        agentRun < 9 ? "node" : "elsewhere",
                         "a:1",
                         Incarnation.of(agentRun),
                         ++sequence,
-                        Epoch.of(1),
-                        LeaseGeneration.of(1),
+                        known.getEpoch(),
+                        known.getGeneration(),
                         false,
                         List.of(part),
                         List.of());
         leader.handle(from, sequence, report);
         loop.advance(20);
+        if (from.findAnswer(sequence) instanceof AgentGrant grant) {
+            fences.put(agentRun, Fence.of(grant.epoch(), grant.generation()));
+        }
     }
 
     @Test
@@ -131,7 +153,7 @@
         FakeChannel present = new FakeChannel();
         report(present, 2, part(WORKER, false, List.of(), List.of()));
         report(present, 2, part(WORKER, false, List.of(RUN), List.of()));
-        report(agent, 1, part(WORKER, false, List.of(), List.of(RUN)));
+        reportOnce(agent, 1, part(WORKER, false, List.of(), List.of(RUN)));
         loop.advance(100);
         assertEquals(List.of(), elsewhere.starts());
     }
@@ -141,13 +163,24 @@
         FakeChannel present = new FakeChannel();
         report(present, 2, part(WORKER, false, List.of(), List.of()));
         report(present, 2, part(WORKER, false, List.of(RUN), List.of()));
-        report(agent, 1, part(WORKER, true, List.of(), List.of()));
+        reportOnce(agent, 1, part(WORKER, true, List.of(), List.of()));
         loop.advance(100);
         assertEquals(List.of(), elsewhere.starts());
     }
 
     @Test
     public void aLateReportOfAnEarlierProcessDoesNotBringAnEarlierLifeBack() {
+        bringEarlierLifeBack();
+    }
+
+    @Test
+    public void aLateReportOfAnEarlierProcessSaysNothingToANewLeaderEither() {
+        leader = lead(2);
+        report(elsewhere, 9, part(OTHER, false, List.of(), List.of()));
+        bringEarlierLifeBack();
+    }
+
+    private void bringEarlierLifeBack() {
         FakeChannel present = new FakeChannel();
         WorkerDescription next =
                 new WorkerDescription(
@@ -166,7 +199,7 @@
         loop.advance(50);
         List<RunId> told = present.starts();
         assertFalse(told.isEmpty());
-        report(agent, 1, part(WORKER, false, List.of(RUN), List.of()));
+        reportOnce(agent, 1, part(WORKER, false, List.of(RUN), List.of()));
         loop.advance(100);
         List<RunId> starts = new ArrayList<>(agent.starts());
         starts.addAll(elsewhere.starts());
--- a/src/test/java/org/standlink/runner/TestOldAnswers.java
+++ b/src/test/java/org/standlink/runner/TestOldAnswers.java
@@ -177,7 +177,7 @@
     @Test
     public void aRunAtWorkSinceAnEarlierProcessIsNotGivenBackByAWorkerThatIsUnwell() {
         worker.running = List.of(new RunProgress(RUN, "", 10, 0));
-        loop.advance(500);
+        loop.advance(1000);
         worker.starts = CallResult.Kind.UNWELL;
         order();
         loop.advance(50);
