--- a/src/test/java/org/standlink/simulation/TestCellSimulation.java
+++ b/src/test/java/org/standlink/simulation/TestCellSimulation.java
@@ -38,6 +38,7 @@
 public class TestCellSimulation {
 
     private static final int USUAL_SEEDS = 150;
+    private static final long REPEATED_SEED = 7;
     private static final int FEWEST_STARTS = 5;
 
     @Test
@@ -66,6 +67,15 @@
         assertEquals(0, red.size(), () -> "of " + count + told);
     }
 
+    @Test
+    public void aDayIsTheSameEachTime() {
+        SimulatedDay first = new SimulatedDay(REPEATED_SEED);
+        SimulatedDay second = new SimulatedDay(REPEATED_SEED);
+        first.play();
+        second.play();
+        assertEquals(first.getNotes(), second.getNotes());
+    }
+
     /** Leaves out one fault after the other as long as the day still shows what it showed. */
     private static void trace(long seed) throws IOException {
         List<Fault> faults = new ArrayList<>(new SimulatedDay(seed).getFaults());
