--- /dev/null
+++ b/src/test/java/org/standlink/runner/TestAgentReports.java
@@ -0,0 +1,266 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.FakeLoop;
+import org.standlink.Fence;
+import org.standlink.Incarnation;
+import org.standlink.LeaseGeneration;
+import org.standlink.Resources;
+import org.standlink.election.LeaderCalls;
+import org.standlink.election.LeaderObserver;
+import org.standlink.job.RunId;
+import org.standlink.job.TaskName;
+import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
+import org.standlink.wire.AgentGrant;
+import org.standlink.wire.AgentReport;
+import org.standlink.wire.LeaderNotice;
+import org.standlink.wire.Message;
+import org.standlink.wire.RunOrders;
+import org.standlink.wire.StartOrder;
+
+/** Tests when an agent reports, and what it does with the leader's answers. */
+public class TestAgentReports {
+
+    private static final WorkerId ID = WorkerId.parse("i-1");
+    private static final RunId RUN = new RunId(TaskName.parse("j.0.0.0"), 1);
+    private static final WorkerDescription WORKER =
+            new WorkerDescription(
+                    ID, "s", "10.0.0.1:1", new Resources(1000, 100, 0), List.of(), false, 0);
+    private static final long LEASE_MILLIS = 6000;
+    private static final long READING_MILLIS = 60;
+
+    private final FakeClock clock = new FakeClock();
+    private final FakeLoop loop = new FakeLoop(clock);
+    private final Leader leader = new Leader();
+    private final Worker worker = new Worker();
+    private final AgentNode agent =
+            new AgentNode(
+                    "vm",
+                    "10.0.0.1:2",
+                    Incarnation.of(1),
+                    leader,
+                    worker,
+                    clock,
+                    loop,
+                    new Nobody());
+
+    /** Hears nothing of a leader. */
+    private static final class Nobody implements LeaderObserver {
+
+        @Override
+        public void leaderAnswered(long storeSilentMillis) {}
+
+        @Override
+        public void leaderGone() {}
+    }
+
+    /** A leader that answers after 2 ms as the test says. */
+    private final class Leader implements LeaderCalls {
+
+        private final List<AgentReport> reports = new ArrayList<>();
+        private LeaderNotice notice = new LeaderNotice(Epoch.of(1), "10.0.0.9:2");
+        private LeaseGeneration generation = LeaseGeneration.of(1);
+        private long lease = LEASE_MILLIS;
+        private boolean silent;
+
+        @Override
+        public void offer(LeaderNotice told, String source) {
+            notice = told;
+        }
+
+        @Override
+        public LeaderNotice getLeader() {
+            return notice;
+        }
+
+        @Override
+        public CompletableFuture<Message> call(Message message, long timeoutMillis) {
+            reports.add((AgentReport) message);
+            CompletableFuture<Message> answer = new CompletableFuture<>();
+            AgentGrant grant = new AgentGrant(notice.epoch(), generation, lease, 0, List.of());
+            if (silent) {
+                loop.schedule(
+                        () -> {
+                            answer.completeExceptionally(new TimeoutException());
+                        },
+                        timeoutMillis,
+                        TimeUnit.MILLISECONDS);
+            } else {
+                loop.schedule(
+                        () -> {
+                            answer.complete(grant);
+                        },
+                        2,
+                        TimeUnit.MILLISECONDS);
+            }
+            return answer;
+        }
+
+        private AgentReport last() {
+            return reports.get(reports.size() - 1);
+        }
+    }
+
+    /** A worker that does what it is told. */
+    private final class Worker implements WorkerCalls {
+
+        private final List<Fence> starts = new ArrayList<>();
+        private boolean refuses;
+
+        private CompletableFuture<CallResult> result(CallResult.Kind kind) {
+            return CompletableFuture.completedFuture(
+                    new CallResult(kind, clock.nowMillis(), "scripted"));
+        }
+
+        @Override
+        public CompletableFuture<CallResult> start(
+                WorkerDescription to, StartOrder order, long until, Fence fence) {
+            starts.add(fence);
+            return result(CallResult.Kind.DONE);
+        }
+
+        @Override
+        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Fence fence) {
+            return result(CallResult.Kind.DONE);
+        }
+
+        @Override
+        public CompletableFuture<RenewalResult> renew(
+                WorkerDescription to, long until, Fence fence, long recorded, long waitMillis) {
+            CallResult.Kind kind = refuses ? CallResult.Kind.FENCED : CallResult.Kind.DONE;
+            CompletableFuture<RenewalResult> answer = new CompletableFuture<>();
+            loop.schedule(
+                    () -> {
+                        answer.complete(
+                                new RenewalResult(result(kind).join(), List.of(), List.of()));
+                    },
+                    Math.max(5, waitMillis),
+                    TimeUnit.MILLISECONDS);
+            return answer;
+        }
+
+        @Override
+        public CompletableFuture<CallResult> throttle(
+                WorkerDescription to, RunId run, int percent, Fence fence) {
+            return result(CallResult.Kind.DONE);
+        }
+    }
+
+    @BeforeEach
+    public void start() {
+        agent.start();
+        agent.heartbeat(WORKER, 1);
+    }
+
+    private void order(long generation) {
+        StartOrder order = new StartOrder(RUN, "text", "", false, 0, "");
+        agent.handle(
+                null,
+                0,
+                new RunOrders(
+                        Epoch.of(1),
+                        LeaseGeneration.of(generation),
+                        ID,
+                        List.of(order),
+                        List.of(),
+                        0));
+    }
+
+    // -----------------------------------------------------------------------
+    @Test
+    public void aLeaderThatReadsItsStateIsToldAgainAtOnce() {
+        leader.lease = 0;
+        loop.advance(100);
+        int before = leader.reports.size();
+        loop.advance(5 * READING_MILLIS);
+        assertTrue(leader.reports.size() - before >= 4, () -> "" + leader.reports.size());
+    }
+
+    @Test
+    public void reportsAreNumberedAndTellOfTheWorkerOnceItAnswered() {
+        loop.advance(1500);
+        for (int i = 0; i < leader.reports.size(); i++) {
+            assertEquals(i + 1, leader.reports.get(i).sequence());
+        }
+        assertEquals(ID, leader.last().workers().get(0).worker().id());
+        assertEquals(LeaseGeneration.of(1), leader.last().generation());
+        assertFalse(leader.last().refused());
+    }
+
+    @Test
+    public void anOrderThatWaitedIsVoidWhenTheGrantNamesAHigherGeneration() {
+        loop.advance(1000);
+        leader.silent = true;
+        loop.advance(LEASE_MILLIS + 500);
+        order(1);
+        loop.advance(100);
+        leader.silent = false;
+        leader.generation = LeaseGeneration.of(2);
+        loop.advance(2500);
+        assertEquals(List.of(), worker.starts);
+        order(1);
+        loop.advance(500);
+        assertEquals(List.of(), worker.starts, "an order of an older generation is passed over");
+        order(2);
+        loop.advance(500);
+        assertEquals(List.of(Fence.of(Epoch.of(1), LeaseGeneration.of(2))), worker.starts);
+    }
+
+    @Test
+    public void anOrderOfAHigherGenerationCountsBeforeTheGrantThatNamesIt() {
+        loop.advance(1000);
+        order(3);
+        loop.advance(100);
+        assertEquals(List.of(Fence.of(Epoch.of(1), LeaseGeneration.of(3))), worker.starts);
+    }
+
+    @Test
+    public void aRefusedFenceIsReportedUntilAHigherOneIsTold() {
+        loop.advance(1000);
+        worker.refuses = true;
+        loop.advance(1500);
+        assertTrue(leader.last().refused());
+        worker.refuses = false;
+        leader.generation = LeaseGeneration.of(2);
+        loop.advance(1500);
+        assertFalse(leader.last().refused());
+        assertTrue(leader.last().workers().get(0).reachable());
+    }
+
+    @Test
+    public void ordersOfAnOlderLeaderArePassedOver() {
+        loop.advance(1000);
+        leader.notice = new LeaderNotice(Epoch.of(2), "10.0.0.8:2");
+        order(9);
+        loop.advance(1000);
+        assertEquals(List.of(), worker.starts);
+    }
+}
