Failing test: a late first report over a later channel bars the present process

The later process of an agent is told by the number of its channel, which the leader gives when it accepts it. If the way was cut while the earlier process connected, its channel is accepted after that of the present one, and what it had written comes then. The present process is taken for overtaken and is not answered any more, until the earlier one has been forgotten (60 s by AgentBoard).

--- a/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
+++ b/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
@@ -17,6 +17,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.HashMap;
@@ -186,6 +187,19 @@
         assertEquals(List.of(), elsewhere.starts());
     }
 
+    @Test
+    public void aLateFirstReportDoesNotBarThePresentProcessAlsoOverALaterChannel() {
+        FakeChannel present = new FakeChannel();
+        report(present, 3, part(WORKER, false, List.of(), List.of()));
+        report(present, 3, part(WORKER, false, List.of(RUN), List.of()));
+        // The way was cut while the earlier process connected: its channel is accepted only now.
+        FakeChannel earlier = new FakeChannel();
+        reportOnce(earlier, 2, part(WORKER, false, List.of(), List.of()));
+        loop.advance(500);
+        reportOnce(present, 3, part(WORKER, false, List.of(RUN), List.of()));
+        assertTrue(present.findAnswer(sequence) instanceof AgentGrant, "the present one is heard");
+    }
+
     @Test
     public void anAgentThatAWorkerHasLeftDoesNotGiveUpWhatRunsThere() {
         FakeChannel moved = new FakeChannel();
