--- a/src/test/java/org/standlink/simulation/FaultDesk.java
+++ b/src/test/java/org/standlink/simulation/FaultDesk.java
@@ -124,8 +124,7 @@
         machine.endAgent();
         if (fault.choice() % 3 == 0) {
             // The new process hears of its worker hardly more than that it is there.
-            world.later(
-                    world.draw(20, 700), () -> machine.getPath().silence(world.draw(500, 5000)));
+            world.later(world.draw(20, 700), () -> silence(machine, world.draw(500, 5000)));
         }
         long pause = fault.choice() % 2 == 0 ? 50 : Math.min(fault.millis(), 8000);
         world.later(
@@ -137,6 +136,11 @@
                 });
     }
 
+    private void silence(SimulatedMachine machine, long millis) {
+        cell.getReferee().impaired(millis);
+        machine.getPath().silence(millis);
+    }
+
     /** Each agent learns of the new leader at a time of its own. */
     private void replaceLeader(Fault fault) {
         if (!cell.isLeaderless()) {
