Heed a report only if it names what this leader told its sender

Cause: which of two processes of an agent is the later one was told by the order in which their channels were accepted. Now a first report only gets a generation; the next one, at once, names it, which no report that was held up and no process that has ended can do. Channels have no numbers any more.

--- a/src/main/java/org/standlink/cell/AgentBoard.java
+++ b/src/main/java/org/standlink/cell/AgentBoard.java
@@ -50,26 +50,30 @@
     /** The agents. */
     private final Map<Incarnation, Entry> agents = new HashMap<>();
 
-    /** The process of each machine's agent that was started last, by the machine's name. */
-    private final Map<String, Incarnation> present = new HashMap<>();
-
     /** The last generation that was given; no two leases share one. */
     private LeaseGeneration last = LeaseGeneration.NONE;
 
     /** One agent. */
     private static final class Entry {
 
-        /** The generation of its lease. */
+        /** The machine's name. */
+        private final String node;
+
+        /** The generation of its lease, null before the first. */
         private LeaseGeneration generation;
 
-        /** The highest number of a channel that it opened. */
-        private long channel;
+        /** Whether a later process of the agent is at work. */
+        private boolean replaced;
 
         /** The number of its last report. */
         private long sequence;
 
         /** When it was heard last, on the leader's clock. */
         private long heardAt;
+
+        Entry(String node) {
+            this.node = node;
+        }
     }
 
     /**
@@ -87,24 +91,20 @@
      * Takes note of a report.
      *
      * @param report the report
-     * @param channel the number of the channel that it came over
      * @param now the time on the leader's clock, in milliseconds
      * @return false if a later report, or a later process of the agent, has been heard before, so
-     *     that this one says nothing any more
+     *     that this one is not even to be answered
      */
-    boolean accept(AgentReport report, long channel, long now) {
-        if (isOvertaken(report, channel)) {
-            LOG.info("overtaken-agent").with("node", report.node()).write();
+    boolean accept(AgentReport report, long now) {
+        Entry agent = agents.computeIfAbsent(report.incarnation(), key -> new Entry(report.node()));
+        if (agent.replaced || report.sequence() <= agent.sequence) {
+            LOG.info("late-report")
+                    .with("node", report.node())
+                    .with("earlier-process", agent.replaced)
+                    .write();
             return false;
         }
-        Entry agent = agents.computeIfAbsent(report.incarnation(), key -> new Entry());
-        if (report.sequence() <= agent.sequence) {
-            LOG.info("late-report").with("node", report.node()).write();
-            return false;
-        }
-        present.put(report.node(), report.incarnation());
         agent.sequence = report.sequence();
-        agent.channel = Math.max(agent.channel, channel);
         agent.heardAt = now;
         boolean asks = report.refused() && report.generation().equals(agent.generation);
         if (agent.generation == null || asks) {
@@ -114,13 +114,23 @@
     }
 
     /**
-     * Checks whether another process of the agent has opened its channel later. Its processes
-     * follow one another, so that this one has ended; which of two was heard first says nothing.
+     * Checks whether a report names what this leader has told its sender. Only then does it count:
+     * one that was held up on its way, or whose sender has ended, cannot name it, whatever channel
+     * it comes over. A process that does is the present one of its machine's agent.
+     *
+     * @param report a report that was accepted
+     * @return false if its sender has yet to be told the generation of its lease
      */
-    private boolean isOvertaken(AgentReport report, long channel) {
-        Incarnation newest = present.get(report.node());
-        Entry entry = agents.get(newest);
-        return entry != null && !report.incarnation().equals(newest) && channel < entry.channel;
+    boolean isCurrent(AgentReport report) {
+        Entry agent = agents.get(report.incarnation());
+        boolean current =
+                report.epoch().equals(epoch) && report.generation().equals(agent.generation);
+        if (current) {
+            agents.values().stream()
+                    .filter(other -> other != agent && other.node.equals(agent.node))
+                    .forEach(other -> other.replaced = true);
+        }
+        return current;
     }
 
     /**
@@ -184,6 +194,5 @@
      */
     void forgetSilent(long now) {
         agents.values().removeIf(agent -> now - agent.heardAt > FORGET_MILLIS);
-        present.values().retainAll(agents.keySet());
     }
 }
--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -365,11 +365,12 @@
                     call, new AgentGrant(epoch, LeaseGeneration.NONE, 0, silent, List.of()));
             return;
         }
-        boolean entitled = silent < CellTimes.AUTHORITY_MILLIS;
-        long until = entitled ? clock.nowMillis() + times.leaseMillis() : 0;
-        if (!reports.handle(connection, report, until)) {
+        if (!agents.accept(report, clock.nowMillis())) {
             return;
         }
+        boolean entitled = silent < CellTimes.AUTHORITY_MILLIS;
+        long until = entitled ? clock.nowMillis() + times.leaseMillis() : 0;
+        boolean counts = reports.handle(connection, report, until);
         for (JobEntry job : reports.takeTouched()) {
             noteFinal(job);
         }
@@ -378,7 +379,7 @@
                 new AgentGrant(
                         epoch,
                         agents.getGeneration(report.incarnation()),
-                        entitled ? times.leaseMillis() : 0,
+                        entitled && counts ? times.leaseMillis() : 0,
                         silent,
                         figures.harmFor(connection)));
     }
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -110,10 +110,10 @@
      * @param connection where it came from
      * @param report the report
      * @param leaseUntil until when the agent is granted a lease, on the leader's clock; 0 for none
-     * @return false if a later report has come before, so that nothing was done
+     * @return false if it does not count, so that nothing was done
      */
     boolean handle(MessageChannel connection, AgentReport report, long leaseUntil) {
-        if (!agents.accept(report, connection.getNumber(), clock.nowMillis())) {
+        if (!agents.isCurrent(report)) {
             return false;
         }
         for (WorkerReport part : report.workers()) {
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -267,13 +267,13 @@
         }
     }
 
-    /**
-     * Whatever an older fence ordered and has not begun is void; the leader tells anew what holds.
-     */
+    /** Whatever an older fence ordered and has not begun is void; the leader tells it anew. */
     private void adopt(Fence told) {
         if (lease.adopt(told)) {
             LOG.info("fence-raised").with("fence", told).write();
             workers.values().forEach(WorkerSupervisor::fenceRaised);
+            // The leader heeds only reports that name what it has told.
+            changed();
         }
     }
 
@@ -312,14 +312,15 @@
                     }
                 });
         List<WorkerId> over = new ArrayList<>(dead);
+        Fence fence = lease.getFence();
         AgentReport report =
                 new AgentReport(
                         node,
                         address,
                         self,
                         ++lastReport,
-                        epoch(),
-                        lease.getFence().getGeneration(),
+                        fence.getEpoch(),
+                        fence.getGeneration(),
                         workers.values().stream().anyMatch(WorkerSupervisor::isFenceRefused),
                         List.copyOf(sent.values()),
                         over);
@@ -362,10 +363,10 @@
         }
         if (failure != null) {
             loop.schedule(this::reportAgain, RETRY_MILLIS, TimeUnit.MILLISECONDS);
-        } else if (isReadingItsState(answer)) {
-            loop.schedule(this::reportAgain, READING_MILLIS, TimeUnit.MILLISECONDS);
         } else if (changed) {
             loop.schedule(this::reportIfChanged, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (isReadingItsState(answer)) {
+            loop.schedule(this::reportAgain, READING_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
--- a/src/main/java/org/standlink/wire/Connection.java
+++ b/src/main/java/org/standlink/wire/Connection.java
@@ -40,15 +40,9 @@
  */
 public final class Connection implements MessageChannel, AutoCloseable {
 
-    /** The number of the last connection of this process. */
-    private static final AtomicLong LAST_NUMBER = new AtomicLong();
-
     /** The socket. */
     private final Socket socket;
 
-    /** The number of this connection, in the order in which they were accepted or made. */
-    private final long number = LAST_NUMBER.incrementAndGet();
-
     /** Where frames are written; guarded by itself. */
     private final DataOutputStream output;
 
@@ -107,11 +101,6 @@
         write(new Frame(0, false, message));
     }
 
-    @Override
-    public long getNumber() {
-        return number;
-    }
-
     @Override
     public void answer(long call, Message message) {
         if (call == 0) {
--- a/src/main/java/org/standlink/wire/MessageChannel.java
+++ b/src/main/java/org/standlink/wire/MessageChannel.java
@@ -33,13 +33,6 @@
      */
     void send(Message message);
 
-    /**
-     * Gets the number of this channel.
-     *
-     * @return the number; a channel that was opened later has a higher one in this process
-     */
-    long getNumber();
-
     /**
      * Answers a call.
      *
--- a/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
+++ b/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
@@ -203,6 +203,8 @@
     @Test
     public void anAgentThatAWorkerHasLeftDoesNotGiveUpWhatRunsThere() {
         FakeChannel moved = new FakeChannel();
+        // Once to be told the generation of its lease, and once to count.
+        reportOnce("another machine", moved, 3, part(WORKER, false, List.of(RUN), List.of()));
         reportOnce("another machine", moved, 3, part(WORKER, false, List.of(RUN), List.of()));
         reportOnce(agent, 1, part(WORKER, true, List.of(), List.of()));
         loop.advance(100);
