Names and comments: raise a generation, the generation told, all but running

As a newcomer read it: 'renew' meant two things, 'synced' held a generation, and what is dropped under a higher fence is also what is being stopped. No change of logic; 158 tests of simulation, runner and cell pass.

--- a/src/main/java/org/standlink/cell/AgentBoard.java
+++ b/src/main/java/org/standlink/cell/AgentBoard.java
@@ -108,7 +108,7 @@
         agent.heardAt = now;
         boolean asks = report.refused() && report.generation().equals(agent.generation);
         if (agent.generation == null || asks) {
-            renew(report.incarnation(), asks ? "asked" : "new");
+            raiseGeneration(report.incarnation(), asks ? "asked" : "new");
         }
         return true;
     }
@@ -169,7 +169,7 @@
      * @param agent the run of the agent, null for none
      * @param reason why, for the log
      */
-    void renew(Incarnation agent, String reason) {
+    void raiseGeneration(Incarnation agent, String reason) {
         Entry entry = agents.get(agent);
         if (entry == null) {
             return;
@@ -178,7 +178,7 @@
         entry.generation = last;
         workers.getWorkers().stream()
                 .filter(worker -> agent.equals(worker.getAgent()))
-                .forEach(worker -> worker.setSynced(LeaseGeneration.NONE));
+                .forEach(worker -> worker.setToldGeneration(LeaseGeneration.NONE));
         LOG.info("lease-generation")
                 .with("agent", agent)
                 .with("epoch", epoch)
--- a/src/main/java/org/standlink/cell/OrderDesk.java
+++ b/src/main/java/org/standlink/cell/OrderDesk.java
@@ -81,7 +81,7 @@
         byWorker.forEach(
                 (id, list) -> {
                     List<StartOrder> starts = list.stream().map(this::startOrder).toList();
-                    LeaseGeneration given = workers.find(id).getSynced();
+                    LeaseGeneration given = workers.find(id).getToldGeneration();
                     commits.afterCommit(() -> send(id, given, starts, List.of()));
                 });
     }
@@ -152,7 +152,7 @@
                 .with("starts", starts.size())
                 .with("stops", stops.size())
                 .write();
-        LeaseGeneration given = worker.getSynced();
+        LeaseGeneration given = worker.getToldGeneration();
         commits.afterCommit(() -> send(worker.getId(), given, starts, stops));
     }
 
@@ -189,7 +189,7 @@
     private void sendNow(WorkerId id, List<StartOrder> starts, List<RunId> stops) {
         WorkerEntry worker = workers.find(id);
         if (worker != null) {
-            send(id, worker.getSynced(), starts, stops);
+            send(id, worker.getToldGeneration(), starts, stops);
         }
     }
 
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -164,7 +164,7 @@
      */
     void giveUp(WorkerEntry worker, String reason) {
         if (!worker.listTasks().isEmpty()) {
-            agents.renew(worker.getAgent(), reason);
+            agents.raiseGeneration(worker.getAgent(), reason);
             releaseAll(worker, reason);
         }
     }
@@ -344,8 +344,8 @@
         }
         orders.stopStray(worker.getId(), stray);
         LeaseGeneration generation = agents.getGeneration(report.incarnation());
-        if (!generation.equals(worker.getSynced())) {
-            worker.setSynced(generation);
+        if (!generation.equals(worker.getToldGeneration())) {
+            worker.setToldGeneration(generation);
             orders.syncAfterCommit(worker, present);
         }
     }
--- a/src/main/java/org/standlink/cell/WorkerBoard.java
+++ b/src/main/java/org/standlink/cell/WorkerBoard.java
@@ -218,7 +218,7 @@
                             && worker.getDescription().service().equals(service)
                             && !worker.getDescription().draining()
                             && worker.isReachable()
-                            && !worker.getSynced().equals(LeaseGeneration.NONE)
+                            && !worker.getToldGeneration().equals(LeaseGeneration.NONE)
                             // What is given under a lease that is over would only wait for the
                             // next.
                             && now < worker.getMayRunUntil()
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -55,7 +55,7 @@
     private Incarnation agent;
 
     /** The generation of lease under which the agent knows all orders, the first if it does not. */
-    private LeaseGeneration synced = LeaseGeneration.NONE;
+    private LeaseGeneration toldGeneration = LeaseGeneration.NONE;
 
     /** Until when its runs may go on without its agent, on the leader's clock. */
     private long mayRunUntil;
@@ -107,7 +107,7 @@
     void heard(WorkerDescription told, MessageChannel from, boolean answers, long now) {
         if (from != connection) {
             connection = from;
-            synced = LeaseGeneration.NONE;
+            toldGeneration = LeaseGeneration.NONE;
         }
         description = told;
         address = told.address();
@@ -294,8 +294,8 @@
      *
      * @return the generation, the one before the first if it does not
      */
-    LeaseGeneration getSynced() {
-        return synced;
+    LeaseGeneration getToldGeneration() {
+        return toldGeneration;
     }
 
     /**
@@ -303,8 +303,8 @@
      *
      * @param generation the generation, the one before the first if it does not
      */
-    void setSynced(LeaseGeneration generation) {
-        synced = generation;
+    void setToldGeneration(LeaseGeneration generation) {
+        toldGeneration = generation;
     }
 
     /**
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -119,8 +119,8 @@
         superseded.clear();
     }
 
-    /** Forgets the runs of which the worker has not said that they run; their orders are void. */
-    void dropUnbegun() {
+    /** Forgets the runs that have not begun or are being stopped; the leader tells them anew. */
+    void dropAllButRunning() {
         runs.values().stream()
                 .filter(run -> run.isCalling() || run.isUncertain())
                 .forEach(run -> unsure.add(run.getRun()));
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -99,10 +99,10 @@
     /** Whether orders to start have come under the fence in force. */
     private boolean startsTold;
 
-    /** Whether it has been taken note of that the worker's lease is over. */
+    /** Whether orders were voided for the lapse that goes on; until the worker answers again. */
     private boolean lapseNoted;
 
-    /** Whether the leader has yet to take note of it; until then nothing is started here. */
+    /** Whether the leader has yet to answer the report of a lapse; nothing is started meanwhile. */
     private boolean lapseUntold;
 
     /** The last end that was recorded. */
@@ -228,7 +228,7 @@
     /** Takes note that a higher fence is in force, so that what has not begun is void. */
     void fenceRaised() {
         startsTold = false;
-        runs.dropUnbegun();
+        runs.dropAllButRunning();
     }
 
     /**
@@ -239,7 +239,7 @@
         if (isLapsed() && !lapseNoted) {
             lapseNoted = true;
             lapseUntold = true;
-            runs.dropUnbegun();
+            runs.dropAllButRunning();
             LOG.info("orders-void").with("worker", worker.id()).with("fence", fence.get()).write();
         }
     }
--- a/src/test/java/org/standlink/cell/TestAgentBoard.java
+++ b/src/test/java/org/standlink/cell/TestAgentBoard.java
@@ -71,7 +71,7 @@
         AgentReport second = report(AGENT, 2, agents.getGeneration(AGENT), false);
         agents.accept(second, 0);
         assertTrue(agents.isCurrent(second));
-        agents.renew(AGENT, "test");
+        agents.raiseGeneration(AGENT, "test");
         assertFalse(agents.isCurrent(second));
     }
 
@@ -95,7 +95,7 @@
         LeaseGeneration first = agents.getGeneration(AGENT);
         assertNotEquals(LeaseGeneration.NONE, first);
         assertNotEquals(first, agents.getGeneration(OTHER));
-        agents.renew(AGENT, "test");
+        agents.raiseGeneration(AGENT, "test");
         assertTrue(agents.getGeneration(AGENT).isAfter(agents.getGeneration(OTHER)));
         assertEquals(LeaseGeneration.NONE, agents.getGeneration(null));
     }
@@ -116,11 +116,11 @@
         accept(AGENT, 1);
         WorkerEntry worker = workers.get(CellFixtures.worker("i-1", 8).id(), 6000);
         worker.setAgent(AGENT);
-        worker.setSynced(agents.getGeneration(AGENT));
-        agents.renew(OTHER, "test");
-        assertEquals(agents.getGeneration(AGENT), worker.getSynced());
-        agents.renew(AGENT, "test");
-        assertEquals(LeaseGeneration.NONE, worker.getSynced());
+        worker.setToldGeneration(agents.getGeneration(AGENT));
+        agents.raiseGeneration(OTHER, "test");
+        assertEquals(agents.getGeneration(AGENT), worker.getToldGeneration());
+        agents.raiseGeneration(AGENT, "test");
+        assertEquals(LeaseGeneration.NONE, worker.getToldGeneration());
     }
 
     @Test
--- a/src/test/java/org/standlink/cell/TestMoveDesk.java
+++ b/src/test/java/org/standlink/cell/TestMoveDesk.java
@@ -61,7 +61,7 @@
         WorkerEntry worker =
                 workers.get(CellFixtures.worker(id, cores).id(), clock.nowMillis() + 60_000);
         worker.heard(CellFixtures.worker(id, cores), null, true, clock.nowMillis());
-        worker.setSynced(LeaseGeneration.of(1));
+        worker.setToldGeneration(LeaseGeneration.of(1));
         return worker;
     }
 
--- a/src/test/java/org/standlink/cell/TestScheduler.java
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -41,7 +41,7 @@
     private WorkerEntry worker(String id, int cores) {
         WorkerEntry worker = workers.get(CellFixtures.worker(id, cores).id(), NOW + 6000);
         worker.heard(CellFixtures.worker(id, cores), null, true, NOW);
-        worker.setSynced(LeaseGeneration.of(1));
+        worker.setToldGeneration(LeaseGeneration.of(1));
         return worker;
     }
 
