--- a/src/test/java/org/standlink/cell/CellFixtures.java
+++ b/src/test/java/org/standlink/cell/CellFixtures.java
@@ -16,6 +16,9 @@
 package org.standlink.cell;
 
 import java.util.List;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.FakeLoop;
 import org.standlink.JobId;
 import org.standlink.Resources;
 import org.standlink.job.Configuration;
@@ -24,6 +27,7 @@
 import org.standlink.job.StepDefinition;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
+import org.standlink.store.KeyedStore;
 
 /** Jobs, workers and a configuration for tests. */
 final class CellFixtures {
@@ -101,6 +105,23 @@
                 0);
     }
 
+    /** A leader that has read its state. */
+    static CellLeader lead(long epoch, KeyedStore store, FakeClock clock, FakeLoop loop) {
+        CellLeader leader =
+                new CellLeader(
+                        Epoch.of(epoch),
+                        store,
+                        new CellTimes(6000, 120_000),
+                        clock,
+                        clock::nowMillis,
+                        () -> CONFIGURATION,
+                        loop,
+                        () -> {});
+        leader.start();
+        loop.advance(20);
+        return leader;
+    }
+
     static WorkerDescription worker(String id, int cores) {
         return new WorkerDescription(
                 WorkerId.parse(id),
--- a/src/test/java/org/standlink/cell/TestCellLeader.java
+++ b/src/test/java/org/standlink/cell/TestCellLeader.java
@@ -24,7 +24,6 @@
 import java.util.Map;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
 import org.standlink.Fence;
@@ -79,19 +78,7 @@
     }
 
     private CellLeader lead(long epoch) {
-        CellLeader next =
-                new CellLeader(
-                        Epoch.of(epoch),
-                        store,
-                        new CellTimes(6000, 120_000),
-                        clock,
-                        clock::nowMillis,
-                        () -> CellFixtures.CONFIGURATION,
-                        loop,
-                        () -> {});
-        next.start();
-        loop.advance(20);
-        return next;
+        return CellFixtures.lead(epoch, store, clock, loop);
     }
 
     /** Asks the leader and lets 50 ms pass; null if it has not answered by then. */
--- /dev/null
+++ b/src/test/java/org/standlink/runner/RunnerFixtures.java
@@ -0,0 +1,67 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
+import org.standlink.FakeLoop;
+import org.standlink.Resources;
+import org.standlink.job.RunId;
+import org.standlink.job.TaskName;
+import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
+import org.standlink.wire.StartOrder;
+
+/** A worker, a run and an observer for tests. */
+final class RunnerFixtures {
+
+    static final WorkerId ID = WorkerId.parse("i-1");
+
+    static final RunId RUN = new RunId(TaskName.parse("j.0.0.0"), 1);
+
+    static final WorkerDescription WORKER =
+            new WorkerDescription(
+                    ID, "s", "10.0.0.1:1", new Resources(1000, 100, 0), List.of(), false, 0);
+
+    /** Hears of lives and does nothing. */
+    static final LifeObserver NO_OBSERVER =
+            new LifeObserver() {
+                @Override
+                public void confirmed(WorkerId worker) {}
+
+                @Override
+                public void replaced(WorkerId worker) {}
+            };
+
+    private RunnerFixtures() {}
+
+    static StartOrder startOrder() {
+        return new StartOrder(RUN, "text", "", false, 0, "");
+    }
+
+    /** An answer that comes after a while. */
+    static <T> CompletableFuture<T> later(FakeLoop loop, long millis, T value) {
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        loop.schedule(
+                () -> {
+                    answer.complete(value);
+                },
+                millis,
+                TimeUnit.MILLISECONDS);
+        return answer;
+    }
+}
--- a/src/test/java/org/standlink/runner/TestAgentReports.java
+++ b/src/test/java/org/standlink/runner/TestAgentReports.java
@@ -32,13 +32,10 @@
 import org.standlink.Fence;
 import org.standlink.Incarnation;
 import org.standlink.LeaseGeneration;
-import org.standlink.Resources;
 import org.standlink.election.LeaderCalls;
 import org.standlink.election.LeaderObserver;
 import org.standlink.job.RunId;
-import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
-import org.standlink.job.WorkerId;
 import org.standlink.wire.AgentGrant;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.LeaderNotice;
@@ -49,11 +46,6 @@
 /** Tests when an agent reports, and what it does with the leader's answers. */
 public class TestAgentReports {
 
-    private static final WorkerId ID = WorkerId.parse("i-1");
-    private static final RunId RUN = new RunId(TaskName.parse("j.0.0.0"), 1);
-    private static final WorkerDescription WORKER =
-            new WorkerDescription(
-                    ID, "s", "10.0.0.1:1", new Resources(1000, 100, 0), List.of(), false, 0);
     private static final long LEASE_MILLIS = 6000;
     private static final long READING_MILLIS = 60;
 
@@ -177,18 +169,18 @@
     @BeforeEach
     public void start() {
         agent.start();
-        agent.heartbeat(WORKER, 1);
+        agent.heartbeat(RunnerFixtures.WORKER, 1);
     }
 
     private void order(long generation) {
-        StartOrder order = new StartOrder(RUN, "text", "", false, 0, "");
+        StartOrder order = RunnerFixtures.startOrder();
         agent.handle(
                 null,
                 0,
                 new RunOrders(
                         Epoch.of(1),
                         LeaseGeneration.of(generation),
-                        ID,
+                        RunnerFixtures.ID,
                         List.of(order),
                         List.of(),
                         0));
@@ -210,7 +202,7 @@
         for (int i = 0; i < leader.reports.size(); i++) {
             assertEquals(i + 1, leader.reports.get(i).sequence());
         }
-        assertEquals(ID, leader.last().workers().get(0).worker().id());
+        assertEquals(RunnerFixtures.ID, leader.last().workers().get(0).worker().id());
         assertEquals(LeaseGeneration.of(1), leader.last().generation());
         assertFalse(leader.last().refused());
     }
--- a/src/test/java/org/standlink/runner/TestOldAnswers.java
+++ b/src/test/java/org/standlink/runner/TestOldAnswers.java
@@ -19,7 +19,6 @@
 
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.standlink.Epoch;
@@ -27,12 +26,9 @@
 import org.standlink.FakeLoop;
 import org.standlink.Fence;
 import org.standlink.LeaseGeneration;
-import org.standlink.Resources;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
-import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
-import org.standlink.job.WorkerId;
 import org.standlink.policy.HarmTable;
 import org.standlink.wire.RunOrders;
 import org.standlink.wire.StartOrder;
@@ -47,11 +43,6 @@
 public class TestOldAnswers {
 
     private static final long CALL_MILLIS = 500;
-    private static final RunId RUN = new RunId(TaskName.parse("j.0.0.0"), 1);
-    private static final WorkerId ID = WorkerId.parse("i-1");
-    private static final WorkerDescription WORKER =
-            new WorkerDescription(
-                    ID, "s", "10.0.0.1:1", new Resources(1000, 100, 0), List.of(), false, 0);
 
     private final FakeClock clock = new FakeClock();
     private final FakeLoop loop = new FakeLoop(clock);
@@ -66,17 +57,6 @@
         private CallResult.Kind renewals = CallResult.Kind.DONE;
         private List<RunProgress> running = List.of();
 
-        private <T> CompletableFuture<T> after(long millis, T value) {
-            CompletableFuture<T> answer = new CompletableFuture<>();
-            loop.schedule(
-                    () -> {
-                        answer.complete(value);
-                    },
-                    millis,
-                    TimeUnit.MILLISECONDS);
-            return answer;
-        }
-
         private CallResult result(CallResult.Kind kind) {
             boolean heard = kind != CallResult.Kind.UNKNOWN;
             return new CallResult(kind, heard ? clock.nowMillis() : -1, "scripted");
@@ -89,18 +69,19 @@
         @Override
         public CompletableFuture<CallResult> start(
                 WorkerDescription to, StartOrder order, long until, Fence under) {
-            return after(delay(starts, 0), result(starts));
+            return RunnerFixtures.later(loop, delay(starts, 0), result(starts));
         }
 
         @Override
         public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Fence under) {
-            return after(10, result(CallResult.Kind.DONE));
+            return RunnerFixtures.later(loop, 10, result(CallResult.Kind.DONE));
         }
 
         @Override
         public CompletableFuture<RenewalResult> renew(
                 WorkerDescription to, long until, Fence under, long recorded, long waitMillis) {
-            return after(
+            return RunnerFixtures.later(
+                    loop,
                     Math.max(delay(renewals, waitMillis), waitMillis),
                     new RenewalResult(result(renewals), running, List.of()));
         }
@@ -108,42 +89,37 @@
         @Override
         public CompletableFuture<CallResult> throttle(
                 WorkerDescription to, RunId run, int percent, Fence under) {
-            return after(10, result(CallResult.Kind.DONE));
+            return RunnerFixtures.later(loop, 10, result(CallResult.Kind.DONE));
         }
     }
 
-    /** Hears of lives and does nothing. */
-    private static final class NoObserver implements LifeObserver {
-
-        @Override
-        public void confirmed(WorkerId worker) {}
-
-        @Override
-        public void replaced(WorkerId worker) {}
-    }
-
     @BeforeEach
     public void start() {
         supervisor =
                 new WorkerSupervisor(
-                        WORKER,
+                        RunnerFixtures.WORKER,
                         worker,
                         clock,
                         loop,
                         () -> clock.nowMillis() + 6000,
                         () -> fence,
                         () -> {},
-                        new NoObserver(),
+                        RunnerFixtures.NO_OBSERVER,
                         new HarmTable());
         supervisor.start();
         loop.advance(100);
     }
 
     private void order() {
-        StartOrder order = new StartOrder(RUN, "text", "", false, 0, "");
+        StartOrder order = RunnerFixtures.startOrder();
         supervisor.order(
                 new RunOrders(
-                        fence.getEpoch(), fence.getGeneration(), ID, List.of(order), List.of(), 0));
+                        fence.getEpoch(),
+                        fence.getGeneration(),
+                        RunnerFixtures.ID,
+                        List.of(order),
+                        List.of(),
+                        0));
     }
 
     @Test
@@ -176,7 +152,7 @@
 
     @Test
     public void aRunAtWorkSinceAnEarlierProcessIsNotGivenBackByAWorkerThatIsUnwell() {
-        worker.running = List.of(new RunProgress(RUN, "", 10, 0));
+        worker.running = List.of(new RunProgress(RunnerFixtures.RUN, "", 10, 0));
         loop.advance(1000);
         worker.starts = CallResult.Kind.UNWELL;
         order();
--- a/src/test/java/org/standlink/runner/TestUnguardedRoom.java
+++ b/src/test/java/org/standlink/runner/TestUnguardedRoom.java
@@ -88,7 +88,7 @@
                             () -> clock.nowMillis() + LEASE_MILLIS,
                             () -> FENCE,
                             () -> {},
-                            new NoObserver(),
+                            RunnerFixtures.NO_OBSERVER,
                             new HarmTable());
         }
 
@@ -265,16 +265,6 @@
         }
     }
 
-    /** Hears of lives and does nothing. */
-    private static final class NoObserver implements LifeObserver {
-
-        @Override
-        public void confirmed(WorkerId worker) {}
-
-        @Override
-        public void replaced(WorkerId worker) {}
-    }
-
     @Property(tries = 60, seed = "20261202")
     void noInterleavingOfLateCallsBringsAWorkerOverItsRoom(@ForAll long seed) {
         Day day = new Day(seed);
--- a/src/test/java/org/standlink/runner/TestVoidOrders.java
+++ b/src/test/java/org/standlink/runner/TestVoidOrders.java
@@ -22,7 +22,6 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
 import org.standlink.Epoch;
@@ -30,11 +29,8 @@
 import org.standlink.FakeLoop;
 import org.standlink.Fence;
 import org.standlink.LeaseGeneration;
-import org.standlink.Resources;
 import org.standlink.job.RunId;
-import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
-import org.standlink.job.WorkerId;
 import org.standlink.policy.HarmTable;
 import org.standlink.wire.RunOrders;
 import org.standlink.wire.StartOrder;
@@ -51,11 +47,6 @@
 
     private static final long LEASE_MILLIS = 6000;
     private static final long SLOW_MILLIS = 450;
-    private static final RunId RUN = new RunId(TaskName.parse("j.0.0.0"), 1);
-    private static final WorkerId ID = WorkerId.parse("i-1");
-    private static final WorkerDescription WORKER =
-            new WorkerDescription(
-                    ID, "s", "10.0.0.1:1", new Resources(1000, 100, 0), List.of(), false, 0);
 
     private final FakeClock clock = new FakeClock();
     private final FakeLoop loop = new FakeLoop(clock);
@@ -73,17 +64,6 @@
         private final List<String> seen = new ArrayList<>();
         private final List<Long> prolonged = new ArrayList<>();
 
-        private <T> CompletableFuture<T> after(long millis, T value) {
-            CompletableFuture<T> answer = new CompletableFuture<>();
-            loop.schedule(
-                    () -> {
-                        answer.complete(value);
-                    },
-                    millis,
-                    TimeUnit.MILLISECONDS);
-            return answer;
-        }
-
         private CallResult result(CallResult.Kind kind) {
             CallResult.Kind told = silent ? CallResult.Kind.UNKNOWN : kind;
             long clockMillis = told == CallResult.Kind.UNKNOWN ? -1 : clock.nowMillis();
@@ -94,61 +74,59 @@
         public CompletableFuture<CallResult> start(
                 WorkerDescription to, StartOrder order, long until, Fence under) {
             seen.add("start under " + under);
-            return after(startMillis, result(starts));
+            return RunnerFixtures.later(loop, startMillis, result(starts));
         }
 
         @Override
         public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Fence under) {
             seen.add("stop under " + under);
-            return after(10, result(CallResult.Kind.DONE));
+            return RunnerFixtures.later(loop, 10, result(CallResult.Kind.DONE));
         }
 
         @Override
         public CompletableFuture<RenewalResult> renew(
                 WorkerDescription to, long until, Fence under, long recorded, long waitMillis) {
             prolonged.add(until);
-            return after(10, new RenewalResult(result(CallResult.Kind.DONE), List.of(), List.of()));
+            return RunnerFixtures.later(
+                    loop,
+                    10,
+                    new RenewalResult(result(CallResult.Kind.DONE), List.of(), List.of()));
         }
 
         @Override
         public CompletableFuture<CallResult> throttle(
                 WorkerDescription to, RunId run, int percent, Fence under) {
-            return after(10, result(CallResult.Kind.DONE));
+            return RunnerFixtures.later(loop, 10, result(CallResult.Kind.DONE));
         }
     }
 
-    /** Hears of lives and does nothing. */
-    private static final class NoObserver implements LifeObserver {
-
-        @Override
-        public void confirmed(WorkerId worker) {}
-
-        @Override
-        public void replaced(WorkerId worker) {}
-    }
-
     @BeforeEach
     public void start() {
         supervisor =
                 new WorkerSupervisor(
-                        WORKER,
+                        RunnerFixtures.WORKER,
                         worker,
                         clock,
                         loop,
                         () -> leased ? clock.nowMillis() + LEASE_MILLIS : 0,
                         () -> fence,
                         () -> {},
-                        new NoObserver(),
+                        RunnerFixtures.NO_OBSERVER,
                         new HarmTable());
         supervisor.start();
         loop.advance(100);
     }
 
     private void order() {
-        StartOrder order = new StartOrder(RUN, "text", "", false, 0, "");
+        StartOrder order = RunnerFixtures.startOrder();
         supervisor.order(
                 new RunOrders(
-                        fence.getEpoch(), fence.getGeneration(), ID, List.of(order), List.of(), 0));
+                        fence.getEpoch(),
+                        fence.getGeneration(),
+                        RunnerFixtures.ID,
+                        List.of(order),
+                        List.of(),
+                        0));
     }
 
     private void raiseFence() {
@@ -241,7 +219,7 @@
         order();
         loop.advance(2000);
         assertEquals(1, worker.seen.size(), () -> worker.seen.toString());
-        assertEquals(RUN, report().refused().get(0).run());
+        assertEquals(RunnerFixtures.RUN, report().refused().get(0).run());
     }
 
     // -----------------------------------------------------------------------
@@ -271,7 +249,7 @@
         order();
         loop.advance(1000);
         assertEquals(List.of(), worker.seen);
-        assertEquals(List.of(RUN), report().gone());
+        assertEquals(List.of(RunnerFixtures.RUN), report().gone());
     }
 
     @Test
@@ -291,14 +269,14 @@
         leased = false;
         WorkerSupervisor restarted =
                 new WorkerSupervisor(
-                        WORKER,
+                        RunnerFixtures.WORKER,
                         worker,
                         clock,
                         loop,
                         () -> 0L,
                         () -> fence,
                         () -> {},
-                        new NoObserver(),
+                        RunnerFixtures.NO_OBSERVER,
                         new HarmTable());
         restarted.start();
         loop.advance(100);
--- a/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
+++ b/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
@@ -29,12 +29,10 @@
 import org.standlink.FakeLoop;
 import org.standlink.Fence;
 import org.standlink.LeaseGeneration;
-import org.standlink.Resources;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
-import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
 import org.standlink.policy.HarmTable;
@@ -45,11 +43,6 @@
 public class TestWorkerSupervisor {
 
     private static final long LEASE_MILLIS = 6000;
-    private static final RunId RUN = new RunId(TaskName.parse("j.0.0.0"), 1);
-    private static final WorkerId ID = WorkerId.parse("i-1");
-    private static final WorkerDescription WORKER =
-            new WorkerDescription(
-                    ID, "s", "10.0.0.1:1", new Resources(1000, 100, 0), List.of(), false, 0);
 
     private final FakeClock clock = new FakeClock();
     private final FakeLoop loop = new FakeLoop(clock);
@@ -86,17 +79,6 @@
         private final List<String> stopped = new ArrayList<>();
         private int renewals;
 
-        private <T> CompletableFuture<T> later(T value) {
-            CompletableFuture<T> answer = new CompletableFuture<>();
-            loop.schedule(
-                    () -> {
-                        answer.complete(value);
-                    },
-                    10,
-                    java.util.concurrent.TimeUnit.MILLISECONDS);
-            return answer;
-        }
-
         private CallResult result(CallResult.Kind kind) {
             long told = kind == CallResult.Kind.UNKNOWN ? -1 : clock.nowMillis();
             return new CallResult(kind, told, "scripted");
@@ -106,14 +88,14 @@
         public CompletableFuture<CallResult> start(
                 WorkerDescription to, StartOrder order, long leaseUntil, Fence fence) {
             seen.add("start " + order.run().number());
-            return later(result(starts));
+            return RunnerFixtures.later(loop, 10, result(starts));
         }
 
         @Override
         public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Fence fence) {
             seen.add("stop " + run.number());
             stopped.add("stop " + run.number() + " of " + fence);
-            return later(result(stops));
+            return RunnerFixtures.later(loop, 10, result(stops));
         }
 
         @Override
@@ -123,7 +105,9 @@
             renewals++;
             List<RunEnd> unrecorded =
                     ended.stream().filter(end -> end.number() > recorded).toList();
-            return later(
+            return RunnerFixtures.later(
+                    loop,
+                    10,
                     new RenewalResult(
                             result(holds),
                             done ? running : List.of(),
@@ -134,7 +118,7 @@
         public CompletableFuture<CallResult> throttle(
                 WorkerDescription to, RunId run, int percent, Fence fence) {
             seen.add("share " + percent);
-            return later(result(CallResult.Kind.DONE));
+            return RunnerFixtures.later(loop, 10, result(CallResult.Kind.DONE));
         }
     }
 
@@ -142,7 +126,7 @@
     public void start() {
         supervisor =
                 new WorkerSupervisor(
-                        WORKER,
+                        RunnerFixtures.WORKER,
                         worker,
                         clock,
                         loop,
@@ -161,11 +145,13 @@
 
     private void order(List<StartOrder> starts, List<RunId> stops, long recorded) {
         supervisor.order(
-                new RunOrders(Epoch.of(1), LeaseGeneration.of(1), ID, starts, stops, recorded));
-    }
-
-    private static StartOrder startOrder() {
-        return new StartOrder(RUN, "text", "", false, 0, "");
+                new RunOrders(
+                        Epoch.of(1),
+                        LeaseGeneration.of(1),
+                        RunnerFixtures.ID,
+                        starts,
+                        stops,
+                        recorded));
     }
 
     @Test
@@ -182,7 +168,7 @@
     @Test
     public void aStartWithoutAnAnswerIsRepeatedUnderTheSameNumber() {
         worker.starts = CallResult.Kind.UNKNOWN;
-        order(List.of(startOrder()), List.of(), 0);
+        order(List.of(RunnerFixtures.startOrder()), List.of(), 0);
         loop.advance(500);
         worker.starts = CallResult.Kind.DONE;
         loop.advance(500);
@@ -194,30 +180,30 @@
     @Test
     public void aRefusedStartIsReportedUntilTheLeaderKnows() {
         worker.starts = CallResult.Kind.NO_ROOM;
-        order(List.of(startOrder()), List.of(), 0);
+        order(List.of(RunnerFixtures.startOrder()), List.of(), 0);
         loop.advance(100);
-        assertEquals(RUN, supervisor.report().refused().get(0).run());
+        assertEquals(RunnerFixtures.RUN, supervisor.report().refused().get(0).run());
         supervisor.reported(supervisor.report());
         assertTrue(supervisor.report().refused().isEmpty());
     }
 
     @Test
     public void aStopOfARunThatNeverBeganEndsInGone() {
-        order(List.of(), List.of(RUN), 0);
+        order(List.of(), List.of(RunnerFixtures.RUN), 0);
         loop.advance(500);
         assertTrue(supervisor.report().gone().isEmpty());
         loop.advance(2000);
-        assertEquals(List.of(RUN), supervisor.report().gone());
+        assertEquals(List.of(RunnerFixtures.RUN), supervisor.report().gone());
     }
 
     @Test
     public void aStoppedRunWithAnEndIsNotGone() {
-        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
-        order(List.of(startOrder()), List.of(), 0);
+        worker.running = List.of(new RunProgress(RunnerFixtures.RUN, "", 50, 0));
+        order(List.of(RunnerFixtures.startOrder()), List.of(), 0);
         loop.advance(600);
-        order(List.of(), List.of(RUN), 0);
+        order(List.of(), List.of(RunnerFixtures.RUN), 0);
         worker.running = List.of();
-        worker.ended = List.of(new RunEnd(1, RUN, RunEndKind.STOPPED, "c"));
+        worker.ended = List.of(new RunEnd(1, RunnerFixtures.RUN, RunEndKind.STOPPED, "c"));
         loop.advance(3000);
         assertTrue(supervisor.report().gone().isEmpty());
         assertEquals(1, supervisor.report().ended().size());
@@ -225,7 +211,7 @@
 
     @Test
     public void endsAreReportedUntilTheyAreRecorded() {
-        worker.ended = List.of(new RunEnd(1, RUN, RunEndKind.DONE, ""));
+        worker.ended = List.of(new RunEnd(1, RunnerFixtures.RUN, RunEndKind.DONE, ""));
         loop.advance(1000);
         assertEquals(1, supervisor.report().ended().size());
         order(List.of(), List.of(), 1);
@@ -234,7 +220,7 @@
 
     @Test
     public void aWorkerThatIsGoneIsNotSaidToRunWhatItRan() {
-        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        worker.running = List.of(new RunProgress(RunnerFixtures.RUN, "", 50, 0));
         loop.advance(1000);
         worker.holds = CallResult.Kind.UNKNOWN;
         loop.advance(LEASE_MILLIS + 1000);
@@ -249,7 +235,7 @@
     public void repeatedOrdersToStopDoNotMultiplyCalls() {
         worker.stops = CallResult.Kind.UNKNOWN;
         for (int i = 0; i < 5; i++) {
-            order(List.of(), List.of(RUN), 0);
+            order(List.of(), List.of(RunnerFixtures.RUN), 0);
             loop.advance(100);
         }
         worker.seen.clear();
@@ -261,7 +247,7 @@
     public void aStopWaitsForAWorkerThatDoesNotAnswer() {
         worker.holds = CallResult.Kind.UNKNOWN;
         loop.advance(1000);
-        order(List.of(), List.of(RUN), 0);
+        order(List.of(), List.of(RunnerFixtures.RUN), 0);
         loop.advance(1000);
         assertTrue(worker.seen.isEmpty(), () -> worker.seen.toString());
         worker.holds = CallResult.Kind.DONE;
@@ -271,9 +257,12 @@
 
     @Test
     public void aRunThatAnEarlierProcessMayHaveThrottledIsGivenItsShareAnew() {
-        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        worker.running = List.of(new RunProgress(RunnerFixtures.RUN, "", 50, 0));
         loop.advance(1000);
-        order(List.of(new StartOrder(RUN, "text", "", true, 0, "image")), List.of(), 0);
+        order(
+                List.of(new StartOrder(RunnerFixtures.RUN, "text", "", true, 0, "image")),
+                List.of(),
+                0);
         loop.advance(1000);
         assertTrue(worker.seen.contains("share 100"), () -> worker.seen.toString());
     }
@@ -281,14 +270,14 @@
     @Test
     public void aRefusalAfterACallWithoutAnAnswerIsOnlyReportedOnceTheRunIsStopped() {
         worker.starts = CallResult.Kind.UNKNOWN;
-        order(List.of(startOrder()), List.of(), 0);
+        order(List.of(RunnerFixtures.startOrder()), List.of(), 0);
         loop.advance(100);
         worker.starts = CallResult.Kind.UNWELL;
         loop.advance(500);
         assertTrue(supervisor.report().refused().isEmpty());
         assertTrue(worker.seen.contains("stop 1"), () -> worker.seen.toString());
         loop.advance(2000);
-        assertEquals(List.of(RUN), supervisor.report().gone());
+        assertEquals(List.of(RunnerFixtures.RUN), supervisor.report().gone());
     }
 
     @Test
@@ -321,13 +310,13 @@
 
     @Test
     public void aStopRefusedUnderAnOldEpochIsGivenAgainUnderTheNewOne() {
-        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        worker.running = List.of(new RunProgress(RunnerFixtures.RUN, "", 50, 0));
         loop.advance(600);
         worker.stops = CallResult.Kind.FENCED;
-        order(List.of(), List.of(RUN), 0);
+        order(List.of(), List.of(RunnerFixtures.RUN), 0);
         // The worker hears of the new leader, and the agent is told to stop, before the answer.
         fence = fence(2);
-        order(List.of(), List.of(RUN), 0);
+        order(List.of(), List.of(RunnerFixtures.RUN), 0);
         loop.advance(20);
         worker.stops = CallResult.Kind.DONE;
         loop.advance(500);
@@ -337,15 +326,15 @@
     @Test
     public void aStopIsNotGivenAgainUnderAnEpochThatWasRefused() {
         worker.stops = CallResult.Kind.FENCED;
-        order(List.of(), List.of(RUN), 0);
+        order(List.of(), List.of(RunnerFixtures.RUN), 0);
         loop.advance(2000);
         assertEquals(List.of("stop 1 of 1.1"), worker.stopped);
     }
 
     @Test
     public void aRunThatIsStillListedAfterItsStopIsStoppedAgain() {
-        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
-        order(List.of(), List.of(RUN), 0);
+        worker.running = List.of(new RunProgress(RunnerFixtures.RUN, "", 50, 0));
+        order(List.of(), List.of(RunnerFixtures.RUN), 0);
         loop.advance(500);
         assertEquals(1, worker.stopped.size());
         loop.advance(1500);
@@ -354,9 +343,9 @@
 
     @Test
     public void aRunThatIsListedOnlyAfterItsStopIsStoppedAgain() {
-        order(List.of(), List.of(RUN), 0);
+        order(List.of(), List.of(RunnerFixtures.RUN), 0);
         loop.advance(500);
-        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        worker.running = List.of(new RunProgress(RunnerFixtures.RUN, "", 50, 0));
         loop.advance(1500);
         assertEquals(2, worker.stopped.size());
     }
