--- /dev/null
+++ b/specs/AgentLeases.tla
@@ -0,0 +1,252 @@
+---------------------------- MODULE AgentLeases -----------------------------
+(* What one agent on the users' platform makes of the leader's leases and     *)
+(* orders. The worker beside it is "here"; all others are "there", where a    *)
+(* run is at work, at worst, from when it is numbered until the leader takes  *)
+(* it for over. Reports, grants, orders and calls may cross, be late or lost. *)
+(* Time passes in ticks; every timer counts down. Appends land at once, and   *)
+(* there is one leader: see Cell for both.                                    *)
+EXTENDS Integers, Sequences, FiniteSets
+
+CONSTANTS
+    MaxRun, MaxGeneration, MaxLife, \* bounds; lives are processes of the agent
+    Lease,               \* length, in ticks
+    Generations,         \* the leader raises the generation when it gives runs up
+    AdoptsFirst,         \* a higher generation voids orders before its lease is used
+    WorkerFence,         \* the worker does nothing for a lower generation than it has seen
+    VoidsAtLapse,        \* orders are void before a lapse is reported, until that is answered
+    RestartRaises,       \* a new process of the agent gets a generation of its own
+    RestartWaits,        \* it takes the worker's lease for over only a lease after it began
+    NumbersReports       \* a report that a later one has overtaken is passed over
+
+None == "none"
+Here == "here"
+There == "there"
+Lives == 1..MaxLife
+
+VARIABLES
+    run, at,             \* the leader: the last run and where it is placed
+    book, generation,    \* until when runs here may go on; of the lease of each life
+    heard, usable,       \* the life that reported last (0 for none), whether it can be given runs
+    reports, grant,      \* on their way: reports in their order, the answer to the last (a set)
+    orders, calls,       \* on their way: starts; calls of the worker, of run 0 if they only hold
+    life, adopted, due,  \* the agent: its process, its generation, one it has yet to adopt
+    asked,               \* what is left of the lease that its last report asks for
+    lease, told, held,   \* what it may grant, the longest it told the worker, runs not begun
+    reachable, noted,    \* whether the worker answers; whether orders were voided since it did
+    untold,              \* whether the leader has yet to answer the report of a lapse
+    hold, running,       \* the worker: time left to run, runs
+    top, fence           \* highest run ended, highest generation seen
+
+leaderVars == <<run, at, book, generation, heard, usable>>
+agentVars == <<life, adopted, due, asked, lease, told, held, reachable, noted, untold>>
+workerVars == <<hold, running, top, fence>>
+vars == <<leaderVars, reports, grant, orders, calls, agentVars, workerVars>>
+
+Max(a, b) == IF a > b THEN a ELSE b
+Less(n) == Max(n - 1, 0)
+Highest(s, least) == CHOOSE n \in s \cup {least} : \A m \in s \cup {least} : m <= n
+Aged(s) == {[m EXCEPT !.left = Less(@)] : m \in s}
+
+Init ==
+    /\ run = 0 /\ at = None /\ book = 0 /\ generation = [l \in Lives |-> 0]
+    /\ heard = 0 /\ usable = FALSE
+    /\ reports = <<>> /\ grant = {} /\ orders = {} /\ calls = {}
+    /\ life = 1 /\ adopted = 0 /\ due = 0 /\ asked = 0 /\ lease = 0 /\ told = 0 /\ held = {}
+    /\ reachable = TRUE /\ noted = FALSE /\ untold = FALSE
+    /\ hold = 0 /\ running = {} /\ top = 0 /\ fence = 0
+
+(* A worker whose lease ends kills what it runs. Renewals that come too late are left out. *)
+Tick ==
+    /\ book' = Less(book) /\ asked' = Less(asked) /\ lease' = Less(lease)
+    /\ told' = Less(told) /\ hold' = Less(hold)
+    /\ calls' = {c \in Aged(calls) : c.run # 0 \/ c.left > 0}
+    /\ running' = IF hold <= 1 THEN {} ELSE running
+    /\ top' = IF hold <= 1 THEN Highest(running, top) ELSE top
+    /\ UNCHANGED <<run, at, generation, heard, usable, reports, grant, orders, life, adopted,
+                   due, held,
+                   reachable, noted, untold, fence>>
+
+-----------------------------------------------------------------------------
+(* The leader. *)
+Last == Highest({generation[l] : l \in Lives}, 0)
+Raised == IF Generations THEN Last + 1 ELSE 1
+First == IF RestartRaises \/ heard = 0 THEN Raised ELSE generation[heard]
+
+(* What a process says counts for nothing once one of a higher generation was heard. *)
+Overtaken(l) == heard # 0 /\ heard # l /\ generation[heard] > generation[l]
+
+Remaining(k) ==
+    IF NumbersReports
+    THEN SelectSeq(SubSeq(reports, 1, k - 1), LAMBDA r : r.life # reports[k].life)
+         \o SubSeq(reports, k + 1, Len(reports))
+    ELSE SubSeq(reports, 1, k - 1) \o SubSeq(reports, k + 1, Len(reports))
+
+(* An agent heeds only the answer to its last report. *)
+Handle(k) ==
+    LET r == reports[k]
+        known == IF generation[r.life] = 0 THEN First ELSE generation[r.life]
+        givesUp == r.lapsed /\ at = Here
+        now == IF givesUp THEN Max(Raised, known) ELSE known
+    IN
+    /\ reports' = Remaining(k)
+    /\ IF generation[r.life] # 0 /\ Overtaken(r.life)
+       THEN UNCHANGED <<leaderVars, grant>>
+       ELSE /\ now <= MaxGeneration
+            /\ generation' = [generation EXCEPT ![r.life] = now]
+            /\ at' = IF givesUp THEN None ELSE at
+            /\ book' = Lease
+            /\ heard' = r.life /\ usable' = r.reachable
+            /\ grant' = IF r.life = life /\ r.newest
+                        THEN {[generation |-> now, lapsed |-> r.lapsed]}
+                        ELSE grant
+            /\ UNCHANGED run
+    /\ UNCHANGED <<orders, calls, agentVars, workerVars>>
+
+Lose(k) ==
+    /\ reports' = SubSeq(reports, 1, k - 1) \o SubSeq(reports, k + 1, Len(reports))
+    /\ UNCHANGED <<leaderVars, grant, orders, calls, agentVars, workerVars>>
+
+(* The lease is over in the leader's book, which forgets the worker. *)
+Expire ==
+    /\ book = 0 /\ heard # 0
+    /\ at = Here => Raised <= MaxGeneration
+    /\ generation' = IF at = Here THEN [generation EXCEPT ![heard] = Raised] ELSE generation
+    /\ at' = IF at = Here THEN None ELSE at
+    /\ heard' = 0 /\ usable' = FALSE
+    /\ UNCHANGED <<run, book, reports, grant, orders, calls, agentVars, workerVars>>
+
+Assign(place) ==
+    /\ at = None /\ run < MaxRun
+    /\ place = Here => usable /\ book > 0
+    /\ run' = run + 1 /\ at' = place
+    /\ UNCHANGED <<book, generation, heard, usable, reports, grant, orders, calls, agentVars,
+                   workerVars>>
+
+(* The end of the last run is listed; there, it may be that its lease is over, too. *)
+HearOver ==
+    /\ at = There \/ (at = Here /\ run <= top)
+    /\ at' = None
+    /\ UNCHANGED <<run, book, generation, heard, usable, reports, grant, orders, calls, agentVars,
+                   workerVars>>
+
+SendOrder ==
+    /\ at = Here /\ heard = life
+    /\ orders' = orders \cup {[run |-> run, generation |-> generation[heard]]}
+    /\ UNCHANGED <<leaderVars, reports, grant, calls, agentVars, workerVars>>
+
+-----------------------------------------------------------------------------
+(* The agent. *)
+Report ==
+    LET over == ~reachable /\ told = 0
+        voids == VoidsAtLapse /\ over /\ ~noted
+    IN
+    /\ Len(reports) < 2
+    /\ noted' = (noted \/ voids)
+    /\ untold' = (untold \/ voids)
+    /\ held' = IF voids THEN {} ELSE held
+    /\ reports' = Append([i \in DOMAIN reports |-> [reports[i] EXCEPT !.newest = FALSE]],
+                         [life |-> life, newest |-> TRUE, lapsed |-> untold' \/ over,
+                          reachable |-> reachable])
+    /\ asked' = Lease
+    /\ grant' = {}
+    /\ UNCHANGED <<leaderVars, orders, calls, life, adopted, due, lease, told, reachable,
+                   workerVars>>
+
+(* What is left of the runs held, and the generation, once one was told. *)
+Kept(g) == IF g > adopted THEN {} ELSE held
+
+TakeGrant(g) ==
+    /\ grant' = {}
+    /\ lease' = Max(lease, asked)
+    /\ untold' = (untold /\ ~g.lapsed)
+    /\ IF AdoptsFirst
+       THEN /\ adopted' = Max(adopted, g.generation)
+            /\ held' = IF g.lapsed THEN {} ELSE Kept(g.generation)
+            /\ UNCHANGED due
+       ELSE /\ due' = Max(due, g.generation)
+            /\ UNCHANGED <<adopted, held>>
+    /\ UNCHANGED <<leaderVars, reports, orders, calls, life, asked, told, reachable, noted, workerVars>>
+
+AdoptLate ==
+    /\ due > adopted
+    /\ held' = {} /\ adopted' = due
+    /\ UNCHANGED <<leaderVars, reports, grant, orders, calls, life, due, asked, lease, told, reachable,
+                   noted, untold, workerVars>>
+
+(* An order of a lower generation is passed over. *)
+TakeOrder(o) ==
+    /\ orders' = orders \ {o}
+    /\ adopted' = Max(adopted, o.generation)
+    /\ held' = IF o.generation < adopted \/ untold
+               THEN Kept(o.generation)
+               ELSE Kept(o.generation) \cup {o.run}
+    /\ UNCHANGED <<leaderVars, reports, grant, calls, life, due, asked, lease, told, reachable, noted,
+                   untold, workerVars>>
+
+(* A start, or for run 0 a renewal, tells the worker how long it may keep its runs. *)
+Call(r) ==
+    /\ r = 0 \/ r \in held
+    /\ reachable /\ lease > 0 /\ ~untold /\ Cardinality(calls) < 2
+    /\ calls' = calls \cup {[run |-> r, generation |-> adopted, left |-> lease]}
+    /\ told' = Max(told, lease)
+    /\ UNCHANGED <<leaderVars, reports, grant, orders, life, adopted, due, asked, lease, held, reachable,
+                   noted, untold, workerVars>>
+
+Silent ==
+    /\ reachable
+    /\ reachable' = FALSE
+    /\ UNCHANGED <<leaderVars, reports, grant, orders, calls, life, adopted, due, asked, lease, told,
+                   held, noted, untold, workerVars>>
+
+Regain ==
+    /\ ~reachable
+    /\ reachable' = TRUE /\ noted' = FALSE
+    /\ UNCHANGED <<leaderVars, reports, grant, orders, calls, life, adopted, due, asked, lease, told,
+                   held, untold, workerVars>>
+
+(* A process starts anew and knows nothing; what came over its connections is lost. *)
+Restart ==
+    /\ life < MaxLife
+    /\ life' = life + 1
+    /\ adopted' = 0 /\ due' = 0 /\ asked' = 0 /\ lease' = 0 /\ held' = {}
+    /\ told' = IF RestartWaits THEN Lease ELSE 0
+    /\ reachable' = TRUE /\ noted' = FALSE /\ untold' = FALSE
+    /\ grant' = {} /\ orders' = {}
+    /\ UNCHANGED <<leaderVars, reports, calls, workerVars>>
+
+-----------------------------------------------------------------------------
+(* The worker. A time to run holds for all its runs and is never shortened. *)
+CarryOut(c) ==
+    /\ calls' = calls \ {c}
+    /\ IF c.generation < fence /\ WorkerFence
+       THEN UNCHANGED workerVars
+       ELSE /\ fence' = Max(fence, c.generation)
+            /\ hold' = Max(hold, c.left)
+            /\ running' = IF c.run > top /\ hold' > 0 THEN running \cup {c.run} ELSE running
+            /\ UNCHANGED top
+    /\ UNCHANGED <<leaderVars, reports, grant, orders, agentVars>>
+
+LoseCall(c) ==
+    /\ calls' = calls \ {c}
+    /\ UNCHANGED <<leaderVars, reports, grant, orders, agentVars, workerVars>>
+
+End(r) ==
+    /\ running' = running \ {r} /\ top' = Max(top, r)
+    /\ UNCHANGED <<leaderVars, reports, grant, orders, calls, agentVars, hold, fence>>
+
+Next ==
+    \/ Tick \/ Expire \/ HearOver \/ SendOrder
+    \/ \E place \in {Here, There} : Assign(place)
+    \/ \E k \in DOMAIN reports : Handle(k) \/ Lose(k)
+    \/ Report \/ AdoptLate \/ Silent \/ Regain \/ Restart
+    \/ \E g \in grant : TakeGrant(g)
+    \/ \E o \in orders : TakeOrder(o)
+    \/ \E r \in 0..MaxRun : Call(r)
+    \/ \E c \in calls : CarryOut(c) \/ LoseCall(c)
+    \/ \E r \in running : End(r)
+
+Spec == Init /\ [][Next]_vars
+
+(* The task never runs in two places at once, nor twice in one. *)
+OnePlace == running # {} => (at # There /\ Cardinality(running) = 1)
+=============================================================================
