Model reports that count only if they name what the leader told their process

Cause: the model told the later process by the order of channels, which the code no longer does. Reports now carry the generation that their process had adopted. One that does not name what the leader told its process gets just that, without a lease and without its lapse being told; one that does counts and makes all other processes heard replaced. OrdersLives and processes-by-arrival go with the rule that they removed; names-nothing takes their place and must be found broken as well.

The module here is as the code is.

--- a/specs/AgentLeases.tla
+++ b/specs/AgentLeases.tla
@@ -5,7 +5,9 @@
 (* it for over. Reports, grants, orders and calls may cross, be late or lost. *)
 (* Time passes in ticks; every timer counts down. Appends land at once, and   *)
 (* there is one leader: see Cell for both. Processes of the agent follow one  *)
-(* another, and the leader accepts their channels in that order.              *)
+(* another; nothing but its reports tells the leader which is the later one.  *)
+(* A report counts only if it names the generation that the leader told its   *)
+(* process; any other gets just that in the answer, and no lease.             *)
 EXTENDS Integers, Sequences, FiniteSets
 
 CONSTANTS
@@ -19,7 +21,7 @@
     RestartRaises,       \* a new process of the agent gets a generation of its own
     RestartWaits,        \* it takes the worker's lease for over only a lease after it began
     NumbersReports,      \* a report that a later one has overtaken is passed over
-    OrdersLives          \* so is any of an earlier process, even if none of it was heard before
+    NamesGeneration      \* a report counts only if it names the generation told to its process
 
 None == "none"
 Here == "here"
@@ -29,7 +31,7 @@
 VARIABLES
     run, at,             \* the leader: the last run and where it is placed
     book, generation,    \* until when runs here may go on; of the lease of each life
-    present,             \* the latest life that was heard, 0 for none
+    replaced,            \* lives that were heard before a report of another one counted
     heard, usable,       \* the life that looks after the worker, 0 for none; if it can get runs
     reports, grant,      \* on their way: reports in their order, the answer to the last (a set)
     orders, calls,       \* on their way: starts; calls of the worker, of run 0 if they only hold
@@ -41,7 +43,7 @@
     hold, running,       \* the worker: time left to run, runs
     top, fence           \* highest run ended, highest generation seen
 
-leaderVars == <<run, at, book, generation, present, heard, usable>>
+leaderVars == <<run, at, book, generation, replaced, heard, usable>>
 agentVars == <<life, adopted, due, asked, lease, told, held, reachable, noted, untold>>
 workerVars == <<hold, running, top, fence>>
 vars == <<leaderVars, reports, grant, orders, calls, agentVars, workerVars>>
@@ -53,7 +55,7 @@
 
 Init ==
     /\ run = 0 /\ at = None /\ book = 0 /\ generation = [l \in Lives |-> 0]
-    /\ present = 0 /\ heard = 0 /\ usable = FALSE
+    /\ replaced = {} /\ heard = 0 /\ usable = FALSE
     /\ reports = <<>> /\ grant = {} /\ orders = {} /\ calls = {}
     /\ life = 1 /\ adopted = 0 /\ due = 0 /\ asked = 0 /\ lease = 0 /\ told = 0 /\ held = {}
     /\ reachable = TRUE /\ noted = FALSE /\ untold = FALSE
@@ -66,28 +68,28 @@
     /\ calls' = {c \in Aged(calls) : c.run # 0 \/ c.left > 0}
     /\ running' = IF hold <= 1 THEN {} ELSE running
     /\ top' = IF hold <= 1 THEN Highest(running, top) ELSE top
-    /\ UNCHANGED <<run, at, generation, present, heard, usable, reports, grant, orders, life,
+    /\ UNCHANGED <<run, at, generation, replaced, heard, usable, reports, grant, orders, life,
                    adopted, due, held, reachable, noted, untold, fence>>
 
 -----------------------------------------------------------------------------
 (* The leader. *)
 Last == Highest({generation[l] : l \in Lives}, 0)
 Raised == IF Generations THEN Last + 1 ELSE 1
-First == IF RestartRaises \/ present = 0 THEN Raised ELSE generation[present]
+First == IF RestartRaises \/ Last = 0 THEN Raised ELSE Last
 
-(* What a process says counts for nothing once a later one was heard. To take the one of the     *)
-(* higher generation for the later one is not enough: generations go by who was heard first.     *)
-Overtaken(l) ==
-    IF OrdersLives
-    THEN l < present
-    ELSE heard # 0 /\ generation[l] # 0 /\ generation[l] < generation[heard]
+Counts(r) ==
+    NamesGeneration => (generation[r.life] # 0 /\ r.generation = generation[r.life])
+
+(* A process of which a report counts is taken for the present one, all others heard for over. *)
+Replaces(l) == {other \in Lives \ {l} : generation[other] # 0}
 
 (* What is left once a report was handled; what would be passed over is left out at once. *)
-Remaining(k) ==
+Remaining(k, over) ==
     LET r == reports[k]
-        stays(other) == /\ NumbersReports => other.life # r.life
-                        /\ OrdersLives => other.life >= Max(present, r.life)
-    IN  SelectSeq(SubSeq(reports, 1, k - 1), stays) \o SubSeq(reports, k + 1, Len(reports))
+        numbered(other) == ~NumbersReports \/ other.life # r.life
+        heeded(other) == other.life \notin over
+        before == SelectSeq(SubSeq(reports, 1, k - 1), numbered)
+    IN  SelectSeq(before \o SubSeq(reports, k + 1, Len(reports)), heeded)
 
 (* Nothing more is placed here, so that the rest of the book does not matter. *)
 Closed(number, place) == number = MaxRun /\ place # Here
@@ -97,30 +99,52 @@
 MayBeElsewhere(r) == ~r.reachable /\ usable /\ heard # r.life
 
 (* An agent heeds only the answer to its last report. *)
-Handle(k) ==
+Answer(r, now, counts) ==
+    grant' = IF r.life = life /\ r.newest
+             THEN {[generation |-> now, counts |-> counts, lapsed |-> counts /\ r.lapsed]}
+             ELSE grant
+
+PassOver(k) ==
+    /\ reports[k].life \in replaced
+    /\ reports' = Remaining(k, replaced)
+    /\ UNCHANGED <<leaderVars, grant>>
+
+(* The sender has yet to be told its generation; that is all that comes of its report. *)
+OnlyTell(k) ==
     LET r == reports[k]
         known == IF generation[r.life] = 0 THEN First ELSE generation[r.life]
     IN
-    /\ reports' = Remaining(k)
-    /\ \/ /\ Overtaken(r.life)
-          /\ UNCHANGED <<leaderVars, grant>>
-       \/ \E elsewhere \in {FALSE, MayBeElsewhere(r)} :
-            LET givesUp == r.lapsed /\ at = Here /\ ~elsewhere
-                now == IF givesUp THEN Max(Raised, known) ELSE known
-                closed == Closed(run, IF givesUp THEN None ELSE at)
-            IN
-            /\ ~Overtaken(r.life)
-            /\ now <= MaxGeneration
-            /\ generation' = [generation EXCEPT ![r.life] = now]
-            /\ at' = IF givesUp THEN None ELSE at
-            /\ present' = r.life
-            /\ book' = IF closed THEN 0 ELSE Lease
-            /\ heard' = IF closed THEN 0 ELSE IF elsewhere THEN heard ELSE r.life
-            /\ usable' = (~closed /\ IF elsewhere THEN usable ELSE r.reachable)
-            /\ grant' = IF r.life = life /\ r.newest
-                        THEN {[generation |-> now, lapsed |-> r.lapsed]}
-                        ELSE grant
-            /\ UNCHANGED run
+    /\ r.life \notin replaced /\ ~Counts(r)
+    /\ known <= MaxGeneration
+    /\ reports' = Remaining(k, replaced)
+    /\ generation' = [generation EXCEPT ![r.life] = known]
+    /\ Answer(r, known, FALSE)
+    /\ UNCHANGED <<run, at, book, replaced, heard, usable>>
+
+Heed(k) ==
+    LET r == reports[k]
+        known == IF generation[r.life] = 0 THEN First ELSE generation[r.life]
+        over == replaced \cup Replaces(r.life)
+    IN
+    /\ r.life \notin replaced /\ Counts(r)
+    /\ reports' = Remaining(k, over)
+    /\ replaced' = over
+    /\ \E elsewhere \in {FALSE, MayBeElsewhere(r)} :
+         LET givesUp == r.lapsed /\ at = Here /\ ~elsewhere
+             now == IF givesUp THEN Max(Raised, known) ELSE known
+             closed == Closed(run, IF givesUp THEN None ELSE at)
+         IN
+         /\ now <= MaxGeneration
+         /\ generation' = [generation EXCEPT ![r.life] = now]
+         /\ at' = IF givesUp THEN None ELSE at
+         /\ book' = IF closed THEN 0 ELSE Lease
+         /\ heard' = IF closed THEN 0 ELSE IF elsewhere THEN heard ELSE r.life
+         /\ usable' = (~closed /\ IF elsewhere THEN usable ELSE r.reachable)
+         /\ Answer(r, now, TRUE)
+    /\ UNCHANGED run
+
+Handle(k) ==
+    /\ PassOver(k) \/ OnlyTell(k) \/ Heed(k)
     /\ UNCHANGED <<orders, calls, agentVars, workerVars>>
 
 (* What is never handled is as good as lost; it is taken out only to make room. *)
@@ -137,7 +161,7 @@
     /\ generation' = [generation EXCEPT ![heard] = Raised]
     /\ at' = None
     /\ heard' = 0 /\ usable' = FALSE
-    /\ UNCHANGED <<run, book, present, reports, grant, orders, calls, agentVars, workerVars>>
+    /\ UNCHANGED <<run, book, replaced, reports, grant, orders, calls, agentVars, workerVars>>
 
 (* A first run there changes nothing here, nor does the end of the last one. *)
 Assign(place) ==
@@ -148,14 +172,14 @@
     /\ IF Closed(run + 1, place)
        THEN book' = 0 /\ heard' = 0 /\ usable' = FALSE
        ELSE UNCHANGED <<book, heard, usable>>
-    /\ UNCHANGED <<generation, present, reports, grant, orders, calls, agentVars, workerVars>>
+    /\ UNCHANGED <<generation, replaced, reports, grant, orders, calls, agentVars, workerVars>>
 
 (* The end of the last run is listed; there, it may be that its lease is over, too. *)
 HearOver ==
     /\ run < MaxRun
     /\ at = There \/ (at = Here /\ run <= top)
     /\ at' = None
-    /\ UNCHANGED <<run, book, generation, present, heard, usable, reports, grant, orders, calls,
+    /\ UNCHANGED <<run, book, generation, replaced, heard, usable, reports, grant, orders, calls,
                    agentVars, workerVars>>
 
 SendOrder ==
@@ -174,8 +198,8 @@
     /\ untold' = (untold \/ voids)
     /\ held' = IF voids THEN {} ELSE held
     /\ reports' = Append([i \in DOMAIN reports |-> [reports[i] EXCEPT !.newest = FALSE]],
-                         [life |-> life, newest |-> TRUE, lapsed |-> untold' \/ over,
-                          reachable |-> reachable])
+                         [life |-> life, generation |-> adopted, newest |-> TRUE,
+                          lapsed |-> untold' \/ over, reachable |-> reachable])
     /\ asked' = Lease
     /\ grant' = {}
     /\ UNCHANGED <<leaderVars, orders, calls, life, adopted, due, lease, told, reachable,
@@ -187,7 +211,8 @@
 
 TakeGrant(g) ==
     /\ grant' = {}
-    /\ lease' = Max(lease, asked) /\ asked' = 0
+    /\ lease' = IF g.counts THEN Max(lease, asked) ELSE lease
+    /\ asked' = 0
     /\ untold' = (untold /\ ~g.lapsed)
     /\ IF AdoptsFirst
        THEN /\ adopted' = Max(adopted, g.generation)
