--- a/src/main/java/org/standlink/cell/CallerDesk.java
+++ b/src/main/java/org/standlink/cell/CallerDesk.java
@@ -15,6 +15,7 @@
  */
 package org.standlink.cell;
 
+import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import org.standlink.JobId;
@@ -37,6 +38,9 @@
  */
 final class CallerDesk {
 
+    /** Why nothing was done, in answers and in the log. */
+    private static final String STORE_SILENT = "the store does not answer";
+
     /** The log. */
     private static final EventLog LOG = EventLog.of(CallerDesk.class);
 
@@ -90,7 +94,7 @@
         } else if (message instanceof CancelJob cancel) {
             cancel(connection, call, cancel);
         } else if (message instanceof JobQuery query) {
-            connection.answer(call, stateOf(query.job(), query.queue()));
+            connection.answer(call, lookUp(query));
         } else if (message instanceof QueueQuery query) {
             connection.answer(call, waitingIn(query.queue()));
         }
@@ -100,15 +104,13 @@
     private void submit(MessageChannel connection, long call, JobDefinition job) {
         JobEntry known = board.find(job.id());
         if (known == null && commits.isStalled()) {
-            String reason = "the store does not answer";
-            LOG.info("refused").with("job", job.id()).with("reason", reason).write();
-            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, reason));
+            LOG.info("refused").with("job", job.id()).with("reason", STORE_SILENT).write();
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, STORE_SILENT));
             return;
         }
         if (known != null && commits.isStalled()) {
             // It may have been kept; waiting for that would hold the caller up.
-            String reason = "the store does not answer";
-            connection.answer(call, JobAnswer.of(JobAnswer.Result.UNKNOWN, reason));
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.UNKNOWN, STORE_SILENT));
             return;
         }
         LOG.info("received")
@@ -117,8 +119,9 @@
                 .with("store-silent-millis", commits.getSilentMillis())
                 .write();
         JobEntry entry = known == null ? board.add(job) : known;
-        if (known == null) {
+        if (!entry.isAccepted()) {
             entry.accept(clock.nowMillis(), wallClock.getAsLong());
+            board.markChanged(entry);
         }
         long start = clock.nowMillis();
         commits.afterCommit(
@@ -134,8 +137,15 @@
     }
 
     private void cancel(MessageChannel connection, long call, CancelJob cancel) {
-        JobEntry job = findIn(cancel.job(), cancel.queue());
-        if (job == null) {
+        JobEntry known = board.find(cancel.job());
+        if (known == null && commits.isStalled()) {
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, STORE_SILENT));
+            return;
+        }
+        // Callers take the denial of a job for its cancel. Keeping the cancel proves that no other
+        // leader has taken the job, and bars a submission that is still under way.
+        JobEntry job = known == null ? board.add(withoutTasks(cancel)) : known;
+        if (!job.getDefinition().queue().equals(cancel.queue())) {
             connection.answer(call, JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, ""));
             return;
         }
@@ -145,20 +155,28 @@
             LOG.info("cancelled").with("job", job.getId()).write();
             whenFinal.accept(job);
         }
-        commits.afterCommit(() -> connection.answer(call, JobAnswer.ofDone(job.getKeptState())));
+        commits.afterCommit(() -> connection.answer(call, stateOf(job.getId(), cancel.queue())));
     }
 
-    private JobEntry findIn(JobId id, String queue) {
-        JobEntry job = board.find(id);
-        return job != null && job.getDefinition().queue().equals(queue) ? job : null;
+    /** Another leader may know a job that this one does not know, while the store is silent. */
+    private JobAnswer lookUp(JobQuery query) {
+        return board.find(query.job()) == null && commits.isStalled()
+                ? JobAnswer.of(JobAnswer.Result.NOT_DONE, STORE_SILENT)
+                : stateOf(query.job(), query.queue());
+    }
+
+    private static JobDefinition withoutTasks(CancelJob cancel) {
+        return new JobDefinition(cancel.job(), cancel.queue(), "", List.of(), 0, 0, 0);
     }
 
     /** Tells a job's state; one that is not kept yet counts as it was before. */
     private JobAnswer stateOf(JobId id, String queue) {
-        JobEntry job = findIn(id, queue);
-        return job == null
-                ? JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, "")
-                : JobAnswer.ofDone(job.getKeptState());
+        JobEntry job = board.find(id);
+        boolean there =
+                job != null && job.isAccepted() && job.getDefinition().queue().equals(queue);
+        return there
+                ? JobAnswer.ofDone(job.getKeptState())
+                : JobAnswer.of(JobAnswer.Result.NO_SUCH_JOB, "");
     }
 
     private JobAnswer waitingIn(String queue) {
--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -24,9 +24,9 @@
 import java.util.function.Supplier;
 import org.standlink.Epoch;
 import org.standlink.ErrorCode;
+import org.standlink.LeaseGeneration;
 import org.standlink.StandlinkException;
 import org.standlink.job.Configuration;
-import org.standlink.job.QueueDefinition;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.policy.HarmTable;
 import org.standlink.process.EventLog;
@@ -62,9 +62,6 @@
     /** The pause before a failed step of taking over is repeated, in milliseconds. */
     private static final long PAUSE_MILLIS = 150;
 
-    /** The most runs of a task that may fail if the queue is no longer configured. */
-    private static final int OTHERWISE_ATTEMPTS = 1;
-
     /** The log. */
     private static final EventLog LOG = EventLog.of(CellLeader.class);
 
@@ -98,9 +95,6 @@
     /** The workers. */
     private final WorkerBoard workers = new WorkerBoard();
 
-    /** What is believed of images. */
-    private final HarmTable harm = new HarmTable();
-
     /** Keeps what is believed of images. */
     private final BeliefKeeper beliefs;
 
@@ -116,6 +110,12 @@
     /** Moves throttled runs. */
     private final MoveDesk moves;
 
+    /** The agents. */
+    private final AgentBoard agents;
+
+    /** Learns from figures. */
+    private final FigureDesk figures;
+
     /** Handles reports of agents. */
     private final ReportDesk reports;
 
@@ -163,6 +163,7 @@
         this.configuration = configuration;
         this.loop = loop;
         this.whenDeposed = whenDeposed;
+        HarmTable harm = new HarmTable();
         Placement placement = new LeastAskedPlacement(harm);
         this.scheduler = new Scheduler(board, workers, placement);
         this.beliefs = new BeliefKeeper(harm, clock);
@@ -178,7 +179,17 @@
         this.orders = new OrderDesk(epoch, board, workers, commits);
         this.moves = new MoveDesk(workers, placement, orders);
         this.callers = new CallerDesk(board, commits, clock, wallClock, this::noteFinal);
-        this.reports = new ReportDesk(board, workers, orders, this::mostAttempts, clock, harm);
+        this.agents = new AgentBoard(epoch, workers);
+        this.figures = new FigureDesk(board, clock, harm);
+        this.reports =
+                new ReportDesk(
+                        board,
+                        workers,
+                        agents,
+                        orders,
+                        job -> configuration.get().getMostAttempts(job.getDefinition().queue()),
+                        clock,
+                        figures);
     }
 
     /** Begins to take over. */
@@ -275,16 +286,12 @@
         long now = clock.nowMillis();
         for (WorkerEntry worker : List.copyOf(workers.getWorkers())) {
             if (now > worker.getMayRunUntil() + CellTimes.MARGIN_MILLIS) {
-                reports.releaseAll(worker, "lease-expired");
+                reports.giveUp(worker, "lease-expired");
                 workers.remove(worker);
             }
         }
-        for (JobEntry job : List.copyOf(board.getJobs())) {
-            boolean old = job.getFinalAt() >= 0 && now - job.getFinalAt() > times.statusMillis();
-            if (old && job.isSettled()) {
-                board.remove(job);
-            }
-        }
+        agents.forgetSilent(now);
+        board.forgetOld(now - times.statusMillis());
     }
 
     /** Assigns what can be assigned, and keeps what has changed. */
@@ -354,12 +361,15 @@
         }
         long silent = commits.getSilentMillis();
         if (!active) {
-            connection.answer(call, new AgentGrant(epoch, 0, silent, List.of()));
+            connection.answer(
+                    call, new AgentGrant(epoch, LeaseGeneration.NONE, 0, silent, List.of()));
             return;
         }
         boolean entitled = silent < CellTimes.AUTHORITY_MILLIS;
         long until = entitled ? clock.nowMillis() + times.leaseMillis() : 0;
-        reports.handle(connection, report, until);
+        if (!reports.handle(connection, report, until)) {
+            return;
+        }
         for (JobEntry job : reports.takeTouched()) {
             noteFinal(job);
         }
@@ -367,9 +377,10 @@
                 call,
                 new AgentGrant(
                         epoch,
+                        agents.getGeneration(report.incarnation()),
                         entitled ? times.leaseMillis() : 0,
                         silent,
-                        reports.harmFor(connection)));
+                        figures.harmFor(connection)));
     }
 
     private void noteFinal(JobEntry job) {
@@ -383,12 +394,4 @@
             orders.stopAfterCommit(job.allTasks().toList());
         }
     }
-
-    private int mostAttempts(JobEntry job) {
-        return configuration
-                .get()
-                .findQueue(job.getDefinition().queue())
-                .map(QueueDefinition::mostAttempts)
-                .orElse(OTHERWISE_ATTEMPTS);
-    }
 }
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -16,21 +16,17 @@
 package org.standlink.cell;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
-import java.util.WeakHashMap;
 import java.util.function.ToIntFunction;
+import org.standlink.LeaseGeneration;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
-import org.standlink.job.StepDefinition;
 import org.standlink.job.WorkerId;
 import org.standlink.lease.MonotonicClock;
-import org.standlink.policy.HarmTable;
 import org.standlink.process.EventLog;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.MessageChannel;
@@ -53,9 +49,6 @@
      */
     private static final long STALL_MILLIS = 1500;
 
-    /** The time that a worker's figures cover, in milliseconds. */
-    private static final long SAMPLE_MILLIS = 450;
-
     /** The log. */
     private static final EventLog LOG = EventLog.of(ReportDesk.class);
 
@@ -65,6 +58,9 @@
     /** The workers. */
     private final WorkerBoard workers;
 
+    /** The agents. */
+    private final AgentBoard agents;
+
     /** Tells agents what to do. */
     private final OrderDesk orders;
 
@@ -74,11 +70,8 @@
     /** The clock. */
     private final MonotonicClock clock;
 
-    /** What is believed of images. */
-    private final HarmTable harm;
-
-    /** Up to which change of it each agent has been told. */
-    private final Map<MessageChannel, Long> told = new WeakHashMap<>();
+    /** Learns from figures. */
+    private final FigureDesk figures;
 
     /** The jobs that have changed since they were taken last. */
     private Set<JobEntry> touched = new LinkedHashSet<>();
@@ -88,24 +81,27 @@
      *
      * @param board the jobs
      * @param workers the workers
+     * @param agents the agents
      * @param orders tells agents what to do
      * @param mostAttempts tells how many runs of a job's task may fail
      * @param clock the clock
-     * @param harm what is believed of images
+     * @param figures learns from figures
      */
     ReportDesk(
             JobBoard board,
             WorkerBoard workers,
+            AgentBoard agents,
             OrderDesk orders,
             ToIntFunction<JobEntry> mostAttempts,
             MonotonicClock clock,
-            HarmTable harm) {
+            FigureDesk figures) {
         this.board = board;
         this.workers = workers;
+        this.agents = agents;
         this.orders = orders;
         this.mostAttempts = mostAttempts;
         this.clock = clock;
-        this.harm = harm;
+        this.figures = figures;
     }
 
     /**
@@ -114,13 +110,25 @@
      * @param connection where it came from
      * @param report the report
      * @param leaseUntil until when the agent is granted a lease, on the leader's clock; 0 for none
+     * @return false if a later report has come before, so that nothing was done
      */
-    void handle(MessageChannel connection, AgentReport report, long leaseUntil) {
+    boolean handle(MessageChannel connection, AgentReport report, long leaseUntil) {
+        if (!agents.accept(report, clock.nowMillis())) {
+            return false;
+        }
         for (WorkerReport part : report.workers()) {
+            if (agents.isOvertaken(report.incarnation(), part.worker(), clock.nowMillis())) {
+                LOG.info("overtaken-agent")
+                        .with("node", report.node())
+                        .with("worker", part.worker().id())
+                        .write();
+                continue;
+            }
             WorkerEntry worker = workers.get(part.worker().id(), leaseUntil);
             worker.prolong(leaseUntil);
             boolean first = worker.getDescription() == null;
             worker.heard(part.worker(), connection, part.reachable(), clock.nowMillis());
+            worker.setAgent(report.incarnation());
             if (first) {
                 workers.keepAddress(worker);
                 workers.replacedBy(worker).forEach(this::replaced);
@@ -133,6 +141,7 @@
                 replaced(worker);
             }
         }
+        return true;
     }
 
     private void replaced(WorkerEntry worker) {
@@ -152,12 +161,19 @@
     }
 
     /**
-     * Takes note that all runs of a worker are over.
+     * Gives up all runs of a worker, since its lease is over; orders for them are void from now on.
      *
      * @param worker the worker
      * @param reason why, for the log
      */
-    void releaseAll(WorkerEntry worker, String reason) {
+    void giveUp(WorkerEntry worker, String reason) {
+        if (!worker.listTasks().isEmpty()) {
+            agents.renew(worker.getAgent(), reason);
+            releaseAll(worker, reason);
+        }
+    }
+
+    private void releaseAll(WorkerEntry worker, String reason) {
         for (TaskEntry task : List.copyOf(worker.listTasks())) {
             release(task, worker.getId(), reason);
         }
@@ -195,11 +211,11 @@
     // -----------------------------------------------------------------------
     private void handleWorker(WorkerEntry worker, WorkerReport part, AgentReport report) {
         if (part.lapsed()) {
-            releaseAll(worker, "lease-lapsed");
+            giveUp(worker, "lease-lapsed");
         }
         part.running().forEach(this::saveProgress);
         worker.getFigures().throttled(part.throttled(), clock.nowMillis());
-        learn(worker, part.running());
+        figures.learn(worker, part.running());
         handleEnds(worker, part.ended());
         for (StartRefusal refusal : part.refused()) {
             refused(worker, refusal);
@@ -215,43 +231,6 @@
         }
     }
 
-    /** Learns from the figures of a worker, once for each half second that they cover. */
-    private void learn(WorkerEntry worker, List<RunProgress> running) {
-        if (!worker.getFigures().beginSample(clock.nowMillis(), SAMPLE_MILLIS)) {
-            return;
-        }
-        Map<String, Double> tails = new HashMap<>();
-        Map<String, Long> used = new HashMap<>();
-        for (RunProgress progress : running) {
-            TaskEntry task = board.findTask(progress.run().task());
-            if (task == null) {
-                continue;
-            }
-            StepDefinition step = task.getStep();
-            if (step.targetMillis() > 0) {
-                tails.merge(step.image(), progress.figure() / step.targetMillis(), Math::max);
-            } else if (step.bestEffort()) {
-                used.merge(step.image(), progress.figure(), Long::sum);
-            }
-        }
-        worker.getFigures()
-                .setWorstTail(
-                        tails.values().stream().mapToDouble(Double::doubleValue).max().orElse(0));
-        tails.forEach((image, ratio) -> harm.observe(image, ratio, used));
-    }
-
-    /**
-     * Tells an agent what is believed of images, if that has changed since it was told last.
-     *
-     * @param agent the connection to the agent
-     * @return the beliefs, empty if they have not changed
-     */
-    List<HarmTable.Entry> harmFor(MessageChannel agent) {
-        long version = harm.getVersion();
-        Long before = told.put(agent, version);
-        return before != null && before == version ? List.of() : harm.list();
-    }
-
     private void saveProgress(RunProgress progress) {
         TaskEntry task = board.findTask(progress.run().task());
         if (task != null && task.getRun().equals(progress.run())) {
@@ -362,12 +341,15 @@
         List<RunId> stray = new ArrayList<>();
         for (RunProgress progress : part.running()) {
             TaskEntry task = worker.findTask(progress.run().task());
-            boolean expected = task != null && task.getRun().equals(progress.run());
+            // A run that is to end stays placed here until it has; an order to stop it may be lost.
+            boolean expected =
+                    task != null && task.getRun().equals(progress.run()) && orders.isWanted(task);
             (expected ? present : stray).add(progress.run());
         }
         orders.stopStray(worker.getId(), stray);
-        if (!report.incarnation().equals(worker.getSynced())) {
-            worker.setSynced(report.incarnation());
+        LeaseGeneration generation = agents.getGeneration(report.incarnation());
+        if (!generation.equals(worker.getSynced())) {
+            worker.setSynced(generation);
             orders.syncAfterCommit(worker, present);
         }
     }
--- a/src/main/java/org/standlink/cell/WorkerBoard.java
+++ b/src/main/java/org/standlink/cell/WorkerBoard.java
@@ -23,6 +23,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import org.standlink.LeaseGeneration;
 import org.standlink.job.WorkerId;
 import org.standlink.process.EventLog;
 import org.standlink.store.KeyedRecord;
@@ -47,7 +48,7 @@
     private static final long TRIAL_MILLIS = 1500;
 
     /** How long ago an agent may have been heard for its workers to be used, in milliseconds. */
-    private static final long SILENT_MILLIS = 1500;
+    static final long SILENT_MILLIS = 1500;
 
     /** The log. */
     private static final EventLog LOG = EventLog.of(WorkerBoard.class);
@@ -217,7 +218,10 @@
                             && worker.getDescription().service().equals(service)
                             && !worker.getDescription().draining()
                             && worker.isReachable()
-                            && worker.getSynced() != null
+                            && !worker.getSynced().equals(LeaseGeneration.NONE)
+                            // What is given under a lease that is over would only wait for the
+                            // next.
+                            && now < worker.getMayRunUntil()
                             && now - worker.getHeardAt() < SILENT_MILLIS
                             && now >= worker.getAvoidUntil();
             if (fit) {
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -25,6 +25,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.standlink.Epoch;
+import org.standlink.Fence;
 import org.standlink.Incarnation;
 import org.standlink.election.LeaderCalls;
 import org.standlink.election.LeaderObserver;
@@ -110,8 +111,11 @@
     /** Lives that are over. */
     private final Set<WorkerId> dead = new HashSet<>();
 
-    /** Until when runs may go on, on this agent's clock. */
-    private long leaseEnd;
+    /** What the leader has granted. */
+    private final AgentLease lease = new AgentLease(this::epoch);
+
+    /** The number of the last report. */
+    private long lastReport;
 
     /** When the last report was sent. */
     private long reportedAt;
@@ -164,7 +168,7 @@
     // -----------------------------------------------------------------------
     @Override
     public void heartbeat(WorkerDescription worker, long sequence) {
-        loop.execute(() -> heartbeatOnLoop(worker));
+        loop.execute(() -> heartbeatOnLoop(worker, sequence));
     }
 
     @Override
@@ -186,13 +190,13 @@
     }
 
     // -----------------------------------------------------------------------
-    private void heartbeatOnLoop(WorkerDescription worker) {
+    private void heartbeatOnLoop(WorkerDescription worker, long sequence) {
         if (dead.contains(worker.id())) {
             return;
         }
         WorkerSupervisor present = workers.get(worker.id());
         if (present != null) {
-            present.heartbeat(worker);
+            present.heartbeat(worker, sequence);
             return;
         }
         LOG.info("worker-found")
@@ -208,12 +212,13 @@
                         calls,
                         clock,
                         loop,
-                        () -> leaseEnd,
-                        this::epoch,
+                        () -> lease.getEnd(worker.id()),
+                        lease::getFence,
                         this::changed,
                         this,
                         harm);
         workers.put(worker.id(), made);
+        made.heartbeat(worker, sequence);
         made.start();
     }
 
@@ -237,6 +242,7 @@
         WorkerSupervisor supervisor = workers.remove(worker);
         if (supervisor != null) {
             supervisor.close();
+            lease.forget(worker);
         }
         if (dead.add(worker)) {
             LOG.info("worker-over").with("worker", worker).with("reason", reason).write();
@@ -249,8 +255,10 @@
     }
 
     private void order(RunOrders orders) {
-        if (orders.epoch().compareTo(epoch()) < 0) {
-            LOG.info("old-orders").with("epoch", orders.epoch()).with("known", epoch()).write();
+        Fence told = Fence.of(orders.epoch(), orders.generation());
+        adopt(told);
+        if (lease.getFence().isAfter(told)) {
+            LOG.info("old-orders").with("fence", told).with("known", lease.getFence()).write();
             return;
         }
         WorkerSupervisor supervisor = workers.get(orders.worker());
@@ -259,6 +267,16 @@
         }
     }
 
+    /**
+     * Whatever an older fence ordered and has not begun is void; the leader tells anew what holds.
+     */
+    private void adopt(Fence told) {
+        if (lease.adopt(told)) {
+            LOG.info("fence-raised").with("fence", told).write();
+            workers.values().forEach(WorkerSupervisor::fenceRaised);
+        }
+    }
+
     // -----------------------------------------------------------------------
     private void changed() {
         if (!changed) {
@@ -284,6 +302,7 @@
         changed = false;
         long sentAt = clock.nowMillis();
         reportedAt = sentAt;
+        workers.values().forEach(WorkerSupervisor::voidIfLapsed);
         Map<WorkerId, WorkerReport> sent = new LinkedHashMap<>();
         workers.forEach(
                 (id, supervisor) -> {
@@ -294,7 +313,16 @@
                 });
         List<WorkerId> over = new ArrayList<>(dead);
         AgentReport report =
-                new AgentReport(node, address, self, epoch(), List.copyOf(sent.values()), over);
+                new AgentReport(
+                        node,
+                        address,
+                        self,
+                        ++lastReport,
+                        epoch(),
+                        lease.getFence().getGeneration(),
+                        workers.values().stream().anyMatch(WorkerSupervisor::isFenceRefused),
+                        List.copyOf(sent.values()),
+                        over);
         leader.call(report, ANSWER_MILLIS)
                 .whenCompleteAsync(
                         (answer, failure) -> reported(answer, failure, sent, sentAt), loop);
@@ -323,10 +351,12 @@
         }
         if (granted) {
             AgentGrant grant = (AgentGrant) answer;
+            // First, so that no order of an older generation gets the lease that this one grants.
+            adopt(Fence.of(grant.epoch(), grant.generation()));
             observer.leaderAnswered(grant.storeSilentMillis());
             harm.tell(grant.harm());
             if (grant.leaseMillis() > 0) {
-                leaseEnd = Math.max(leaseEnd, sentAt + grant.leaseMillis());
+                lease.prolong(sent.keySet(), sentAt + grant.leaseMillis());
                 sent.forEach(this::reported);
             }
         }
--- a/src/main/java/org/standlink/runner/LocalRun.java
+++ b/src/main/java/org/standlink/runner/LocalRun.java
@@ -55,6 +55,12 @@
     /** Whether a call to start it was left without an answer, so that it may be done late. */
     private boolean uncertain;
 
+    /** Whether its start has waited for the worker or for a lease. */
+    private boolean waited;
+
+    /** Since when it may be at work, as an earlier process may have started it; or negative. */
+    private long maybeAtWorkSince = -1;
+
     /** When the worker said that it will stop it. */
     private long stoppedAt;
 
@@ -152,6 +158,46 @@
         uncertain = true;
     }
 
+    /**
+     * Takes note that its start waits.
+     *
+     * @return false if it has waited before
+     */
+    boolean beginWaiting() {
+        boolean first = !waited;
+        waited = true;
+        return first;
+    }
+
+    /**
+     * Takes note that an earlier process of the agent may have started it.
+     *
+     * @param now the time on the agent's clock
+     */
+    void setMaybeAtWork(long now) {
+        maybeAtWorkSince = now;
+    }
+
+    /**
+     * Checks whether an earlier process may have started it, and no list has shown otherwise.
+     *
+     * @return true if so
+     */
+    boolean isMaybeAtWork() {
+        return maybeAtWorkSince >= 0;
+    }
+
+    /**
+     * Takes note of a list that does not name it as running.
+     *
+     * @param askedAt when the worker was asked, on the agent's clock
+     */
+    void notListed(long askedAt) {
+        if (askedAt >= maybeAtWorkSince) {
+            maybeAtWorkSince = -1;
+        }
+    }
+
     /**
      * Gets when the worker said that it will stop it.
      *
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -15,21 +15,19 @@
  */
 package org.standlink.runner;
 
-import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.concurrent.ScheduledExecutorService;
+import java.util.Set;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
-import org.standlink.Epoch;
+import org.standlink.Fence;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
-import org.standlink.job.WorkerDescription;
-import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
 import org.standlink.wire.StartOrder;
 import org.standlink.wire.StartRefusal;
@@ -47,8 +45,8 @@
     /** The pause before a failed call is repeated, in milliseconds. */
     private static final long PAUSE_MILLIS = 150;
 
-    /** How long a superseded run may take to be listed, in milliseconds; one look at the worker. */
-    private static final long LIST_MILLIS = 600;
+    /** How many ends a worker lists at once; a longer list may leave one out. */
+    private static final int MOST_ENDS = 500;
 
     /** For how long a stopped run without an end may still be listed, in milliseconds. */
     private static final long STOP_MILLIS = 1000;
@@ -56,8 +54,8 @@
     /** The log. */
     private static final EventLog LOG = EventLog.of(RunTable.class);
 
-    /** Tells what the worker said of itself. */
-    private final Supplier<WorkerDescription> worker;
+    /** What calls of the worker need. */
+    private final WorkerContext context;
 
     /** Tells whether the worker answered the last look at it. */
     private final BooleanSupplier reachable;
@@ -65,109 +63,82 @@
     /** What the worker's clock says. */
     private final WorkerLeaseClock leaseClock;
 
-    /** The calls of workers. */
-    private final WorkerCalls calls;
-
-    /** The clock. */
-    private final MonotonicClock clock;
-
-    /** The agent's loop. */
-    private final ScheduledExecutorService loop;
-
     /** Tells until when runs may go on, on the agent's clock. */
     private final Supplier<Long> leaseEnd;
 
-    /** Tells the newest epoch. */
-    private final Supplier<Epoch> epoch;
-
     /** Is told when there is something to report. */
     private final Runnable whenChanged;
 
     /** The runs. */
     private final Map<RunId, LocalRun> runs = new LinkedHashMap<>();
 
-    /** What was refused and has not been reported. */
-    private final List<StartRefusal> refused = new ArrayList<>();
+    /** The runs that the worker turned away as old ones. */
+    private final SupersededRuns superseded = new SupersededRuns();
 
-    /** What is gone without an end and has not been reported. */
-    private final List<RunId> gone = new ArrayList<>();
+    /** The runs whose starts under an older fence may still be carried out. */
+    private final Set<RunId> unsure = new HashSet<>();
 
-    /** What runs, as the worker said last. */
-    private List<RunProgress> running = List.of();
+    /** What the leader is to be told of as released. */
+    private final ReleasedRuns released = new ReleasedRuns();
 
-    /** The ends that have not been recorded, as the worker said last. */
-    private List<RunEnd> ended = List.of();
+    /** What the worker said last. */
+    private WorkerLists lists = WorkerLists.NONE;
 
     /** Tells the worker the shares of best-effort runs. */
     private final RunShares shares;
 
+    /** The fence under which a stop was refused, as the worker has seen a higher one; or null. */
+    private Fence refusedFence;
+
     /**
      * Constructor.
      *
-     * @param worker tells what the worker said of itself
+     * @param context what calls of the worker need
      * @param reachable tells whether the worker answered the last look at it
      * @param leaseClock what the worker's clock says
-     * @param calls the calls of workers
-     * @param clock the clock
-     * @param loop the agent's loop
      * @param leaseEnd tells until when runs may go on, on the agent's clock
-     * @param epoch tells the newest epoch
      * @param whenChanged is told when there is something to report
      */
     RunTable(
-            Supplier<WorkerDescription> worker,
+            WorkerContext context,
             BooleanSupplier reachable,
             WorkerLeaseClock leaseClock,
-            WorkerCalls calls,
-            MonotonicClock clock,
-            ScheduledExecutorService loop,
             Supplier<Long> leaseEnd,
-            Supplier<Epoch> epoch,
             Runnable whenChanged) {
-        this.worker = worker;
+        this.context = context;
         this.reachable = reachable;
         this.leaseClock = leaseClock;
-        this.calls = calls;
-        this.clock = clock;
-        this.loop = loop;
         this.leaseEnd = leaseEnd;
-        this.epoch = epoch;
         this.whenChanged = whenChanged;
-        this.shares = new RunShares(worker, calls, loop, epoch);
+        this.shares = new RunShares(context);
     }
 
     /** Forgets all runs; calls under way have no effect here any more. */
     void clear() {
         runs.clear();
+        superseded.clear();
     }
 
-    /**
-     * Gets what was refused and has not been reported.
-     *
-     * @return the refusals
-     */
-    List<StartRefusal> getRefused() {
-        return List.copyOf(refused);
+    /** Forgets the runs of which the worker has not said that they run; their orders are void. */
+    void dropUnbegun() {
+        runs.values().stream()
+                .filter(run -> run.isCalling() || run.isUncertain())
+                .forEach(run -> unsure.add(run.getRun()));
+        runs.values().removeIf(run -> run.getPhase() != LocalRun.Phase.RUNNING);
     }
 
-    /**
-     * Gets what is gone without an end and has not been reported.
-     *
-     * @return the runs
-     */
-    List<RunId> getGone() {
-        return List.copyOf(gone);
+    /** Takes note that the worker has seen the fence in force, so that it refuses older calls. */
+    void fenceSeen() {
+        unsure.clear();
     }
 
     /**
-     * Takes note that the leader has been told.
+     * Gets what the leader is to be told of as released.
      *
-     * @param toldRefused the refusals
-     * @param toldGone the runs that are gone
+     * @return the runs, which change
      */
-    void reported(List<StartRefusal> toldRefused, List<RunId> toldGone) {
-        refused.removeAll(toldRefused);
-        gone.removeAll(toldGone);
+    ReleasedRuns getReleased() {
+        return released;
     }
 
     /**
@@ -182,18 +153,25 @@
     }
 
     /**
-     * Starts a run; one that is known already is passed over.
+     * Starts a run; one that is known already is passed over, and one whose release the leader has
+     * yet to be told of: it would begin beside the run that takes its place.
      *
      * @param order the order
+     * @param toldAnew whether an earlier process of the agent may have been given it
      */
-    void start(StartOrder order) {
-        LocalRun present = runs.get(order.run());
-        if (present != null) {
+    void start(StartOrder order, boolean toldAnew) {
+        if (runs.containsKey(order.run()) || released.contains(order.run())) {
             return;
         }
         LocalRun run = new LocalRun(order.run(), order, LocalRun.Phase.STARTING);
+        if (unsure.contains(order.run())) {
+            run.setUncertain();
+        }
         runs.put(order.run(), run);
-        if (isListed(order.run())) {
+        if (toldAnew) {
+            run.setMaybeAtWork(context.clock().nowMillis());
+        }
+        if (lists.isRunning(order.run())) {
             // It was started by an earlier process of this agent, which may have throttled it.
             run.setShare(LocalRun.UNKNOWN_SHARE);
         }
@@ -220,30 +198,48 @@
 
     // -----------------------------------------------------------------------
     private void callStart(LocalRun run) {
-        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STARTING) {
+        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STARTING || isDropped(run)) {
             return;
         }
-        if (!runs.containsKey(run.getRun())) {
-            return;
-        }
-        if (!leaseClock.isKnown()
-                || !reachable.getAsBoolean()
-                || leaseEnd.get() <= clock.nowMillis()) {
-            loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        String obstacle = findObstacle();
+        if (!obstacle.isEmpty()) {
+            if (run.beginWaiting()) {
+                LOG.info("start-waits")
+                        .with("run", run.getRun())
+                        .with("worker", context.worker().get().id())
+                        .with("for", obstacle)
+                        .write();
+            }
+            afterPause(() -> callStart(run));
             return;
         }
         run.setCalling(true);
         long until = leaseClock.renew(leaseEnd.get());
-        calls.start(worker.get(), run.getOrder(), until, epoch.get())
-                .thenAcceptAsync(result -> started(run, result), loop);
+        context.calls()
+                .start(context.worker().get(), run.getOrder(), until, context.fence().get())
+                .thenAcceptAsync(result -> started(run, result), context.loop());
+    }
+
+    /** Tells what keeps runs from being started now; empty if nothing does. */
+    private String findObstacle() {
+        if (!leaseClock.isKnown()) {
+            return "the worker's clock";
+        }
+        if (!reachable.getAsBoolean()) {
+            return "an answer of the worker";
+        }
+        return leaseEnd.get() <= context.clock().nowMillis() ? "a lease" : "";
     }
 
     private void started(LocalRun run, CallResult result) {
         run.setCalling(false);
-        leaseClock.answered(result.clockMillis(), clock.nowMillis());
+        leaseClock.answered(result.clockMillis(), context.clock().nowMillis());
         if (result.kind() != CallResult.Kind.DONE) {
             logCall("start", run, result);
         }
+        if (isDropped(run)) {
+            return;
+        }
         if (run.getPhase() == LocalRun.Phase.STOPPING) {
             callStop(run);
             return;
@@ -255,10 +251,9 @@
             }
             case UNKNOWN -> {
                 run.setUncertain();
-                loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+                afterPause(() -> callStart(run));
             }
-            case LEASE_PAST ->
-                    loop.schedule(() -> callStart(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            case LEASE_PAST -> afterPause(() -> callStart(run));
             case NO_ROOM, UNWELL, INVALID -> refused(run, result);
             case SUPERSEDED -> superseded(run);
             case FENCED, OTHER_LIFE -> runs.remove(run.getRun());
@@ -274,66 +269,74 @@
             stop(run.getRun());
             return;
         }
+        if (run.isMaybeAtWork() && result.kind() != CallResult.Kind.NO_ROOM) {
+            // An unwell worker refuses also what it runs; its next list tells.
+            afterPause(() -> callStart(run));
+            return;
+        }
         runs.remove(run.getRun());
         boolean unwell = result.kind() == CallResult.Kind.UNWELL;
-        refused.add(new StartRefusal(run.getRun(), result.detail(), unwell));
+        released.refuse(new StartRefusal(run.getRun(), result.detail(), unwell));
         whenChanged.run();
     }
 
-    /**
-     * The worker has seen the end of this run, or a later one; if the end is not listed, say so.
-     */
+    /** The worker has seen the end of this run, or a later one; its next list tells which. */
     private void superseded(LocalRun run) {
         runs.remove(run.getRun());
-        boolean listed = ended.stream().anyMatch(end -> end.run().equals(run.getRun()));
-        if (!listed) {
-            loop.schedule(() -> reportIfGone(run), LIST_MILLIS, TimeUnit.MILLISECONDS);
-        }
+        superseded.add(run.getRun(), context.clock().nowMillis());
     }
 
-    private void reportIfGone(LocalRun run) {
-        boolean listed = ended.stream().anyMatch(end -> end.run().equals(run.getRun()));
-        if (!listed && !isListed(run.getRun())) {
-            gone.add(run.getRun());
-            whenChanged.run();
-        }
+    private void lose(RunId run) {
+        released.lose(run);
+        whenChanged.run();
+    }
+
+    /** What an answer says of a run whose order is void must not count for a later order of it. */
+    private boolean isDropped(LocalRun run) {
+        return runs.get(run.getRun()) != run;
     }
 
-    private boolean isListed(RunId run) {
-        return running.stream().anyMatch(one -> one.run().equals(run));
+    private void afterPause(Runnable call) {
+        context.loop().schedule(call, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void callStop(LocalRun run) {
-        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STOPPING) {
+        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STOPPING || isDropped(run)) {
             return;
         }
-        if (!runs.containsKey(run.getRun())) {
-            return;
-        }
-        if (!reachable.getAsBoolean()) {
-            loop.schedule(() -> callStop(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        Fence present = context.fence().get();
+        if (!reachable.getAsBoolean() || present.equals(refusedFence)) {
+            afterPause(() -> callStop(run));
             return;
         }
         run.setCalling(true);
-        calls.stop(worker.get(), run.getRun(), epoch.get())
-                .thenAcceptAsync(result -> stopped(run, result), loop);
+        context.calls()
+                .stop(context.worker().get(), run.getRun(), present)
+                .thenAcceptAsync(result -> stopped(run, result, present), context.loop());
     }
 
-    private void stopped(LocalRun run, CallResult result) {
+    private void stopped(LocalRun run, CallResult result, Fence sentFence) {
         run.setCalling(false);
         logCall("stop", run, result);
+        if (isDropped(run)) {
+            return;
+        }
+        if (result.kind() == CallResult.Kind.FENCED) {
+            // The newer leader's order for the same stop may have been passed over meanwhile.
+            refusedFence = sentFence;
+        }
         switch (result.kind()) {
-            case DONE -> run.stopped(clock.nowMillis());
-            case FENCED, OTHER_LIFE -> runs.remove(run.getRun());
-            default -> loop.schedule(() -> callStop(run), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            case DONE -> run.stopped(context.clock().nowMillis());
+            case OTHER_LIFE -> runs.remove(run.getRun());
+            default -> afterPause(() -> callStop(run));
         }
     }
 
     private void logCall(String call, LocalRun run, CallResult result) {
         LOG.info("worker-" + call)
                 .with("run", run.getRun())
-                .with("worker", worker.get().id())
-                .with("epoch", epoch.get())
+                .with("worker", context.worker().get().id())
+                .with("fence", context.fence().get())
                 .with("result", result.kind())
                 .with("detail", result.detail())
                 .write();
@@ -347,25 +350,34 @@
      * @param sentAt when the worker was asked
      */
     void settle(List<RunProgress> nowRunning, List<RunEnd> nowEnded, long sentAt) {
-        running = nowRunning;
-        ended = nowEnded;
-        for (RunEnd end : ended) {
+        lists = new WorkerLists(nowRunning, nowEnded);
+        for (RunEnd end : nowEnded) {
             runs.remove(end.run());
         }
-        for (RunProgress progress : running) {
+        runs.values().stream()
+                .filter(run -> !lists.isRunning(run.getRun()))
+                .forEach(run -> run.notListed(sentAt));
+        for (RunProgress progress : nowRunning) {
             LocalRun run = runs.get(progress.run());
             if (run != null && run.getPhase() == LocalRun.Phase.STARTING) {
                 run.setPhase(LocalRun.Phase.RUNNING);
             }
         }
+        if (nowEnded.size() >= MOST_ENDS) {
+            return;
+        }
+        superseded.takeGone(lists, sentAt).forEach(this::lose);
         for (LocalRun run : List.copyOf(runs.values())) {
             boolean over =
                     run.getPhase() == LocalRun.Phase.STOPPED
                             && sentAt - run.getStoppedAt() > STOP_MILLIS;
-            if (over && !isListed(run.getRun())) {
+            if (over && lists.isRunning(run.getRun())) {
+                // Further orders to stop it are passed over here, so nobody else would repeat it.
+                run.setPhase(LocalRun.Phase.STOPPING);
+                callStop(run);
+            } else if (over) {
                 runs.remove(run.getRun());
-                gone.add(run.getRun());
-                whenChanged.run();
+                lose(run.getRun());
             }
         }
     }
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -19,7 +19,8 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
-import org.standlink.Epoch;
+import org.standlink.Fence;
+import org.standlink.cell.CellTimes;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunProgress;
 import org.standlink.job.WorkerDescription;
@@ -65,8 +66,8 @@
     /** Tells until when runs may go on, on the agent's clock. */
     private final Supplier<Long> leaseEnd;
 
-    /** Tells the newest epoch. */
-    private final Supplier<Epoch> epoch;
+    /** Tells the fence of the orders in force. */
+    private final Supplier<Fence> fence;
 
     /** Is told when there is something to report. */
     private final Runnable whenChanged;
@@ -78,7 +79,7 @@
     private final RunTable runs;
 
     /** What the worker's clock says. */
-    private final WorkerLeaseClock leaseClock = new WorkerLeaseClock();
+    private final WorkerLeaseClock leaseClock;
 
     /** Throttles best-effort runs. */
     private final WorkerThrottle throttle;
@@ -86,12 +87,24 @@
     /** What the worker said of itself. */
     private WorkerDescription worker;
 
+    /** The highest number of a heartbeat that was heard. */
+    private long lastHeartbeat;
+
     /** What runs, as the worker said last. */
     private List<RunProgress> running = List.of();
 
     /** The ends that have not been recorded, as the worker said last. */
     private List<RunEnd> ended = List.of();
 
+    /** Whether orders to start have come under the fence in force. */
+    private boolean startsTold;
+
+    /** Whether it has been taken note of that the worker's lease is over. */
+    private boolean lapseNoted;
+
+    /** Whether the leader has yet to take note of it; until then nothing is started here. */
+    private boolean lapseUntold;
+
     /** The last end that was recorded. */
     private long recordedEnd;
 
@@ -106,8 +119,8 @@
     /** Whether the worker has ever answered, so that its lease is known to this agent. */
     private boolean answeredOnce;
 
-    /** The epoch that the worker refused, since it has seen a newer one; null if it did not. */
-    private Epoch refusedEpoch;
+    /** The fence that the worker refused, since it has seen a higher one; null if it did not. */
+    private Fence refusedFence;
 
     /** Whether this supervisor is closed. */
     private boolean closed;
@@ -120,7 +133,7 @@
      * @param clock the clock
      * @param loop the agent's loop
      * @param leaseEnd tells until when runs may go on, on the agent's clock
-     * @param epoch tells the newest epoch
+     * @param fence tells the fence of the orders in force
      * @param whenChanged is told when there is something to report
      * @param observer is told which life of the worker answers
      * @param harm what is believed of images
@@ -131,7 +144,7 @@
             MonotonicClock clock,
             ScheduledExecutorService loop,
             Supplier<Long> leaseEnd,
-            Supplier<Epoch> epoch,
+            Supplier<Fence> fence,
             Runnable whenChanged,
             LifeObserver observer,
             HarmTable harm) {
@@ -140,21 +153,15 @@
         this.clock = clock;
         this.loop = loop;
         this.leaseEnd = leaseEnd;
-        this.epoch = epoch;
+        this.fence = fence;
         this.whenChanged = whenChanged;
         this.observer = observer;
         this.throttle = new WorkerThrottle(harm);
+        // An earlier process of the agent may have told the worker to keep its runs until then.
+        this.leaseClock = new WorkerLeaseClock(clock.nowMillis() + CellTimes.LONGEST_LEASE_MILLIS);
+        WorkerContext context = new WorkerContext(() -> this.worker, calls, clock, loop, fence);
         this.runs =
-                new RunTable(
-                        () -> this.worker,
-                        () -> reachable,
-                        leaseClock,
-                        calls,
-                        clock,
-                        loop,
-                        leaseEnd,
-                        epoch,
-                        whenChanged);
+                new RunTable(context, () -> reachable, leaseClock, this::getLeaseEnd, whenChanged);
     }
 
     /** Begins to look after the worker. */
@@ -172,8 +179,14 @@
      * Takes note of what the worker said of itself.
      *
      * @param told the description
+     * @param number the number of the heartbeat; an earlier one than heard before is passed over,
+     *     as it may take back that the worker leaves
      */
-    void heartbeat(WorkerDescription told) {
+    void heartbeat(WorkerDescription told, long number) {
+        if (number < lastHeartbeat) {
+            return;
+        }
+        lastHeartbeat = number;
         boolean leaves = told.draining() && !worker.draining();
         worker = told;
         if (leaves) {
@@ -188,11 +201,18 @@
     /**
      * Takes the leader's orders.
      *
-     * @param orders the orders
+     * @param orders the orders, under the fence in force
      */
     void order(RunOrders orders) {
         orders.stops().forEach(runs::stop);
-        orders.starts().forEach(runs::start);
+        if (lapseUntold) {
+            orders.starts().forEach(order -> runs.getReleased().lose(order.run()));
+        } else {
+            // The first that are told under a fence are all that should run, also since before.
+            boolean toldAnew = !startsTold;
+            startsTold |= !orders.starts().isEmpty();
+            orders.starts().forEach(order -> runs.start(order, toldAnew));
+        }
         if (orders.recordedEnd() > recordedEnd) {
             LOG.info("ends-recorded")
                     .with("worker", worker.id())
@@ -205,6 +225,35 @@
         }
     }
 
+    /** Takes note that a higher fence is in force, so that what has not begun is void. */
+    void fenceRaised() {
+        startsTold = false;
+        runs.dropUnbegun();
+    }
+
+    /**
+     * Voids all orders once the worker's lease is over. The report that says so makes the leader
+     * give the runs to others, so that none may be started any more, even if its answer is lost.
+     */
+    void voidIfLapsed() {
+        if (isLapsed() && !lapseNoted) {
+            lapseNoted = true;
+            lapseUntold = true;
+            runs.dropUnbegun();
+            LOG.info("orders-void").with("worker", worker.id()).with("fence", fence.get()).write();
+        }
+    }
+
+    /**
+     * Checks whether the worker has seen a higher fence than the one in force, as another agent or
+     * an earlier process of this one may have called it.
+     *
+     * @return true if the leader has to raise the generation
+     */
+    boolean isFenceRefused() {
+        return fence.get().equals(refusedFence);
+    }
+
     /**
      * Makes a report.
      *
@@ -214,12 +263,12 @@
         return new WorkerReport(
                 worker,
                 reachable,
-                isLapsed(),
+                lapseUntold || isLapsed(),
                 known,
                 running,
                 ended,
-                runs.getRefused(),
-                runs.getGone(),
+                runs.getReleased().getRefused(),
+                runs.getReleased().getGone(),
                 throttle.listThrottled());
     }
 
@@ -229,9 +278,9 @@
      * @param sent the report
      */
     void reported(WorkerReport sent) {
-        runs.reported(sent.refused(), sent.gone());
+        runs.getReleased().told(sent.refused(), sent.gone());
         if (sent.lapsed()) {
-            // The leader has given these runs up, so none may be started any more.
+            lapseUntold = false;
             runs.clear();
             forgetLists();
         }
@@ -269,18 +318,23 @@
         return answeredOnce && !reachable && leaseClock.isOver(clock.nowMillis());
     }
 
+    /** Tells until when runs may go on; a lapse that the leader does not know of ends a lease. */
+    private long getLeaseEnd() {
+        return lapseUntold ? 0 : leaseEnd.get();
+    }
+
     // -----------------------------------------------------------------------
     private void renew(long waitMillis) {
         if (closed) {
             return;
         }
-        if (epoch.get().equals(refusedEpoch)) {
-            // Whoever has been replaced stays silent until it knows the newer epoch.
+        if (isFenceRefused()) {
+            // Whoever has been replaced stays silent until it knows the higher fence.
             loop.schedule(() -> renew(0), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
-        Epoch present = epoch.get();
-        long end = leaseEnd.get();
+        Fence present = fence.get();
+        long end = getLeaseEnd();
         // A worker that does not answer is not told to keep its runs longer: it may have heard.
         boolean prolong = leaseClock.isKnown() && reachable && end > clock.nowMillis();
         long until = prolong ? leaseClock.renew(end) : -1;
@@ -289,7 +343,7 @@
                 .thenAcceptAsync(result -> held(result, present, sentAt), loop);
     }
 
-    private void held(RenewalResult result, Epoch sentEpoch, long sentAt) {
+    private void held(RenewalResult result, Fence sentFence, long sentAt) {
         if (closed) {
             return;
         }
@@ -298,9 +352,14 @@
             observer.replaced(worker.id());
             return;
         }
-        if (kind == CallResult.Kind.FENCED && !sentEpoch.equals(refusedEpoch)) {
-            refusedEpoch = sentEpoch;
-            LOG.info("epoch-refused").with("worker", worker.id()).with("epoch", sentEpoch).write();
+        if (kind == CallResult.Kind.FENCED && fence.get().isAfter(sentFence)) {
+            // A call under the higher fence has overtaken this one; the worker is well.
+            renew(0);
+            return;
+        }
+        if (kind == CallResult.Kind.FENCED && !sentFence.equals(refusedFence)) {
+            refusedFence = sentFence;
+            LOG.info("fence-refused").with("worker", worker.id()).with("fence", sentFence).write();
         }
         leaseClock.answered(result.result().clockMillis(), clock.nowMillis());
         boolean answers = result.isDone();
@@ -315,6 +374,10 @@
             loop.schedule(() -> renew(0), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
             return;
         }
+        lapseNoted = false;
+        if (sentFence.equals(fence.get())) {
+            runs.fenceSeen();
+        }
         boolean news = !known || !result.ended().isEmpty();
         known = true;
         if (!answeredOnce) {
--- a/src/test/java/org/standlink/cell/TestScheduler.java
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -20,7 +20,7 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
-import org.standlink.Incarnation;
+import org.standlink.LeaseGeneration;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.StepDefinition;
@@ -41,7 +41,7 @@
     private WorkerEntry worker(String id, int cores) {
         WorkerEntry worker = workers.get(CellFixtures.worker(id, cores).id(), NOW + 6000);
         worker.heard(CellFixtures.worker(id, cores), null, true, NOW);
-        worker.setSynced(Incarnation.of(1));
+        worker.setSynced(LeaseGeneration.of(1));
         return worker;
     }
 
@@ -73,6 +73,15 @@
         assertEquals(6, schedule(NOW).size());
     }
 
+    @Test
+    public void aWorkerWhoseLeaseIsOverGetsNothingUntilItIsProlonged() {
+        WorkerEntry worker = worker("i-1", 8);
+        add("a", CellFixtures.step(1, List.of(), 0, false));
+        assertTrue(schedule(NOW + 6000).isEmpty());
+        worker.prolong(NOW + 12_000);
+        assertEquals(1, schedule(NOW + 6000).size());
+    }
+
     @Test
     public void aLeavingOrSilentWorkerGetsNothing() {
         WorkerEntry leaving = worker("i-1", 8);
--- a/src/test/java/org/standlink/runner/TestAgentNode.java
+++ b/src/test/java/org/standlink/runner/TestAgentNode.java
@@ -24,9 +24,9 @@
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
-import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
+import org.standlink.Fence;
 import org.standlink.Incarnation;
 import org.standlink.Resources;
 import org.standlink.election.LeaderLink;
@@ -69,6 +69,7 @@
 
         private WorkerId present;
         private final List<WorkerId> called = new ArrayList<>();
+        private WorkerDescription last;
 
         private CompletableFuture<CallResult> answer(WorkerDescription to) {
             boolean same = to.id().equals(present);
@@ -79,19 +80,20 @@
 
         @Override
         public CompletableFuture<CallResult> start(
-                WorkerDescription to, StartOrder order, long leaseUntil, Epoch epoch) {
+                WorkerDescription to, StartOrder order, long leaseUntil, Fence fence) {
             return answer(to);
         }
 
         @Override
-        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Epoch epoch) {
+        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Fence fence) {
             return answer(to);
         }
 
         @Override
         public CompletableFuture<RenewalResult> renew(
-                WorkerDescription to, long until, Epoch epoch, long recorded, long waitMillis) {
+                WorkerDescription to, long until, Fence fence, long recorded, long waitMillis) {
             called.add(to.id());
+            last = to;
             CompletableFuture<RenewalResult> later = new CompletableFuture<>();
             loop.schedule(
                     () -> {
@@ -104,11 +106,23 @@
 
         @Override
         public CompletableFuture<CallResult> throttle(
-                WorkerDescription to, RunId run, int percent, Epoch epoch) {
+                WorkerDescription to, RunId run, int percent, Fence fence) {
             return answer(to);
         }
     }
 
+    private static WorkerDescription leaving(String id) {
+        WorkerDescription life = life(id);
+        return new WorkerDescription(
+                life.id(),
+                life.service(),
+                life.address(),
+                life.capacity(),
+                life.labels(),
+                true,
+                1000);
+    }
+
     private static WorkerDescription life(String id) {
         return new WorkerDescription(
                 WorkerId.parse(id),
@@ -139,6 +153,15 @@
         assertTrue(!address.called.contains(WorkerId.parse("old")));
     }
 
+    @Test
+    public void aLateHeartbeatDoesNotTakeBackThatAWorkerLeaves() {
+        address.present = WorkerId.parse("one");
+        agent.heartbeat(leaving("one"), 5);
+        agent.heartbeat(life("one"), 4);
+        loop.advance(1000);
+        assertTrue(address.last.draining());
+    }
+
     @Test
     public void aNewLifeThatAnswersReplacesTheOneBefore() {
         address.present = WorkerId.parse("old");
--- a/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
+++ b/src/test/java/org/standlink/runner/TestWorkerSupervisor.java
@@ -27,6 +27,8 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
+import org.standlink.Fence;
+import org.standlink.LeaseGeneration;
 import org.standlink.Resources;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
@@ -53,7 +55,7 @@
     private final FakeLoop loop = new FakeLoop(clock);
     private final Script worker = new Script();
     private final Lives lives = new Lives();
-    private Epoch epoch = Epoch.of(1);
+    private Fence fence = fence(1);
     private WorkerSupervisor supervisor;
 
     /** Notes which lives were said to answer, or to be over. */
@@ -81,6 +83,7 @@
         private List<RunProgress> running = List.of();
         private List<RunEnd> ended = List.of();
         private final List<String> seen = new ArrayList<>();
+        private final List<String> stopped = new ArrayList<>();
         private int renewals;
 
         private <T> CompletableFuture<T> later(T value) {
@@ -101,20 +104,21 @@
 
         @Override
         public CompletableFuture<CallResult> start(
-                WorkerDescription to, StartOrder order, long leaseUntil, Epoch epoch) {
+                WorkerDescription to, StartOrder order, long leaseUntil, Fence fence) {
             seen.add("start " + order.run().number());
             return later(result(starts));
         }
 
         @Override
-        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Epoch epoch) {
+        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Fence fence) {
             seen.add("stop " + run.number());
+            stopped.add("stop " + run.number() + " of " + fence);
             return later(result(stops));
         }
 
         @Override
         public CompletableFuture<RenewalResult> renew(
-                WorkerDescription to, long until, Epoch epoch, long recorded, long waitMillis) {
+                WorkerDescription to, long until, Fence fence, long recorded, long waitMillis) {
             boolean done = holds == CallResult.Kind.DONE;
             renewals++;
             List<RunEnd> unrecorded =
@@ -128,7 +132,7 @@
 
         @Override
         public CompletableFuture<CallResult> throttle(
-                WorkerDescription to, RunId run, int percent, Epoch epoch) {
+                WorkerDescription to, RunId run, int percent, Fence fence) {
             seen.add("share " + percent);
             return later(result(CallResult.Kind.DONE));
         }
@@ -143,7 +147,7 @@
                         clock,
                         loop,
                         () -> clock.nowMillis() + LEASE_MILLIS,
-                        () -> epoch,
+                        () -> fence,
                         () -> {},
                         lives,
                         new HarmTable());
@@ -151,8 +155,13 @@
         loop.advance(100);
     }
 
+    private static Fence fence(long epoch) {
+        return Fence.of(Epoch.of(epoch), LeaseGeneration.of(1));
+    }
+
     private void order(List<StartOrder> starts, List<RunId> stops, long recorded) {
-        supervisor.order(new RunOrders(Epoch.of(1), ID, starts, stops, recorded));
+        supervisor.order(
+                new RunOrders(Epoch.of(1), LeaseGeneration.of(1), ID, starts, stops, recorded));
     }
 
     private static StartOrder startOrder() {
@@ -304,9 +313,51 @@
         loop.advance(5000);
         assertEquals(before, worker.renewals);
         worker.holds = CallResult.Kind.DONE;
-        epoch = Epoch.of(2);
+        fence = fence(2);
         loop.advance(1000);
         assertTrue(worker.renewals > before);
         assertTrue(supervisor.report().reachable());
     }
+
+    @Test
+    public void aStopRefusedUnderAnOldEpochIsGivenAgainUnderTheNewOne() {
+        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        loop.advance(600);
+        worker.stops = CallResult.Kind.FENCED;
+        order(List.of(), List.of(RUN), 0);
+        // The worker hears of the new leader, and the agent is told to stop, before the answer.
+        fence = fence(2);
+        order(List.of(), List.of(RUN), 0);
+        loop.advance(20);
+        worker.stops = CallResult.Kind.DONE;
+        loop.advance(500);
+        assertEquals(List.of("stop 1 of 1.1", "stop 1 of 2.1"), worker.stopped);
+    }
+
+    @Test
+    public void aStopIsNotGivenAgainUnderAnEpochThatWasRefused() {
+        worker.stops = CallResult.Kind.FENCED;
+        order(List.of(), List.of(RUN), 0);
+        loop.advance(2000);
+        assertEquals(List.of("stop 1 of 1.1"), worker.stopped);
+    }
+
+    @Test
+    public void aRunThatIsStillListedAfterItsStopIsStoppedAgain() {
+        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        order(List.of(), List.of(RUN), 0);
+        loop.advance(500);
+        assertEquals(1, worker.stopped.size());
+        loop.advance(1500);
+        assertEquals(2, worker.stopped.size());
+    }
+
+    @Test
+    public void aRunThatIsListedOnlyAfterItsStopIsStoppedAgain() {
+        order(List.of(), List.of(RUN), 0);
+        loop.advance(500);
+        worker.running = List.of(new RunProgress(RUN, "", 50, 0));
+        loop.advance(1500);
+        assertEquals(2, worker.stopped.size());
+    }
 }
