Let a report that counts replace only processes of a lower generation

Generations of processes go up in the order in which they were first heard, so that only lower ones are surely of the past or have yet to be told anew.

--- a/src/main/java/org/standlink/cell/AgentBoard.java
+++ b/src/main/java/org/standlink/cell/AgentBoard.java
@@ -116,7 +116,8 @@
     /**
      * Checks whether a report names what this leader has told its sender. Only then does it count:
      * one that was held up on its way, or whose sender has ended, cannot name it, whatever channel
-     * it comes over. A process that does is the present one of its machine's agent.
+     * it comes over. A process that does has replaced those of its machine's agent that were heard
+     * before; one that was heard after it may be the present one, though this has yet to count.
      *
      * @param report a report that was accepted
      * @return false if its sender has yet to be told the generation of its lease
@@ -127,7 +128,8 @@
                 report.epoch().equals(epoch) && report.generation().equals(agent.generation);
         if (current) {
             agents.values().stream()
-                    .filter(other -> other != agent && other.node.equals(agent.node))
+                    .filter(other -> other.node.equals(agent.node))
+                    .filter(other -> agent.generation.isAfter(other.generation))
                     .forEach(other -> other.replaced = true);
         }
         return current;
--- a/src/test/java/org/standlink/cell/TestAgentBoard.java
+++ b/src/test/java/org/standlink/cell/TestAgentBoard.java
@@ -88,6 +88,20 @@
         assertFalse(agents.accept(report(AGENT, 3, told, false), 0));
     }
 
+    @Test
+    public void aLateReportOfAnEarlierProcessDoesNotReplaceTheOneThatWasJustHeard() {
+        accept(AGENT, 1);
+        LeaseGeneration told = agents.getGeneration(AGENT);
+        accept(OTHER, 1);
+        AgentReport late = report(AGENT, 2, told, false);
+        agents.accept(late, 0);
+        agents.isCurrent(late);
+        AgentReport present = report(OTHER, 2, agents.getGeneration(OTHER), false);
+        assertTrue(agents.accept(present, 0), "its process is the later one");
+        assertTrue(agents.isCurrent(present));
+        assertFalse(agents.accept(report(AGENT, 3, told, false), 0));
+    }
+
     @Test
     public void noTwoLeasesShareAGeneration() {
         accept(AGENT, 1);
