--- a/specs/AgentLeases.tla
+++ b/specs/AgentLeases.tla
@@ -80,8 +80,9 @@
 Counts(r) ==
     NamesGeneration => (generation[r.life] # 0 /\ r.generation = generation[r.life])
 
-(* A process of which a report counts is taken for the present one, all others heard for over. *)
-Replaces(l) == {other \in Lives \ {l} : generation[other] # 0}
+(* A process of which a report counts replaces those of a lower generation; one of a higher one was *)
+(* heard after it, though it has yet to count.                                                       *)
+Replaces(l) == {other \in Lives \ {l} : generation[other] # 0 /\ generation[other] < generation[l]}
 
 (* What is left once a report was handled; what would be passed over is left out at once. *)
 Remaining(k, over) ==
@@ -304,6 +305,8 @@
 
 Spec == Init /\ [][Next]_vars
 
+(* The present process is never passed over. *)
+PresentHeard == life \notin replaced
 (* The task never runs in two places at once, nor twice in one. *)
 OnePlace == running # {} => (at # There /\ Cardinality(running) = 1)
 =============================================================================
--- a/src/main/java/org/standlink/cell/AgentBoard.java
+++ b/src/main/java/org/standlink/cell/AgentBoard.java
@@ -115,9 +115,9 @@
 
     /**
      * Checks whether a report names what this leader has told its sender. Only then does it count:
-     * one that was held up on its way, or whose sender has ended, cannot name it, whatever channel
-     * it comes over. A process that does has replaced those of its machine's agent that were heard
-     * before; one that was heard after it may be the present one, though this has yet to count.
+     * one that was sent before cannot name it, whatever channel it comes over. Its process replaces
+     * those of its machine's agent that were heard before it; one that was heard after it may be
+     * the present one, though this has yet to count.
      *
      * @param report a report that was accepted
      * @return false if its sender has yet to be told the generation of its lease
--- a/src/test/java/org/standlink/specification/TestSpecifications.java
+++ b/src/test/java/org/standlink/specification/TestSpecifications.java
@@ -313,8 +313,9 @@
 
     private static SpecificationCheck agent(
             String name, Map<String, String> constants, boolean holds) {
-        String place = "OnePlace";
-        return new SpecificationCheck("AgentLeases", name, place, constants, holds ? null : place);
+        String both = "OnePlace PresentHeard";
+        String broken = holds ? null : "OnePlace";
+        return new SpecificationCheck("AgentLeases", name, both, constants, broken);
     }
 
     // -----------------------------------------------------------------------
