--- a/src/main/java/org/standlink/benchmark/Scenario.java
+++ b/src/main/java/org/standlink/benchmark/Scenario.java
@@ -39,13 +39,13 @@
         double throughputWeight,
         boolean noisy) {
 
-    /** Jadran: batch throughput weighs more. */
-    public static final Scenario JADRAN = new Scenario("jadran", 11, 32, 125_000, 8, 1, 2, false);
+    /** Large workers; batch throughput weighs more. */
+    public static final Scenario THROUGHPUT =
+            new Scenario("throughput", 11, 32, 125_000, 8, 1, 2, false);
 
-    /** Samenrit: tail latency weighs more. */
-    public static final Scenario SAMENRIT =
-            new Scenario("samenrit", 11, 16, 60_000, 4, 3, 1, false);
+    /** Smaller workers; tail latency weighs more. */
+    public static final Scenario LATENCY = new Scenario("latency", 11, 16, 60_000, 4, 3, 1, false);
 
-    /** A wave of noisy tasks at Jadran. */
+    /** Large workers and a wave of noisy tasks. */
     public static final Scenario NOISY = new Scenario("noisy-wave", 11, 32, 125_000, 8, 1, 2, true);
 }
--- a/src/main/java/org/standlink/command/BenchCommand.java
+++ b/src/main/java/org/standlink/command/BenchCommand.java
@@ -70,7 +70,7 @@
     }
 
     private void decisions() {
-        for (Scenario scenario : List.of(Scenario.JADRAN, Scenario.SAMENRIT, Scenario.NOISY)) {
+        for (Scenario scenario : List.of(Scenario.THROUGHPUT, Scenario.LATENCY, Scenario.NOISY)) {
             System.out.println(scenario.name() + ", seed " + seed);
             for (Strategy.Kind strategy : Strategy.Kind.values()) {
                 DecisionBenchmark benchmark =
