Refuse callers what no append has carried, as soon as the store is known to be silent

Cause: while the store took nothing, a job that came after the append under way waited for the next one until its entry gave up after a second and told 504, "not known". The leader knew that no append had carried it. A repeated submission of such a job was told the same at once, and callers may not try again after that.

Now the leader takes such jobs back once the store has been silent for 700 ms and says that they have not run; their orders are void, also if the job is handed in again under its identifier. What an append has carried waits for the store's answer for as long as its caller does. A leader that is replaced sends its callers on to the next one. A cancel that comes while the store is known to be silent is refused at once, and may be repeated. A submission whose caller is about to leave is refused without being sent.

Ruled out: refusing sooner than 700 ms; with answers lost for a third of the appends this would refuse what the next call keeps.

--- a/src/main/java/org/standlink/cell/CallerDesk.java
+++ b/src/main/java/org/standlink/cell/CallerDesk.java
@@ -15,9 +15,12 @@
  */
 package org.standlink.cell;
 
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.Consumer;
 import java.util.function.LongSupplier;
+import org.standlink.Epoch;
 import org.standlink.JobId;
 import org.standlink.job.JobDefinition;
 import org.standlink.job.JobState;
@@ -26,6 +29,7 @@
 import org.standlink.wire.CancelJob;
 import org.standlink.wire.JobAnswer;
 import org.standlink.wire.JobQuery;
+import org.standlink.wire.LeaderNotice;
 import org.standlink.wire.Message;
 import org.standlink.wire.MessageChannel;
 import org.standlink.wire.QueueQuery;
@@ -41,12 +45,21 @@
     /** Why nothing was done, in answers and in the log. */
     private static final String STORE_SILENT = "the store does not answer";
 
+    /** Why it is not known what was done. */
+    private static final String REPLACED = "the leader was replaced while it kept the job";
+
     /** The log. */
     private static final EventLog LOG = EventLog.of(CallerDesk.class);
 
+    /** The epoch of the leader. */
+    private final Epoch epoch;
+
     /** The jobs. */
     private final JobBoard board;
 
+    /** The workers. */
+    private final WorkerBoard workers;
+
     /** Keeps changes. */
     private final CommitQueue commits;
 
@@ -59,22 +72,39 @@
     /** Is told of jobs that have become final. */
     private final Consumer<JobEntry> whenFinal;
 
+    /** The submissions that have no answer yet, in the order in which they came. */
+    private final Set<Submission> open = new LinkedHashSet<>();
+
+    /** A submission, where it came from, and its job. */
+    private record Submission(MessageChannel connection, long call, JobEntry job) {
+
+        void answer(Message message) {
+            connection.answer(call, message);
+        }
+    }
+
     /**
      * Constructor.
      *
+     * @param epoch the epoch of the leader
      * @param board the jobs
+     * @param workers the workers
      * @param commits keeps changes
      * @param clock the clock
      * @param wallClock the time of day, in milliseconds since 1970
      * @param whenFinal is told of jobs that have become final
      */
     CallerDesk(
+            Epoch epoch,
             JobBoard board,
+            WorkerBoard workers,
             CommitQueue commits,
             MonotonicClock clock,
             LongSupplier wallClock,
             Consumer<JobEntry> whenFinal) {
+        this.epoch = epoch;
         this.board = board;
+        this.workers = workers;
         this.commits = commits;
         this.clock = clock;
         this.wallClock = wallClock;
@@ -100,17 +130,45 @@
         }
     }
 
+    /**
+     * Refuses what no append has carried, if the store takes none at the moment: it surely was not
+     * kept, and its caller learns so while there is time to come again. What an append has carried
+     * waits for its answer, which alone tells.
+     */
+    void refuseIfStalled() {
+        if (!commits.isStalled()) {
+            return;
+        }
+        List<Submission> unsent =
+                open.stream()
+                        .filter(one -> board.isUnsent(one.job()))
+                        // A cancel of it waits to be kept, too.
+                        .filter(one -> !one.job().getState().isFinal())
+                        .toList();
+        for (Submission one : unsent) {
+            open.remove(one);
+            refuse(one.connection(), one.call(), one.job().getId());
+        }
+        unsent.stream().map(Submission::job).distinct().forEach(this::withdraw);
+    }
+
+    /** Sends callers on to the next leader, since this one keeps nothing any more. */
+    void close() {
+        for (Submission one : open) {
+            boolean unsent = board.isUnsent(one.job());
+            one.answer(
+                    unsent
+                            ? new LeaderNotice(epoch, "")
+                            : JobAnswer.of(JobAnswer.Result.UNKNOWN, REPLACED));
+        }
+        open.clear();
+    }
+
     // -----------------------------------------------------------------------
     private void submit(MessageChannel connection, long call, JobDefinition job) {
         JobEntry known = board.find(job.id());
         if (known == null && commits.isStalled()) {
-            LOG.info("refused").with("job", job.id()).with("reason", STORE_SILENT).write();
-            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, STORE_SILENT));
-            return;
-        }
-        if (known != null && commits.isStalled()) {
-            // It may have been kept; waiting for that would hold the caller up.
-            connection.answer(call, JobAnswer.of(JobAnswer.Result.UNKNOWN, STORE_SILENT));
+            refuse(connection, call, job.id());
             return;
         }
         LOG.info("received")
@@ -124,22 +182,41 @@
             board.markChanged(entry);
         }
         long start = clock.nowMillis();
+        Submission submission = new Submission(connection, call, entry);
+        open.add(submission);
         commits.afterCommit(
                 () -> {
-                    LOG.info("accepted")
-                            .with("job", job.id())
-                            .with("queue", job.queue())
-                            .with("again", known != null)
-                            .with("kept-after-millis", clock.nowMillis() - start)
-                            .write();
-                    connection.answer(call, JobAnswer.ofDone(entry.getKeptState()));
+                    if (open.remove(submission)) {
+                        LOG.info("accepted")
+                                .with("job", job.id())
+                                .with("queue", job.queue())
+                                .with("again", known != null)
+                                .with("kept-after-millis", clock.nowMillis() - start)
+                                .write();
+                        submission.answer(JobAnswer.ofDone(entry.getKeptState()));
+                    }
                 });
     }
 
+    private void refuse(MessageChannel connection, long call, JobId job) {
+        LOG.info("refused").with("job", job).with("reason", STORE_SILENT).write();
+        connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, STORE_SILENT));
+    }
+
+    /** Takes back what was decided for a job that was refused; its orders wait and are dropped. */
+    private void withdraw(JobEntry job) {
+        job.allTasks()
+                .filter(task -> task.getWorker() != null)
+                .forEach(task -> workers.vacate(task, task.getWorker()));
+        board.withdraw(job);
+    }
+
     private void cancel(MessageChannel connection, long call, CancelJob cancel) {
         JobEntry known = board.find(cancel.job());
-        if (known == null && commits.isStalled()) {
-            connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, STORE_SILENT));
+        boolean cancelled = known != null && known.getState().isFinal();
+        if (!cancelled && commits.isStalled()) {
+            // Nothing could be stopped before the store is back; the caller may repeat it.
+            refuse(connection, call, cancel.job());
             return;
         }
         // Callers take the denial of a job for its cancel. Keeping the cancel proves that no other
--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -24,7 +24,6 @@
 import java.util.function.Supplier;
 import org.standlink.Epoch;
 import org.standlink.ErrorCode;
-import org.standlink.LeaseGeneration;
 import org.standlink.StandlinkException;
 import org.standlink.job.Configuration;
 import org.standlink.lease.MonotonicClock;
@@ -113,8 +112,8 @@
     /** The agents. */
     private final AgentBoard agents;
 
-    /** Learns from figures. */
-    private final FigureDesk figures;
+    /** Grants leases. */
+    private final LeaseDesk leases;
 
     /** Handles reports of agents. */
     private final ReportDesk reports;
@@ -178,9 +177,10 @@
                         this::depose);
         this.orders = new OrderDesk(epoch, board, workers, commits);
         this.moves = new MoveDesk(workers, placement, orders);
-        this.callers = new CallerDesk(board, commits, clock, wallClock, this::noteFinal);
+        this.callers =
+                new CallerDesk(epoch, board, workers, commits, clock, wallClock, this::noteFinal);
         this.agents = new AgentBoard(epoch, workers);
-        this.figures = new FigureDesk(board, clock, harm);
+        FigureDesk figures = new FigureDesk(board, clock, harm);
         this.reports =
                 new ReportDesk(
                         board,
@@ -190,6 +190,7 @@
                         job -> configuration.get().getMostAttempts(job.getDefinition().queue()),
                         clock,
                         figures);
+        this.leases = new LeaseDesk(epoch, commits, agents, reports, figures, times, clock);
     }
 
     /** Begins to take over. */
@@ -218,6 +219,7 @@
     private void stop() {
         closed = true;
         commits.close();
+        callers.close();
         if (ticks != null) {
             ticks.cancel(false);
         }
@@ -273,6 +275,7 @@
     private void tick() {
         try {
             expire();
+            callers.refuseIfStalled();
             reports.stopStalled();
             moves.move(clock.nowMillis());
             decide();
@@ -359,29 +362,11 @@
             depose();
             return;
         }
-        long silent = commits.getSilentMillis();
-        if (!active) {
-            connection.answer(
-                    call, new AgentGrant(epoch, LeaseGeneration.NONE, 0, silent, List.of()));
-            return;
-        }
-        if (!agents.accept(report, clock.nowMillis())) {
-            return;
+        AgentGrant grant = active ? leases.handle(connection, report) : leases.grantNothingYet();
+        if (grant != null) {
+            reports.takeTouched().forEach(this::noteFinal);
+            connection.answer(call, grant);
         }
-        boolean entitled = silent < CellTimes.AUTHORITY_MILLIS;
-        long until = entitled ? clock.nowMillis() + times.leaseMillis() : 0;
-        boolean counts = reports.handle(connection, report, until);
-        for (JobEntry job : reports.takeTouched()) {
-            noteFinal(job);
-        }
-        connection.answer(
-                call,
-                new AgentGrant(
-                        epoch,
-                        agents.getGeneration(report.incarnation()),
-                        entitled && counts ? times.leaseMillis() : 0,
-                        silent,
-                        figures.harmFor(connection)));
     }
 
     private void noteFinal(JobEntry job) {
--- a/src/main/java/org/standlink/cell/JobBoard.java
+++ b/src/main/java/org/standlink/cell/JobBoard.java
@@ -165,6 +165,27 @@
         removed.add(job.getId());
     }
 
+    /**
+     * Checks whether a job is known to this process alone, since no append has carried it yet.
+     *
+     * @param job the job
+     * @return true if so
+     */
+    boolean isUnsent(JobEntry job) {
+        return added.contains(job.getId());
+    }
+
+    /**
+     * Forgets a job that no append has carried, as if it had never come.
+     *
+     * @param job the job
+     */
+    void withdraw(JobEntry job) {
+        jobs.remove(job.getId());
+        added.remove(job.getId());
+        changed.remove(job.getId());
+    }
+
     /**
      * Finds a job.
      *
--- a/src/main/java/org/standlink/cell/OrderDesk.java
+++ b/src/main/java/org/standlink/cell/OrderDesk.java
@@ -53,6 +53,9 @@
     /** Keeps decisions. */
     private final CommitQueue commits;
 
+    /** An order to start the last run of a task, as it was decided. */
+    private record Start(TaskEntry task, StartOrder order) {}
+
     /**
      * Constructor.
      *
@@ -80,7 +83,7 @@
         }
         byWorker.forEach(
                 (id, list) -> {
-                    List<StartOrder> starts = list.stream().map(this::startOrder).toList();
+                    List<Start> starts = list.stream().map(this::start).toList();
                     LeaseGeneration given = workers.find(id).getToldGeneration();
                     commits.afterCommit(() -> send(id, given, starts, List.of()));
                 });
@@ -137,11 +140,11 @@
      * @param present the runs that are there already
      */
     void syncAfterCommit(WorkerEntry worker, List<RunId> present) {
-        List<StartOrder> starts = new ArrayList<>();
+        List<Start> starts = new ArrayList<>();
         List<RunId> stops = new ArrayList<>();
         for (TaskEntry task : worker.listTasks()) {
             if (isWanted(task)) {
-                starts.add(startOrder(task));
+                starts.add(start(task));
             } else {
                 stops.add(task.getRun());
             }
@@ -169,24 +172,31 @@
     }
 
     // -----------------------------------------------------------------------
-    private StartOrder startOrder(TaskEntry task) {
+    private Start start(TaskEntry task) {
         StepDefinition step = task.getStep();
-        return new StartOrder(
-                task.getRun(),
-                board.find(task.getName().job()).getDefinition().specification(),
-                task.getCheckpoint(),
-                step.bestEffort(),
-                step.targetMillis(),
-                step.image());
+        StartOrder order =
+                new StartOrder(
+                        task.getRun(),
+                        board.find(task.getName().job()).getDefinition().specification(),
+                        task.getCheckpoint(),
+                        step.bestEffort(),
+                        step.targetMillis(),
+                        step.image());
+        return new Start(task, order);
     }
 
-    /** A run may have been given up while the store was asked to keep the decision to start it. */
-    private boolean isPlaced(RunId run, WorkerId id) {
-        TaskEntry task = board.findTask(run.task());
-        return task != null && task.getRun().equals(run) && id.equals(task.getWorker());
+    /**
+     * Checks whether an order still holds. A job that was refused and handed in again has other
+     * tasks under the same names, whose record may not have been kept yet.
+     */
+    private boolean isInForce(Start start, WorkerId id) {
+        TaskEntry task = start.task();
+        return board.findTask(task.getName()) == task
+                && task.getRun().equals(start.order().run())
+                && id.equals(task.getWorker());
     }
 
-    private void sendNow(WorkerId id, List<StartOrder> starts, List<RunId> stops) {
+    private void sendNow(WorkerId id, List<Start> starts, List<RunId> stops) {
         WorkerEntry worker = workers.find(id);
         if (worker != null) {
             send(id, worker.getToldGeneration(), starts, stops);
@@ -196,14 +206,13 @@
     /**
      * An order names the lease under which it was given, though it leaves once it has been kept.
      */
-    private void send(
-            WorkerId id, LeaseGeneration given, List<StartOrder> starts, List<RunId> stops) {
+    private void send(WorkerId id, LeaseGeneration given, List<Start> starts, List<RunId> stops) {
         WorkerEntry worker = workers.find(id);
         if (worker == null || worker.getConnection() == null) {
             return;
         }
         List<StartOrder> present =
-                starts.stream().filter(start -> isPlaced(start.run(), id)).toList();
+                starts.stream().filter(start -> isInForce(start, id)).map(Start::order).toList();
         try {
             worker.getConnection()
                     .send(new RunOrders(epoch, given, id, present, stops, worker.getRecordedEnd()));
--- a/src/main/java/org/standlink/gateway/JobCall.java
+++ b/src/main/java/org/standlink/gateway/JobCall.java
@@ -41,4 +41,13 @@
         /** Tell how many jobs of the queue have not begun. */
         COUNT
     }
+
+    /**
+     * Checks whether the call only looks, so that it has no effect and may be repeated.
+     *
+     * @return true if so
+     */
+    public boolean isLook() {
+        return kind == Kind.STATE || kind == Kind.COUNT;
+    }
 }
--- a/src/main/java/org/standlink/gateway/JobGateway.java
+++ b/src/main/java/org/standlink/gateway/JobGateway.java
@@ -54,11 +54,17 @@
     private static final long LEADER_WAIT_MILLIS = 1200;
 
     /**
-     * How long an answer of the leader is waited for, in milliseconds: an append takes 10, one that
-     * takes longer than this is told to the caller as not known.
+     * How long the leader's answer to a look or a cancel is waited for, in milliseconds: both can
+     * be repeated, and an append takes 10.
      */
     private static final long ANSWER_MILLIS = 1000;
 
+    /**
+     * How much of a caller's time is left for the way back of the answer, in milliseconds: links
+     * take 20 at most.
+     */
+    private static final long WAY_BACK_MILLIS = 50;
+
     /**
      * How many requests may wait for a leader at once: half of the threads that answer callers, so
      * that the rest are told at once and nobody waits for a thread.
@@ -196,7 +202,8 @@
                 };
         long start = clock.nowMillis();
         long end = start + Math.min(LEADER_WAIT_MILLIS, call.waitMillis());
-        Throwable lost = null;
+        // Why it is not known whether the leader did what was asked, null if it surely did not.
+        String unsure = null;
         String reason = "no leader is reachable";
         while (clock.nowMillis() <= end) {
             if (leader.isSilent()) {
@@ -207,34 +214,56 @@
                 continue;
             }
             long left = call.waitMillis() - (clock.nowMillis() - start);
+            if (call.kind() == JobCall.Kind.SUBMIT && left <= WAY_BACK_MILLIS) {
+                // Its caller would be gone before it could learn that the job is accepted.
+                reason = "too little time is left to answer";
+                break;
+            }
             try {
-                Message answer =
-                        leader.call(question, Math.max(1, Math.min(left, ANSWER_MILLIS))).join();
+                Message answer = leader.call(question, patience(call, left)).join();
                 if (answer instanceof JobAnswer known) {
-                    boolean refused = known.result() == JobAnswer.Result.NOT_DONE;
-                    // What was asked before the connection was lost may have been done.
-                    return refused && lost != null ? lost(call, lost) : reply(call, known);
-                }
-                if (answer instanceof LeaderNotice notice) {
+                    if (known.result() != JobAnswer.Result.UNKNOWN) {
+                        boolean refused = known.result() == JobAnswer.Result.NOT_DONE;
+                        // What was asked before may have been done.
+                        return refused && unsure != null
+                                ? notKnown(call, unsure)
+                                : reply(call, known);
+                    }
+                    unsure = known.reason();
+                    end = prolong(start, call);
+                } else if (answer instanceof LeaderNotice notice) {
                     leader.offer(notice, "another process");
                     reason = "the leader has changed";
                 }
             } catch (CompletionException failed) {
+                reason = failed.getCause().getMessage();
                 if (isConnectionLost(failed.getCause())) {
-                    // A job is known by its identifier, so it may be asked for again.
-                    lost = failed.getCause();
-                    long now = clock.nowMillis();
-                    end = Math.min(now + LEADER_WAIT_MILLIS, start + call.waitMillis());
+                    unsure = reason;
+                    end = prolong(start, call);
                 } else if (!isNothingSent(failed.getCause())) {
-                    return lost(call, failed.getCause());
+                    return notKnown(call, reason);
                 }
-                reason = failed.getCause().getMessage();
             }
             if (!pause()) {
                 break;
             }
         }
-        return lost == null ? JobReply.ofNotRun(reason) : lost(call, lost);
+        return unsure == null ? JobReply.ofNotRun(reason) : notKnown(call, unsure);
+    }
+
+    /**
+     * Tells how long an answer is worth waiting for. A submission is waited for as long as its
+     * caller waits: nobody else can tell whether the store has kept it, and asking again would only
+     * wait for the same append.
+     */
+    private static long patience(JobCall call, long left) {
+        long most = call.kind() == JobCall.Kind.SUBMIT ? left - WAY_BACK_MILLIS : ANSWER_MILLIS;
+        return Math.max(1, Math.min(left, most));
+    }
+
+    /** A job is known by its identifier, so it may be asked for again, at the next leader too. */
+    private long prolong(long start, JobCall call) {
+        return Math.min(clock.nowMillis() + LEADER_WAIT_MILLIS, start + call.waitMillis());
     }
 
     private static boolean isNothingSent(Throwable cause) {
@@ -266,10 +295,9 @@
     }
 
     /** A question without an answer: a mere look had no effect, anything else may have had. */
-    private static JobReply lost(JobCall call, Throwable cause) {
-        boolean look = call.kind() == JobCall.Kind.STATE || call.kind() == JobCall.Kind.COUNT;
+    private static JobReply notKnown(JobCall call, String cause) {
         String reason = "the leader's answer was lost: " + cause;
-        return look ? JobReply.ofNotRun(reason) : JobReply.of(504, reason);
+        return call.isLook() ? JobReply.ofNotRun(reason) : JobReply.of(504, reason);
     }
 
     private static JobReply reply(JobCall call, JobAnswer answer) {
--- a/src/test/java/org/standlink/gateway/TestJobGateway.java
+++ b/src/test/java/org/standlink/gateway/TestJobGateway.java
@@ -21,7 +21,10 @@
 import io.micrometer.core.instrument.simple.SimpleMeterRegistry;
 import java.net.InetSocketAddress;
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.Executor;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
@@ -168,6 +171,59 @@
         assertEquals(2, asked.get());
     }
 
+    @Test
+    public void aJobThatMayHaveBeenKeptIsAskedForAgain() {
+        AtomicInteger asked = new AtomicInteger();
+        lead(
+                1,
+                (connection, call, message) -> {
+                    boolean first = asked.getAndIncrement() == 0;
+                    connection.answer(
+                            call,
+                            first
+                                    ? JobAnswer.of(JobAnswer.Result.UNKNOWN, "replaced")
+                                    : JobAnswer.ofDone(JobState.QUEUED));
+                });
+        assertEquals(200, ask(JobCall.Kind.SUBMIT).status());
+        assertEquals(2, asked.get());
+    }
+
+    @Test
+    public void aRefusalOfAJobThatMayHaveBeenKeptDoesNotSayThatNothingRan() {
+        AtomicInteger asked = new AtomicInteger();
+        lead(
+                1,
+                (connection, call, message) -> {
+                    boolean first = asked.getAndIncrement() == 0;
+                    JobAnswer.Result result =
+                            first ? JobAnswer.Result.UNKNOWN : JobAnswer.Result.NOT_DONE;
+                    connection.answer(call, JobAnswer.of(result, "why"));
+                });
+        assertEquals(504, ask(JobCall.Kind.SUBMIT).status());
+        assertEquals(2, asked.get());
+    }
+
+    @Test
+    public void aJobWhoseAppendWaitsForTheStoreIsAnsweredWithinItsCallersTime() {
+        Executor later = CompletableFuture.delayedExecutor(1200, TimeUnit.MILLISECONDS);
+        JobAnswer answer = JobAnswer.ofDone(JobState.QUEUED);
+        lead(
+                1,
+                (connection, call, message) ->
+                        later.execute(() -> connection.answer(call, answer)));
+        JobCall patient = new JobCall(JobCall.Kind.SUBMIT, ID, JOB, 60_000);
+        assertEquals(200, gateway.answer("h", "/q/x", queue -> patient).status());
+    }
+
+    @Test
+    public void aJobWhoseCallerIsAboutToLeaveIsNotSentToTheLeader() {
+        AtomicInteger asked = new AtomicInteger();
+        lead(1, (connection, call, message) -> asked.incrementAndGet());
+        JobCall leaving = new JobCall(JobCall.Kind.SUBMIT, ID, JOB, 20);
+        assertEquals(503, gateway.answer("h", "/q/x", queue -> leaving).status());
+        assertEquals(0, asked.get());
+    }
+
     @Test
     public void aRequestWaitsForALeaderThatReadsItsState() {
         AtomicInteger asked = new AtomicInteger();
