Find the store's return within 100 ms, and ask for a lease more often when one is about to end

Cause: an append without an answer was sent four times within 450 ms, and then again only when all calls had timed out. A store that came back after 8.5 s of silence was found up to 900 ms later, and leases ran out in between. Agents asked for a lease every 500 ms, however little of the last one was left.

Now one call goes out every 100 ms, ten at most at once, and an agent whose lease ends within a second reports every 200 ms. Ruled out: reporting so often all the time (a third of a leader's processor time at 80 agents).

Shown: three tests failed on the code before.

The bound of calls under way in TestCommitQueue was four and is ten, by the constant; a pace is tested beside it.

--- a/src/main/java/org/standlink/cell/CommitQueue.java
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -52,24 +52,24 @@
     /** How long an append may take before new work is refused, in milliseconds. */
     static final long STALLED_MILLIS = 700;
 
-    /** The pause before an append is repeated, in milliseconds. */
+    /** The pause before an append that was refused is repeated, in milliseconds. */
     private static final long PAUSE_MILLIS = 100;
 
     /**
-     * How long an append is without an answer before it is sent once more beside the first, in
-     * milliseconds: an answer takes 10, and a call whose answer is lost is only given up after
-     * 1,000, by which callers are told that they cannot know.
+     * The time between two calls for one append without an answer, in milliseconds: an answer takes
+     * 10, and a call whose answer is lost is only given up after 1,000. It is also how soon a store
+     * that was silent is found again; leases that end before that cost the work of their runs.
      */
-    private static final long AGAIN_MILLIS = 150;
+    static final long AGAIN_MILLIS = 100;
 
     /** The same as a multiple of what the last append took, in case the store is slow. */
     private static final long AGAIN_FACTOR = 4;
 
     /**
-     * How many calls for one append may be under way at once: where a third of the answers are
-     * lost, all four are for one append in eighty; the store tells the last five numbers apart.
+     * How many calls for one append may be under way at once: as many as fit at that pace into the
+     * time after which a call is given up, so that one goes out at every step of a long silence.
      */
-    private static final int MOST_CALLS = 4;
+    static final int MOST_CALLS = 10;
 
     /** The key of the record that only says that the leader lives. */
     private static final String HEARTBEAT_KEY = "heartbeat";
@@ -216,17 +216,23 @@
             return;
         }
         append.calls++;
+        append.lastCall++;
         long sentAt = clock.nowMillis();
         store.append(Topic.CELL, append.records, new Writer(epoch, sequence))
                 .whenCompleteAsync((end, failure) -> answered(append, sentAt, failure), loop);
-        long patience = Math.max(AGAIN_MILLIS, AGAIN_FACTOR * tookMillis);
-        later(() -> sendAgain(append), patience);
+        sendAgainLater(append, Math.max(AGAIN_MILLIS, AGAIN_FACTOR * tookMillis));
     }
 
-    private void sendAgain(Append append) {
-        if (append.calls > 0 && append.calls < MOST_CALLS) {
-            send(append);
-        }
+    /** Lets one more call follow the last one, unless another one has by then. */
+    private void sendAgainLater(Append append, long millis) {
+        int last = append.lastCall;
+        later(
+                () -> {
+                    if (append.lastCall == last && append.calls < MOST_CALLS) {
+                        send(append);
+                    }
+                },
+                millis);
     }
 
     private void later(Runnable work, long millis) {
@@ -279,7 +285,10 @@
             LOG.warning("store-lost").with("sequence", sequence).with("cause", cause).write();
         }
         if (append.calls == 0) {
-            later(() -> send(append), PAUSE_MILLIS);
+            sendAgainLater(append, PAUSE_MILLIS);
+        } else if (append.calls == MOST_CALLS - 1) {
+            // All that may be were under way, so none was to follow the last one.
+            send(append);
         }
     }
 
@@ -295,6 +304,9 @@
         /** How many calls for it are under way. */
         private int calls;
 
+        /** The number of the last call for it. */
+        private int lastCall;
+
         /** Whether it was taken. */
         private boolean done;
 
--- a/src/main/java/org/standlink/runner/AgentLease.java
+++ b/src/main/java/org/standlink/runner/AgentLease.java
@@ -105,4 +105,13 @@
     long getEnd(WorkerId worker) {
         return ends.getOrDefault(worker, 0L);
     }
+
+    /**
+     * Gets until when each worker may keep its runs.
+     *
+     * @return the times on the agent's clock, in milliseconds
+     */
+    Collection<Long> getEnds() {
+        return ends.values();
+    }
 }
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -49,8 +49,8 @@
  */
 public final class AgentNode implements WorkerListener, LifeObserver {
 
-    /** The time between two heartbeats, in milliseconds; a lease is ten times as long. */
-    private static final long HEARTBEAT_MILLIS = 500;
+    /** The time between two looks at whether a report is due, in milliseconds. */
+    private static final long LOOK_MILLIS = 100;
 
     /**
      * How long the leader's answer is waited for, in milliseconds; less than its silence allowed.
@@ -60,21 +60,6 @@
     /** How long changes are gathered before they are reported, in milliseconds. */
     private static final long GATHER_MILLIS = 3;
 
-    /** The pause after a report that was not answered, in milliseconds; connecting takes less. */
-    private static final long RETRY_MILLIS = 50;
-
-    /**
-     * The pause after a report to a leader that still reads its state, in milliseconds; without it,
-     * the worker's tasks wait for the next heartbeat, 250 on average.
-     */
-    private static final long READING_MILLIS = 60;
-
-    /**
-     * How long a leader that grants no lease may have had no store to be taken for one that still
-     * reads its state, in milliseconds.
-     */
-    private static final long MOST_READING_MILLIS = 2000;
-
     /** The log. */
     private static final EventLog LOG = EventLog.of(AgentNode.class);
 
@@ -162,7 +147,7 @@
 
     /** Begins to report. */
     public void start() {
-        loop.scheduleWithFixedDelay(this::beat, 0, HEARTBEAT_MILLIS / 5, TimeUnit.MILLISECONDS);
+        loop.scheduleWithFixedDelay(this::beat, 0, LOOK_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     // -----------------------------------------------------------------------
@@ -292,7 +277,9 @@
     }
 
     private void beat() {
-        if (!reporting && clock.nowMillis() - reportedAt >= HEARTBEAT_MILLIS) {
+        long now = clock.nowMillis();
+        long pause = ReportPace.betweenReports(lease.getEnds(), now);
+        if (!reporting && now - reportedAt >= pause) {
             report();
         }
     }
@@ -362,20 +349,14 @@
             }
         }
         if (failure != null) {
-            loop.schedule(this::reportAgain, RETRY_MILLIS, TimeUnit.MILLISECONDS);
+            loop.schedule(this::reportAgain, ReportPace.RETRY_MILLIS, TimeUnit.MILLISECONDS);
         } else if (changed) {
             loop.schedule(this::reportIfChanged, GATHER_MILLIS, TimeUnit.MILLISECONDS);
-        } else if (isReadingItsState(answer)) {
-            loop.schedule(this::reportAgain, READING_MILLIS, TimeUnit.MILLISECONDS);
+        } else if (ReportPace.isReadingItsState(answer)) {
+            loop.schedule(this::reportAgain, ReportPace.READING_MILLIS, TimeUnit.MILLISECONDS);
         }
     }
 
-    private static boolean isReadingItsState(Message answer) {
-        return answer instanceof AgentGrant grant
-                && grant.leaseMillis() == 0
-                && grant.storeSilentMillis() < MOST_READING_MILLIS;
-    }
-
     private void reportAgain() {
         if (!reporting) {
             report();
--- a/src/test/java/org/standlink/cell/TestCommitQueue.java
+++ b/src/test/java/org/standlink/cell/TestCommitQueue.java
@@ -99,7 +99,51 @@
         board.add(CellFixtures.job("a", 1));
         queue.pump();
         loop.advance(5000);
-        assertEquals(4, store.getAppends());
+        assertEquals(CommitQueue.MOST_CALLS, store.getAppends());
+    }
+
+    /**
+     * Seen: leases ran out 850 ms after the store had come back. Cause: all calls that may be under
+     * way were sent at once, and the next one only when all had timed out.
+     */
+    @Test
+    public void aStoreThatReturnsAfterALongSilenceIsFoundByTheNextCall() {
+        store.failSilentCallsAfter(1000, loop);
+        store.setMode(FakeKeyedStore.Mode.SILENT);
+        board.add(CellFixtures.job("a", 1));
+        queue.afterCommit(() -> seen.add("effect"));
+        queue.pump();
+        for (int silence = 0; silence < 3; silence++) {
+            // Three moments of the same second.
+            loop.advance(1330);
+            assertTrue(seen.isEmpty());
+        }
+        store.setMode(FakeKeyedStore.Mode.UP);
+        loop.advance(CommitQueue.AGAIN_MILLIS + 1);
+        assertEquals(List.of("effect"), seen);
+        assertEquals(2, store.records(Topic.CELL).size());
+    }
+
+    @Test
+    public void aStoreThatReturnsWhileAllCallsAreUnderWayIsFoundByTheNextCall() {
+        store.failSilentCallsAfter(1000, loop);
+        store.setMode(FakeKeyedStore.Mode.SILENT);
+        board.add(CellFixtures.job("a", 1));
+        queue.afterCommit(() -> seen.add("effect"));
+        queue.pump();
+        loop.advance(650);
+        store.setMode(FakeKeyedStore.Mode.UP);
+        loop.advance(CommitQueue.AGAIN_MILLIS + 1);
+        assertEquals(List.of("effect"), seen);
+    }
+
+    @Test
+    public void aStoreThatRefusesIsAskedAtAPace() {
+        store.setMode(FakeKeyedStore.Mode.DOWN);
+        board.add(CellFixtures.job("a", 1));
+        queue.pump();
+        loop.advance(1000);
+        assertTrue(store.getAppends() <= 11, () -> store.getAppends() + " calls in a second");
     }
 
     @Test
--- a/src/test/java/org/standlink/runner/TestAgentReports.java
+++ b/src/test/java/org/standlink/runner/TestAgentReports.java
@@ -81,6 +81,7 @@
         private LeaderNotice notice = new LeaderNotice(Epoch.of(1), "10.0.0.9:2");
         private LeaseGeneration generation = LeaseGeneration.of(1);
         private long lease = LEASE_MILLIS;
+        private long storeSilentMillis;
         private boolean silent;
 
         @Override
@@ -97,7 +98,8 @@
         public CompletableFuture<Message> call(Message message, long timeoutMillis) {
             reports.add((AgentReport) message);
             CompletableFuture<Message> answer = new CompletableFuture<>();
-            AgentGrant grant = new AgentGrant(notice.epoch(), generation, lease, 0, List.of());
+            AgentGrant grant =
+                    new AgentGrant(notice.epoch(), generation, lease, storeSilentMillis, List.of());
             if (silent) {
                 loop.schedule(
                         () -> {
@@ -196,6 +198,36 @@
         assertTrue(leader.reports.size() - before >= 4, () -> "" + leader.reports.size());
     }
 
+    /**
+     * A leader without its store grants nothing for a while; leases that end meanwhile cost the
+     * work of the worker's runs, so a new one has to be asked for as soon as it may be granted.
+     */
+    @Test
+    public void anAgentWhoseLeaseIsAboutToEndAsksForTheNextMoreOften() {
+        loop.advance(1000);
+        leader.lease = 0;
+        leader.storeSilentMillis = 3500;
+        loop.advance(LEASE_MILLIS - 3000);
+        int calm = leader.reports.size();
+        loop.advance(1000);
+        assertTrue(leader.reports.size() - calm <= 3, "there is time left");
+        loop.advance(1000);
+        int urgent = leader.reports.size();
+        loop.advance(1000);
+        assertTrue(leader.reports.size() - urgent >= 4, "the lease ends within a second");
+    }
+
+    @Test
+    public void anAgentWithoutALeaseDoesNotAskMoreOftenForever() {
+        loop.advance(1000);
+        leader.lease = 0;
+        leader.storeSilentMillis = 3500;
+        loop.advance(LEASE_MILLIS + 10_000);
+        int before = leader.reports.size();
+        loop.advance(1000);
+        assertTrue(leader.reports.size() - before <= 3, () -> "" + leader.reports.size());
+    }
+
     @Test
     public void reportsAreNumberedAndTellOfTheWorkerOnceItAnswered() {
         loop.advance(1500);
--- a/src/test/java/org/standlink/store/FakeKeyedStore.java
+++ b/src/test/java/org/standlink/store/FakeKeyedStore.java
@@ -21,6 +21,8 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.standlink.Epoch;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
@@ -48,12 +50,20 @@
     private final Map<Topic, Long> sequences = new EnumMap<>(Topic.class);
     private Mode mode = Mode.UP;
     private int appends;
+    private ScheduledExecutorService timers;
+    private long silentMillis;
 
     /** Sets how calls behave from now on. */
     public void setMode(Mode next) {
         mode = next;
     }
 
+    /** Lets calls of which nothing is heard fail after a while, as those of a real client do. */
+    public void failSilentCallsAfter(long millis, ScheduledExecutorService loop) {
+        silentMillis = millis;
+        timers = loop;
+    }
+
     /** Gets how many appends of a writer were tried. */
     public int getAppends() {
         return appends;
@@ -151,7 +161,7 @@
         try {
             T value = effect.get();
             if (mode == Mode.SILENT) {
-                return new CompletableFuture<>();
+                return silence();
             }
             return mode == Mode.LOST
                     ? CompletableFuture.failedFuture(failure(ErrorCode.PLATFORM_OUTCOME_UNKNOWN))
@@ -161,6 +171,19 @@
         }
     }
 
+    private <T> CompletableFuture<T> silence() {
+        CompletableFuture<T> call = new CompletableFuture<>();
+        if (timers != null) {
+            timers.schedule(
+                    () -> {
+                        call.completeExceptionally(failure(ErrorCode.PLATFORM_OUTCOME_UNKNOWN));
+                    },
+                    silentMillis,
+                    TimeUnit.MILLISECONDS);
+        }
+        return call;
+    }
+
     private static StandlinkException failure(ErrorCode code) {
         return new StandlinkException(code, "the fake store", "see the test");
     }
