--- a/src/main/java/org/standlink/runner/ReportPace.java
+++ b/src/main/java/org/standlink/runner/ReportPace.java
@@ -32,8 +32,8 @@
     /**
      * The time between two reports while a lease is about to end, in milliseconds. The runs of a
      * worker without a lease are lost, with what they have done since their last checkpoint, and a
-     * leader that has found its store again grants one with the next report; a leader of many agents
-     * would be crowded by more of them.
+     * leader that has found its store again grants one with the next report; a leader of many
+     * agents would be crowded by more of them.
      */
     static final long URGENT_MILLIS = 200;
 
