--- a/src/main/java/org/standlink/gateway/JobReply.java
+++ b/src/main/java/org/standlink/gateway/JobReply.java
@@ -16,6 +16,7 @@
 package org.standlink.gateway;
 
 import org.standlink.job.JobState;
+import org.standlink.wire.JobAnswer;
 
 /**
  * The answer to a caller.
@@ -45,6 +46,25 @@
         return new JobReply(status, null, -1, reason, 0);
     }
 
+    /**
+     * Makes the answer that follows from the leader's.
+     *
+     * @param call the request
+     * @param answer the leader's answer
+     * @return the answer
+     */
+    static JobReply of(JobCall call, JobAnswer answer) {
+        return switch (answer.result()) {
+            case DONE -> {
+                long waiting = call.kind() == JobCall.Kind.COUNT ? answer.waiting() : -1;
+                yield new JobReply(200, answer.state(), waiting, "", 0);
+            }
+            case NO_SUCH_JOB -> of(410, "there is no such job");
+            case NOT_DONE -> ofNotRun(answer.reason());
+            case UNKNOWN -> of(504, answer.reason());
+        };
+    }
+
     /**
      * Makes an answer that the request surely was not carried out.
      *
