Test, failing: what a leader has told is known to the next, wherever something is thrown

Symptom: after an outage of the store callers were told that jobs were accepted or completed, and workers that ends were recorded, which no store held; the next leader ran these tasks again. Seen failing on: both tests, 2 of 2, at dozens of the clock's readings each ("reading 65: a0=COMPLETED is RUNNING, the end of a0.0.0.0#1").

--- a/src/test/java/org/standlink/cell/FakeChannel.java
+++ b/src/test/java/org/standlink/cell/FakeChannel.java
@@ -66,6 +66,11 @@
         return orders.stream().flatMap(one -> one.stops().stream()).toList();
     }
 
+    /** Gets the greatest number up to which ends were told to be recorded, 0 if none were. */
+    long greatestRecordedEnd() {
+        return orders.stream().mapToLong(RunOrders::recordedEnd).max().orElse(0);
+    }
+
     /** Finds the answer to a call, null if none has arrived. */
     Message findAnswer(long call) {
         return answers.get(call);
