--- a/src/main/java/org/standlink/agent/AgentProcess.java
+++ b/src/main/java/org/standlink/agent/AgentProcess.java
@@ -17,6 +17,7 @@
 
 import io.micrometer.core.instrument.MeterRegistry;
 import java.net.http.HttpClient;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -32,11 +33,13 @@
 import org.standlink.port.HttpWorker;
 import org.standlink.port.PlatformHttp;
 import org.standlink.port.VmListPort;
+import org.standlink.process.Guarded;
 import org.standlink.process.Timers;
 import org.standlink.wire.BundleAnswer;
 import org.standlink.wire.BundleQuery;
 import org.standlink.wire.Connection;
 import org.standlink.wire.Forward;
+import org.standlink.wire.ForwardAnswer;
 import org.standlink.wire.Heartbeat;
 import org.standlink.wire.HeartbeatAnswer;
 import org.standlink.wire.Hello;
@@ -334,9 +337,9 @@
     private void handle(Connection connection, long call, Message message) {
         if (message instanceof Forward forward) {
             askForBundle(connection);
-            requests.forward(forward).thenAccept(answer -> connection.answer(call, answer));
+            answerWhenDone(connection, call, requests.forward(forward));
         } else if (message instanceof OutcomeQuery query) {
-            requests.outcome(query).thenAccept(answer -> connection.answer(call, answer));
+            answerWhenDone(connection, call, requests.outcome(query));
         } else if (message instanceof Heartbeat heartbeat) {
             connection.answer(call, leaderRole.answer(heartbeat));
         } else if (message instanceof LeaderAnnouncement news) {
@@ -348,11 +351,17 @@
         }
     }
 
+    private static void answerWhenDone(
+            Connection connection, long call, CompletableFuture<ForwardAnswer> outcome) {
+        Guarded.then("request", outcome, (answer, failure) -> connection.answer(call, answer));
+    }
+
     private void askForBundle(Connection connection) {
         if (holder.getBundle() == null) {
-            connection
-                    .call(new BundleQuery(holder.getVersion()), BUNDLE_MILLIS)
-                    .thenAccept(this::offer);
+            Guarded.then(
+                    "bundle-query",
+                    connection.call(new BundleQuery(holder.getVersion()), BUNDLE_MILLIS),
+                    (answer, failure) -> offer(answer));
         }
     }
 
--- a/src/main/java/org/standlink/agent/KeyedRequests.java
+++ b/src/main/java/org/standlink/agent/KeyedRequests.java
@@ -26,6 +26,7 @@
 import org.standlink.bundle.Bundle;
 import org.standlink.bundle.ServiceSpecification;
 import org.standlink.lease.MonotonicClock;
+import org.standlink.process.Guarded;
 import org.standlink.wire.Forward;
 import org.standlink.wire.ForwardAnswer;
 
@@ -105,7 +106,9 @@
         switch (answers.begin(key, fingerprint(request), clock.nowMillis())) {
             case RUN -> {
                 long window = service.keyWindowSeconds() * SECOND_MILLIS;
-                answer.whenComplete(
+                Guarded.then(
+                        "keyed-end",
+                        answer,
                         (value, failure) -> answers.end(key, value, clock.nowMillis() + window));
                 runner.run();
             }
@@ -136,7 +139,7 @@
         if (first.isEmpty()) {
             answer.complete(Answers.notRun("the first request did not run", 0, 0));
         } else {
-            first.get().thenAccept(answer::complete);
+            Guarded.then("replay", first.get(), (value, failure) -> answer.complete(value));
         }
     }
 
--- a/src/main/java/org/standlink/agent/RequestHandler.java
+++ b/src/main/java/org/standlink/agent/RequestHandler.java
@@ -31,6 +31,7 @@
 import org.standlink.bundle.BundleHolder;
 import org.standlink.bundle.ServiceSpecification;
 import org.standlink.lease.MonotonicClock;
+import org.standlink.process.Guarded;
 import org.standlink.wire.Forward;
 import org.standlink.wire.ForwardAnswer;
 import org.standlink.wire.Load;
@@ -139,7 +140,7 @@
         }
         CompletableFuture<ForwardAnswer> answer = new CompletableFuture<>();
         // The table learns what really became of it, the caller perhaps only that its time was up.
-        answer.whenComplete((value, failure) -> table.end(request.id(), value));
+        Guarded.then("request-end", answer, (value, failure) -> table.end(request.id(), value));
         Optional<ForwardAnswer> refusal = refusal(request);
         if (refusal.isPresent()) {
             answer.complete(refusal.get());
@@ -278,13 +279,18 @@
             answer.complete(Answers.notRun("no slot in time", SOON_MILLIS, outstanding()));
             return;
         }
-        upstream.run(request)
-                .whenComplete(
-                        (value, failure) -> {
-                            measure(request, service, value, System.nanoTime() - start);
-                            gate.leave(clock.nowMillis());
-                            answer.complete(value);
-                        });
+        Guarded.then(
+                "upstream-answer",
+                upstream.run(request),
+                (value, failure) -> {
+                    // The slot and the answer first, so that nothing keeps them.
+                    gate.leave(clock.nowMillis());
+                    answer.complete(
+                            failure == null
+                                    ? value
+                                    : Answers.unknown("the agent failed", outstanding()));
+                    measure(request, service, value, System.nanoTime() - start);
+                });
     }
 
     private void measure(
@@ -328,8 +334,10 @@
                         () -> tellLate(told),
                         request.budgetMillis() + TIMER_SLACK_MILLIS,
                         TimeUnit.MILLISECONDS);
-        answer.thenAccept(
-                value -> {
+        Guarded.then(
+                "request-answer",
+                answer,
+                (value, failure) -> {
                     timer.cancel(false);
                     told.complete(value);
                 });
--- a/src/main/java/org/standlink/cell/CallerDesk.java
+++ b/src/main/java/org/standlink/cell/CallerDesk.java
@@ -48,6 +48,9 @@
     /** Why it is not known what was done. */
     private static final String REPLACED = "the leader was replaced while it kept the job";
 
+    /** Why it is not known what was done, and not to be tried again at once. */
+    private static final String FAILED = "the leader failed while it handled the request";
+
     /** The log. */
     private static final EventLog LOG = EventLog.of(CallerDesk.class);
 
@@ -119,6 +122,16 @@
      * @param message the message; another one than callers cause is passed over
      */
     void handle(MessageChannel connection, long call, Message message) {
+        try {
+            answer(connection, call, message);
+        } catch (RuntimeException | Error defect) {
+            // Whoever asked another leader the same at once might end one after the other.
+            connection.answer(call, JobAnswer.of(JobAnswer.Result.FAILED, FAILED));
+            throw defect;
+        }
+    }
+
+    private void answer(MessageChannel connection, long call, Message message) {
         if (message instanceof SubmitJob submit) {
             submit(connection, call, submit.job());
         } else if (message instanceof CancelJob cancel) {
--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -16,10 +16,8 @@
 package org.standlink.cell;
 
 import java.util.List;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledFuture;
-import java.util.concurrent.TimeUnit;
 import java.util.function.LongSupplier;
 import java.util.function.Supplier;
 import org.standlink.Epoch;
@@ -29,6 +27,7 @@
 import org.standlink.lease.MonotonicClock;
 import org.standlink.policy.HarmTable;
 import org.standlink.process.EventLog;
+import org.standlink.process.WorkFailures;
 import org.standlink.store.KeyedStore;
 import org.standlink.store.ReadResult;
 import org.standlink.store.Topic;
@@ -83,10 +82,10 @@
     private final Supplier<Configuration> configuration;
 
     /** The loop. */
-    private final ScheduledExecutorService loop;
+    private final LeaderLoop loop;
 
-    /** What is told when another process leads. */
-    private final Runnable whenDeposed;
+    /** Is told when this leader leads no more. */
+    private final LeaderEnd whenOver;
 
     /** The jobs. */
     private final JobBoard board = new JobBoard();
@@ -143,7 +142,7 @@
      * @param wallClock the time of day, in milliseconds since 1970
      * @param configuration the configuration in force
      * @param loop the loop, of one thread
-     * @param whenDeposed what is told when another process leads
+     * @param whenOver is told when this leader leads no more
      */
     public CellLeader(
             Epoch epoch,
@@ -153,15 +152,15 @@
             LongSupplier wallClock,
             Supplier<Configuration> configuration,
             ScheduledExecutorService loop,
-            Runnable whenDeposed) {
+            LeaderEnd whenOver) {
         this.epoch = epoch;
         this.store = store;
         this.times = times;
         this.clock = clock;
         this.wallClock = wallClock;
         this.configuration = configuration;
-        this.loop = loop;
-        this.whenDeposed = whenDeposed;
+        this.loop = new LeaderLoop(loop, this::fail);
+        this.whenOver = whenOver;
         HarmTable harm = new HarmTable();
         Placement placement = new LeastAskedPlacement(harm);
         this.scheduler = new Scheduler(board, workers, placement);
@@ -172,7 +171,7 @@
                         epoch,
                         List.of(board, workers, beliefs),
                         new StoreContact(clock, wallClock),
-                        loop,
+                        this.loop,
                         loop,
                         this::depose);
         this.orders = new OrderDesk(epoch, board, workers, commits);
@@ -229,15 +228,24 @@
         if (!closed) {
             LOG.info("deposed").with("epoch", epoch).write();
             stop();
-            whenDeposed.run();
+            whenOver.deposed();
+        }
+    }
+
+    /** Ends this leader after a throw: nothing that waits to be kept is told to anybody. */
+    private void fail() {
+        if (!closed) {
+            LOG.error("leader-failed").with("epoch", epoch).write();
+            stop();
+            whenOver.failed();
         }
     }
 
     private void fence() {
         if (!closed) {
-            store.fence(Topic.CELL, epoch)
-                    .thenCompose(end -> store.readNewest(Topic.CELL))
-                    .whenCompleteAsync(this::load, loop);
+            loop.then(
+                    store.fence(Topic.CELL, epoch).thenCompose(end -> store.readNewest(Topic.CELL)),
+                    this::load);
         }
     }
 
@@ -246,14 +254,14 @@
             return;
         }
         if (failure != null) {
-            Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+            Throwable cause = WorkFailures.causeOf(failure);
             if (cause instanceof StandlinkException known
                     && known.getCode() == ErrorCode.EPOCH_FENCED) {
                 depose();
                 return;
             }
             LOG.warning("take-over-failed").with("epoch", epoch).with("cause", cause).write();
-            loop.schedule(this::fence, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            loop.later(PAUSE_MILLIS, this::fence);
             return;
         }
         long now = clock.nowMillis();
@@ -279,19 +287,18 @@
                 .with("jobs", board.getJobs().size())
                 .with("end", state.next())
                 .write();
-        ticks = loop.scheduleWithFixedDelay(this::tick, 0, TICK_MILLIS, TimeUnit.MILLISECONDS);
+        ticks = loop.repeat(TICK_MILLIS, this::tick);
     }
 
     private void tick() {
-        try {
-            expire();
-            callers.refuseIfStalled();
-            reports.stopStalled();
-            moves.move(clock.nowMillis());
-            decide();
-        } catch (RuntimeException defect) {
-            LOG.error("defect-in-tick").with("cause", defect).write();
+        if (closed) {
+            return;
         }
+        expire();
+        callers.refuseIfStalled();
+        reports.stopStalled();
+        moves.move(clock.nowMillis());
+        decide();
     }
 
     /** Releases what ran on workers whose lease has surely run out, and forgets old jobs. */
@@ -326,19 +333,14 @@
     private void decideSoon() {
         if (!deciding) {
             deciding = true;
-            loop.schedule(this::decideNow, GATHER_MILLIS, TimeUnit.MILLISECONDS);
+            loop.later(GATHER_MILLIS, this::decideNow);
         }
     }
 
     private void decideNow() {
         deciding = false;
-        if (closed) {
-            return;
-        }
-        try {
+        if (!closed) {
             decide();
-        } catch (RuntimeException defect) {
-            LOG.error("defect-in-decision").with("cause", defect).write();
         }
     }
 
@@ -348,21 +350,17 @@
             connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, "no longer leading"));
             return;
         }
-        try {
-            if (message instanceof AgentReport report) {
-                report(connection, call, report);
-            } else if (!active) {
-                // The caller asks again; the state is read within some tens of milliseconds.
-                connection.answer(call, new LeaderNotice(epoch, ""));
-                return;
-            } else {
-                callers.handle(connection, call, message);
-            }
-            if (active) {
-                decideSoon();
-            }
-        } catch (RuntimeException defect) {
-            LOG.error("defect-in-message").with("message", message).with("cause", defect).write();
+        if (message instanceof AgentReport report) {
+            report(connection, call, report);
+        } else if (!active) {
+            // The caller asks again; the state is read within some tens of milliseconds.
+            connection.answer(call, new LeaderNotice(epoch, ""));
+            return;
+        } else {
+            callers.handle(connection, call, message);
+        }
+        if (active) {
+            decideSoon();
         }
     }
 
--- a/src/main/java/org/standlink/cell/CommitQueue.java
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -18,15 +18,15 @@
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import org.standlink.Epoch;
 import org.standlink.ErrorCode;
-import org.standlink.StandlinkException;
 import org.standlink.cell.StoreContact.Moment;
 import org.standlink.process.EventLog;
+import org.standlink.process.Guarded;
+import org.standlink.process.WorkFailures;
 import org.standlink.store.KeyedRecord;
 import org.standlink.store.KeyedStore;
 import org.standlink.store.ReadResult;
@@ -167,8 +167,15 @@
         waiting.add(effect);
     }
 
-    /** Begins an append if there is something to keep and none is under way. */
+    /**
+     * Begins an append if there is something to keep and none is under way. Whatever is thrown
+     * meanwhile closes this queue, as the changes that were taken by then are lost.
+     */
     void pump() {
+        orClose(this::begin);
+    }
+
+    private void begin() {
         if (closed || begun != null) {
             return;
         }
@@ -185,7 +192,7 @@
         }
         sequence++;
         begun = contact.now();
-        send(new Append(records, takeWaiting()));
+        send(new PendingAppend(records, takeWaiting()));
     }
 
     /**
@@ -223,24 +230,25 @@
      * it is done only where the topic ends as it did before, so that a copy that is done late
      * brings no older state back, whatever the store looks at then.
      */
-    private void send(Append append) {
-        if (closed || append.done) {
+    private void send(PendingAppend append) {
+        if (closed || append.isDone()) {
             return;
         }
-        append.calls++;
-        append.lastCall++;
+        append.called();
         Moment sent = contact.now();
-        store.append(Topic.CELL, append.records, new Writer(epoch, sequence, end))
-                .whenCompleteAsync((to, failure) -> answered(append, sent, failure), loop);
+        Guarded.thenIn(
+                store.append(Topic.CELL, append.getRecords(), new Writer(epoch, sequence, end)),
+                loop,
+                (to, failure) -> orClose(() -> answered(append, sent, failure)));
         sendAgainLater(append, Math.max(AGAIN_MILLIS, AGAIN_FACTOR * tookMillis));
     }
 
     /** Lets one more call follow the last one, unless another one has by then. */
-    private void sendAgainLater(Append append, long millis) {
-        int last = append.lastCall;
+    private void sendAgainLater(PendingAppend append, long millis) {
+        int last = append.getLastCall();
         later(
                 () -> {
-                    if (append.lastCall == last && append.calls < MOST_CALLS) {
+                    if (append.getLastCall() == last && append.getCalls() < MOST_CALLS) {
                         send(append);
                     }
                 },
@@ -248,21 +256,23 @@
     }
 
     private void later(Runnable work, long millis) {
-        timers.schedule(() -> loop.execute(work), millis, TimeUnit.MILLISECONDS);
+        timers.schedule(() -> loop.execute(() -> orClose(work)), millis, TimeUnit.MILLISECONDS);
     }
 
-    private void answered(Append append, Moment sent, Throwable failure) {
-        append.calls--;
-        if (append.done || closed) {
+    private void answered(PendingAppend append, Moment sent, Throwable failure) {
+        append.callOver();
+        if (append.isDone() || closed) {
             return;
         }
         if (failure == null) {
             tookMillis = contact.now().steady() - sent.steady();
         }
-        boolean repeated = append.lastCall > 1;
+        boolean repeated = append.getLastCall() > 1;
         if (failure == null && !repeated) {
             taken(append, sent);
-        } else if (repeated && (failure == null || codeOf(failure) == ErrorCode.CONDITION_FAILED)) {
+        } else if (repeated
+                && (failure == null
+                        || StoreFailures.codeOf(failure) == ErrorCode.CONDITION_FAILED)) {
             // Only a number that is answered shows that no newer leader had begun by then.
             confirm(append, failure == null ? sent : begun);
         } else {
@@ -275,20 +285,26 @@
      * the store has seen, before what came under it is done, or that the topic has moved on. Costs
      * one read for each append whose answer takes longer than the others.
      */
-    private void confirm(Append append, Moment since) {
-        if (!append.confirming) {
-            append.confirming = true;
-            store.read(Topic.CELL, end, 0)
-                    .whenCompleteAsync((read, failure) -> confirmed(append, since, read), loop);
+    private void confirm(PendingAppend append, Moment since) {
+        if (!append.isConfirming()) {
+            append.setConfirming(true);
+            Guarded.thenIn(
+                    store.read(Topic.CELL, end, 0),
+                    loop,
+                    (read, failure) -> orClose(() -> confirmed(append, since, read, failure)));
         }
     }
 
-    private void confirmed(Append append, Moment since, ReadResult read) {
-        append.confirming = false;
-        if (append.done || closed) {
+    private void confirmed(PendingAppend append, Moment since, ReadResult read, Throwable failure) {
+        append.setConfirming(false);
+        if (append.isDone() || closed) {
             return;
         }
-        if (read == null || read.records().isEmpty()) {
+        StoreFailures.throwDefect(failure);
+        if (StoreFailures.codeOf(failure) == ErrorCode.LOG_GAP) {
+            // What became of it cannot be read any more; the next leader reads the state anew.
+            end(WorkFailures.causeOf(failure));
+        } else if (read == null || read.records().isEmpty()) {
             later(() -> confirmAgain(append, since), PAUSE_MILLIS);
         } else if (append.isIn(read.records())) {
             taken(append, since);
@@ -297,15 +313,15 @@
         }
     }
 
-    private void confirmAgain(Append append, Moment since) {
-        if (!append.done && !closed) {
+    private void confirmAgain(PendingAppend append, Moment since) {
+        if (!append.isDone() && !closed) {
             confirm(append, since);
         }
     }
 
-    private void taken(Append append, Moment sent) {
-        append.done = true;
-        end += append.records.size();
+    private void taken(PendingAppend append, Moment sent) {
+        append.taken();
+        end += append.getRecords().size();
         if (failing) {
             failing = false;
             LOG.info("store-regained").with("after", contact.getSilentMillis()).write();
@@ -313,22 +329,29 @@
         contact.taken(sent);
         begun = null;
         sources.forEach(ChangeSource::kept);
-        runEffects(append.effects);
+        runEffects(append.getEffects());
         pump();
     }
 
     private void runEffects(List<Runnable> effects) {
-        if (!closed) {
-            effects.forEach(Runnable::run);
+        for (Runnable effect : effects) {
+            if (!closed) {
+                effect.run();
+            }
         }
     }
 
-    private static ErrorCode codeOf(Throwable failure) {
-        return causeOf(failure) instanceof StandlinkException known ? known.getCode() : null;
-    }
-
-    private static Throwable causeOf(Throwable failure) {
-        return failure instanceof CompletionException ? failure.getCause() : failure;
+    /** Closes this queue if a step throws, before anything that waits can take effect. */
+    private void orClose(Runnable step) {
+        boolean done = false;
+        try {
+            step.run();
+            done = true;
+        } finally {
+            if (!done) {
+                close();
+            }
+        }
     }
 
     private void end(Object cause) {
@@ -337,9 +360,10 @@
         whenFenced.run();
     }
 
-    private void failed(Append append, Throwable failure) {
-        Throwable cause = causeOf(failure);
-        ErrorCode code = codeOf(failure);
+    private void failed(PendingAppend append, Throwable failure) {
+        StoreFailures.throwDefect(failure);
+        Throwable cause = WorkFailures.causeOf(failure);
+        ErrorCode code = StoreFailures.codeOf(failure);
         boolean overtaken =
                 code == ErrorCode.EPOCH_FENCED
                         || code == ErrorCode.INTERNAL
@@ -352,44 +376,11 @@
             failing = true;
             LOG.warning("store-lost").with("sequence", sequence).with("cause", cause).write();
         }
-        if (append.calls == 0) {
+        if (append.getCalls() == 0) {
             sendAgainLater(append, PAUSE_MILLIS);
-        } else if (append.calls == MOST_CALLS - 1) {
+        } else if (append.getCalls() == MOST_CALLS - 1) {
             // All that may be were under way, so none was to follow the last one.
             send(append);
         }
     }
-
-    /** One append, from its first call to the answer. */
-    private static final class Append {
-
-        /** What is to be kept. */
-        private final List<KeyedRecord> records;
-
-        /** What happens once it is kept. */
-        private final List<Runnable> effects;
-
-        /** How many calls for it are under way. */
-        private int calls;
-
-        /** The number of the last call for it. */
-        private int lastCall;
-
-        /** Whether it was taken. */
-        private boolean done;
-
-        /** Whether it is being read back. */
-        private boolean confirming;
-
-        Append(List<KeyedRecord> records, List<Runnable> effects) {
-            this.records = records;
-            this.effects = effects;
-        }
-
-        /** Checks whether these were read; a read may end before, but appends are whole. */
-        boolean isIn(List<KeyedRecord> read) {
-            int common = Math.min(read.size(), records.size());
-            return read.subList(0, common).equals(records.subList(0, common));
-        }
-    }
 }
--- /dev/null
+++ b/src/main/java/org/standlink/cell/LeaderEnd.java
@@ -0,0 +1,32 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+/** Is told that a leader of this process leads no more. */
+@FunctionalInterface
+public interface LeaderEnd {
+
+    /** Takes note that another process leads. */
+    void deposed();
+
+    /**
+     * Takes note that the leader has ended itself, since its work failed; nobody leads until the
+     * place is given up or found silent.
+     */
+    default void failed() {
+        deposed();
+    }
+}
--- a/src/main/java/org/standlink/cell/LeaderSeat.java
+++ b/src/main/java/org/standlink/cell/LeaderSeat.java
@@ -18,13 +18,16 @@
 import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import org.standlink.Epoch;
 import org.standlink.Incarnation;
 import org.standlink.election.Claim;
 import org.standlink.election.LeaderLink;
 import org.standlink.job.Configuration;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
+import org.standlink.process.Guarded;
 import org.standlink.store.KeyedStore;
 import org.standlink.store.Topic;
 import org.standlink.wire.Hello;
@@ -40,6 +43,9 @@
  */
 public final class LeaderSeat {
 
+    /** The pause before a place that could not be given up is given up again, in milliseconds. */
+    private static final long PAUSE_MILLIS = 500;
+
     /** The log. */
     private static final EventLog LOG = EventLog.of(LeaderSeat.class);
 
@@ -136,7 +142,7 @@
                             System::currentTimeMillis,
                             configuration::get,
                             loop,
-                            this::leave);
+                            new PlaceHolder(claim.epoch()));
             leader.start();
         }
         link.offer(new LeaderNotice(claim.epoch(), claim.address()), "store");
@@ -177,12 +183,55 @@
             return CompletableFuture.completedFuture(0L);
         }
         leave();
-        Claim vacant = new Claim(newest.epoch(), "", self);
         LOG.info("resigning").with("epoch", newest.epoch()).write();
+        return vacate(newest.epoch());
+    }
+
+    // -----------------------------------------------------------------------
+    private CompletableFuture<Long> vacate(Epoch epoch) {
+        Claim vacant = new Claim(epoch, "", self);
         return store.readEnd(Topic.CLAIMS)
                 .thenCompose(end -> store.appendAt(Topic.CLAIMS, List.of(vacant.toRecord()), end));
     }
 
+    /** Gives up the place of a leader that has failed, until the claim is seen to be over. */
+    private synchronized void giveUp(Epoch epoch) {
+        if (!newest.isHeld() || !newest.epoch().equals(epoch)) {
+            return;
+        }
+        leave();
+        LOG.info("giving-up").with("epoch", epoch).write();
+        Guarded.thenOn("giving-up", vacate(epoch), loop, (end, failure) -> gaveUp(epoch, failure));
+    }
+
+    private void gaveUp(Epoch epoch, Throwable failure) {
+        if (failure != null) {
+            LOG.info("not-given-up").with("epoch", epoch).with("cause", failure).write();
+            loop.schedule(() -> giveUp(epoch), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Looks after the place of one leader. */
+    private final class PlaceHolder implements LeaderEnd {
+
+        /** The epoch of the leader. */
+        private final Epoch epoch;
+
+        PlaceHolder(Epoch epoch) {
+            this.epoch = epoch;
+        }
+
+        @Override
+        public void deposed() {
+            leave();
+        }
+
+        @Override
+        public void failed() {
+            giveUp(epoch);
+        }
+    }
+
     private synchronized void leave() {
         if (leader != null) {
             leader.close();
--- /dev/null
+++ b/src/main/java/org/standlink/cell/StoreFailures.java
@@ -0,0 +1,58 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
+import org.standlink.process.WorkFailures;
+
+/**
+ * Tells failures of the store from those of this process.
+ *
+ * <p>{@code StoreFailures} is thread-safe and immutable.
+ */
+final class StoreFailures {
+
+    /** No instances. */
+    private StoreFailures() {}
+
+    /**
+     * Gets the code of a failure.
+     *
+     * @param failure the failure of a call, null if it went well
+     * @return the code, null if there is none
+     */
+    static ErrorCode codeOf(Throwable failure) {
+        return WorkFailures.causeOf(failure) instanceof StandlinkException known
+                ? known.getCode()
+                : null;
+    }
+
+    /**
+     * Throws what is no failure of the store but of this process, which no repetition mends.
+     *
+     * @param failure the failure of a call, null if it went well
+     */
+    static void throwDefect(Throwable failure) {
+        Throwable cause = WorkFailures.causeOf(failure);
+        if (cause instanceof Error error) {
+            throw error;
+        }
+        if (cause instanceof RuntimeException defect && !(cause instanceof StandlinkException)) {
+            throw defect;
+        }
+    }
+}
--- a/src/main/java/org/standlink/command/AbstractServerCommand.java
+++ b/src/main/java/org/standlink/command/AbstractServerCommand.java
@@ -17,10 +17,17 @@
 
 import java.util.concurrent.CountDownLatch;
 import org.kohsuke.args4j.Option;
+import org.standlink.process.ProcessEnd;
 
 /** The part that every long-running command shares: the log and an ordered stop. */
 abstract class AbstractServerCommand implements Command {
 
+    /**
+     * How long a stop after an error may take, in milliseconds: what an entry gives its callers to
+     * go elsewhere is less.
+     */
+    private static final long LONGEST_STOP_MILLIS = 10_000;
+
     /** The form of log lines. */
     @Option(name = "--log", usage = "form of log lines: TEXT or JSON")
     private LogSetup.Form form = LogSetup.Form.TEXT;
@@ -56,6 +63,7 @@
     protected final int serveUntilStopped(Stop stop) throws InterruptedException {
         CountDownLatch never = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> runQuietly(stop), "stop"));
+        ProcessEnd.install(LONGEST_STOP_MILLIS);
         never.await();
         return 0;
     }
@@ -63,7 +71,7 @@
     private static void runQuietly(Stop stop) {
         try {
             stop.run();
-        } catch (Exception failure) {
+        } catch (Exception | Error failure) {
             System.err.println("standlink: the stop was not in order: " + failure);
         }
     }
--- a/src/main/java/org/standlink/command/PlatformAgentCommand.java
+++ b/src/main/java/org/standlink/command/PlatformAgentCommand.java
@@ -32,6 +32,7 @@
 import org.standlink.platform.HttpCaller;
 import org.standlink.platform.HttpWorkerCalls;
 import org.standlink.process.EventLog;
+import org.standlink.process.Guarded;
 import org.standlink.process.HttpService;
 import org.standlink.process.ProcessThreads;
 import org.standlink.runner.AgentNode;
@@ -120,8 +121,7 @@
                 settings.heartbeats(), ProcessThreads.newBounded("heartbeat", SIDE_THREADS), agent);
         listening = true;
         agent.start();
-        base.getLoop()
-                .scheduleWithFixedDelay(candidate::tick, 0, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        Guarded.repeat("candidate", base.getLoop(), LOOK_MILLIS, candidate::tick);
         serveMetrics(settings, base);
         return serveUntilStopped(() -> stop(seat));
     }
--- a/src/main/java/org/standlink/command/PlatformEntryCommand.java
+++ b/src/main/java/org/standlink/command/PlatformEntryCommand.java
@@ -27,6 +27,7 @@
 import org.standlink.process.ConnectionDrain;
 import org.standlink.process.EventLog;
 import org.standlink.process.HttpService;
+import org.standlink.process.ProcessEnd;
 import org.standlink.process.ProcessThreads;
 import org.standlink.wire.LeaderNotice;
 
@@ -98,6 +99,6 @@
                 TimeUnit.MILLISECONDS::sleep,
                 () -> LOG.info("stopped").with("in-progress", drain.getInProgress()).write());
         // Whatever the JDK does at an orderly exit would leave a request that comes now unanswered.
-        Runtime.getRuntime().halt(0);
+        Runtime.getRuntime().halt(ProcessEnd.getExitCode());
     }
 }
--- a/src/main/java/org/standlink/election/Candidate.java
+++ b/src/main/java/org/standlink/election/Candidate.java
@@ -16,10 +16,15 @@
 package org.standlink.election;
 
 import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.function.BiConsumer;
+import java.util.function.Function;
 import java.util.function.LongSupplier;
 import org.standlink.Incarnation;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
+import org.standlink.process.Guarded;
+import org.standlink.store.KeyedRecord;
 import org.standlink.store.KeyedStore;
 import org.standlink.store.Topic;
 
@@ -165,9 +170,8 @@
             if (asking || leads || claimsRead.getAsLong() < 0 || !isToBeWatched()) {
                 return;
             }
-            asking = true;
             if (!newest.isHeld()) {
-                claim("no leader");
+                claimVacant();
                 return;
             }
             if (newest.address().equals(address)) {
@@ -175,11 +179,20 @@
                 claim("the leader was at this address");
                 return;
             }
+            asking = true;
         }
-        store.readEnd(Topic.CELL).whenComplete(this::judge);
+        ask(store::readEnd, Topic.CELL, this::judge);
     }
 
     // -----------------------------------------------------------------------
+    /** A process that gave the place up, perhaps as it had failed, lets the others go first. */
+    private void claimVacant() {
+        boolean gaveUp = newest.holder().equals(self);
+        if (!gaveUp || clock.nowMillis() - leaderSeen >= SUSPECT_MILLIS) {
+            claim("no leader");
+        }
+    }
+
     private boolean isToBeWatched() {
         return !newest.isHeld()
                 || newest.address().equals(address)
@@ -208,7 +221,6 @@
             quietSince = now;
             quietEnd = end;
         } else if (isToBeReplaced(now - quietSince)) {
-            asking = true;
             claim("silent for " + (now - quietSince) + " ms");
         }
     }
@@ -216,8 +228,32 @@
     private void claim(String reason) {
         Claim claim = new Claim(newest.epoch().next(), address, self);
         LOG.info("claim").with("epoch", claim.epoch()).with("reason", reason).write();
-        store.appendAt(Topic.CLAIMS, List.of(claim.toRecord()), claimsRead.getAsLong())
-                .whenComplete((end, failure) -> claimSent(claim, failure));
+        asking = true;
+        List<KeyedRecord> records = List.of(claim.toRecord());
+        ask(
+                topic -> store.appendAt(topic, records, claimsRead.getAsLong()),
+                Topic.CLAIMS,
+                (end, failure) -> claimSent(claim, failure));
+    }
+
+    /** Asks the store; a call that cannot even be sent must not keep this process from the next. */
+    private void ask(
+            Function<Topic, CompletableFuture<Long>> call,
+            Topic topic,
+            BiConsumer<Long, Throwable> then) {
+        boolean sent = false;
+        try {
+            Guarded.then("candidate", call.apply(topic), then);
+            sent = true;
+        } finally {
+            if (!sent) {
+                stopAsking();
+            }
+        }
+    }
+
+    private synchronized void stopAsking() {
+        asking = false;
     }
 
     private synchronized void claimSent(Claim claim, Throwable failure) {
--- a/src/main/java/org/standlink/election/LeaderLink.java
+++ b/src/main/java/org/standlink/election/LeaderLink.java
@@ -24,6 +24,7 @@
 import org.standlink.json.Addresses;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
+import org.standlink.process.Guarded;
 import org.standlink.wire.LeaderNotice;
 import org.standlink.wire.Message;
 import org.standlink.wire.MessageHandler;
@@ -137,13 +138,14 @@
                             ErrorCode.PEER_UNREACHABLE, "no leader is known", "try again later"));
         }
         began();
-        return present.callOpen(message, timeoutMillis)
-                .whenComplete(
-                        (answer, failure) -> {
-                            if (failure == null || isConnectionLost(failure)) {
-                                endSilence();
-                            }
-                        });
+        return Guarded.then(
+                "leader-call",
+                present.callOpen(message, timeoutMillis),
+                (answer, failure) -> {
+                    if (failure == null || isConnectionLost(failure)) {
+                        endSilence();
+                    }
+                });
     }
 
     /**
--- a/src/main/java/org/standlink/entry/CallerServer.java
+++ b/src/main/java/org/standlink/entry/CallerServer.java
@@ -129,7 +129,8 @@
         this.registry = registry;
         this.drain = new ConnectionDrain(clock);
         server = HttpService.newServer(address, executor);
-        server.createContext("/", this::handle);
+        // Whether a request ran is not known if answering it fails.
+        HttpService.serve(server, "/", 504, this::handle);
         server.start();
     }
 
@@ -174,7 +175,7 @@
     private void handle(HttpExchange exchange) throws IOException {
         Object connection = exchange.getRemoteAddress();
         drain.begin(connection);
-        try (exchange) {
+        try {
             long start = System.nanoTime();
             Optional<byte[]> body = RequestBody.read(exchange, MOST_BODY_BYTES);
             RoutedAnswer answer =
--- a/src/main/java/org/standlink/entry/EntryProcess.java
+++ b/src/main/java/org/standlink/entry/EntryProcess.java
@@ -36,6 +36,7 @@
 import org.standlink.port.LogPort;
 import org.standlink.port.PlatformHttp;
 import org.standlink.port.VmListPort;
+import org.standlink.process.Guarded;
 import org.standlink.process.Timers;
 import org.standlink.wire.BundleAnswer;
 import org.standlink.wire.BundleQuery;
@@ -249,18 +250,23 @@
     }
 
     private void ask(Peer peer) {
-        query(peer).whenComplete((answer, failure) -> peer.close());
+        query(peer, peer::close);
     }
 
     private void askOpen(Peer peer) {
         if (peer.getOpen() != null) {
-            query(peer);
+            query(peer, () -> {});
         }
     }
 
-    private java.util.concurrent.CompletableFuture<Message> query(Peer peer) {
-        return peer.call(new BundleQuery(holder.getVersion()), BUNDLE_MILLIS)
-                .whenComplete((answer, failure) -> offer(answer));
+    private void query(Peer peer, Runnable afterwards) {
+        Guarded.then(
+                "bundle-query",
+                peer.call(new BundleQuery(holder.getVersion()), BUNDLE_MILLIS),
+                (answer, failure) -> {
+                    afterwards.run();
+                    offer(answer);
+                });
     }
 
     private void offer(Message answer) {
--- a/src/main/java/org/standlink/gateway/JobGateway.java
+++ b/src/main/java/org/standlink/gateway/JobGateway.java
@@ -29,6 +29,7 @@
 import org.standlink.job.QueueDefinition;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
+import org.standlink.process.Guarded;
 
 /**
  * Answers callers: finds the queue of a request, asks the leader and says truly what became of it.
@@ -152,7 +153,11 @@
             return JobReply.of(405, "use POST, GET or DELETE for a job, GET for a queue");
         }
         JobReply reply = new LeaderInquiry(leader, clock, mayWait, call, queue.get().name()).run();
-        record(call, queue.get(), present, reply, System.nanoTime() - start);
+        // The reply holds whatever becomes of its record.
+        Guarded.work(
+                        "record",
+                        () -> record(call, queue.get(), present, reply, System.nanoTime() - start))
+                .run();
         return reply;
     }
 
--- a/src/main/java/org/standlink/gateway/JobReply.java
+++ b/src/main/java/org/standlink/gateway/JobReply.java
@@ -61,7 +61,7 @@
             }
             case NO_SUCH_JOB -> of(410, "there is no such job");
             case NOT_DONE -> ofNotRun(answer.reason());
-            case UNKNOWN -> of(504, answer.reason());
+            case UNKNOWN, FAILED -> of(504, answer.reason());
         };
     }
 
--- a/src/main/java/org/standlink/gateway/LeaderInquiry.java
+++ b/src/main/java/org/standlink/gateway/LeaderInquiry.java
@@ -186,6 +186,10 @@
             unsure(answer.reason());
             return null;
         }
+        if (answer.result() == JobAnswer.Result.FAILED) {
+            unsure(answer.reason());
+            return notKnown();
+        }
         boolean refused = answer.result() == JobAnswer.Result.NOT_DONE;
         // A refusal speaks for this try alone; an earlier one may have been done.
         return refused && maybeDone ? notKnown() : JobReply.of(call, answer);
--- a/src/main/java/org/standlink/platform/CallerHttp.java
+++ b/src/main/java/org/standlink/platform/CallerHttp.java
@@ -73,7 +73,8 @@
         this.gateway = gateway;
         this.drain = drain;
         server = HttpService.newServer(address, executor);
-        server.createContext("/", this::handle);
+        // Whether a job was taken is not known if answering it fails.
+        HttpService.serve(server, "/", 504, this::handle);
         server.start();
     }
 
@@ -95,7 +96,7 @@
     private void handle(HttpExchange exchange) throws IOException {
         Object connection = exchange.getRemoteAddress();
         drain.begin(connection);
-        try (exchange) {
+        try {
             int most = gateway.getMostBodyBytes().orElse(MOST_BODY_BYTES);
             Optional<byte[]> body = RequestBody.read(exchange, most);
             JobReply reply =
--- a/src/main/java/org/standlink/platform/HeartbeatServer.java
+++ b/src/main/java/org/standlink/platform/HeartbeatServer.java
@@ -76,7 +76,7 @@
     public HeartbeatServer(InetSocketAddress address, Executor executor, WorkerListener listener) {
         this.listener = listener;
         server = HttpService.newServer(address, executor);
-        server.createContext(PATH, this::handle);
+        HttpService.serve(server, PATH, 500, this::handle);
         server.start();
     }
 
@@ -87,11 +87,9 @@
 
     // -----------------------------------------------------------------------
     private void handle(HttpExchange exchange) throws IOException {
-        try (exchange) {
-            Optional<byte[]> body = RequestBody.read(exchange, MOST_BYTES);
-            int status = body.isEmpty() ? TOO_LARGE : statusOf(exchange, body.get());
-            exchange.sendResponseHeaders(status, -1);
-        }
+        Optional<byte[]> body = RequestBody.read(exchange, MOST_BYTES);
+        int status = body.isEmpty() ? TOO_LARGE : statusOf(exchange, body.get());
+        exchange.sendResponseHeaders(status, -1);
     }
 
     private int statusOf(HttpExchange exchange, byte[] body) {
--- a/src/main/java/org/standlink/platform/HttpCaller.java
+++ b/src/main/java/org/standlink/platform/HttpCaller.java
@@ -24,11 +24,11 @@
 import java.net.http.HttpTimeoutException;
 import java.time.Duration;
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
+import org.standlink.process.WorkFailures;
 
 /**
  * The one HTTP client for calls to the platform and to workers.
@@ -108,7 +108,7 @@
         return used.sendAsync(request.build(), HttpResponse.BodyHandlers.ofByteArray())
                 .exceptionally(
                         failure -> {
-                            Throwable cause = causeOf(failure);
+                            Throwable cause = WorkFailures.causeOf(failure);
                             if (isSilence(cause)) {
                                 renew(used);
                             }
@@ -116,16 +116,16 @@
                         });
     }
 
-    private static Throwable causeOf(Throwable failure) {
-        return failure instanceof CompletionException ? failure.getCause() : failure;
-    }
-
     private static boolean isSilence(Throwable cause) {
         return cause instanceof HttpTimeoutException
                 && !(cause instanceof HttpConnectTimeoutException);
     }
 
     private static StandlinkException translate(Throwable cause) {
+        if (cause instanceof Error error) {
+            // No answer of the platform, but a failure of this process that calling again hides.
+            throw error;
+        }
         if (cause instanceof ConnectException || cause instanceof HttpConnectTimeoutException) {
             return new StandlinkException(
                     ErrorCode.PLATFORM_UNAVAILABLE,
--- a/src/main/java/org/standlink/platform/HttpWorkerCalls.java
+++ b/src/main/java/org/standlink/platform/HttpWorkerCalls.java
@@ -31,6 +31,7 @@
 import org.standlink.job.RunProgress;
 import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
+import org.standlink.process.WorkFailures;
 import org.standlink.runner.CallResult;
 import org.standlink.runner.RenewalResult;
 import org.standlink.runner.WorkerCalls;
@@ -140,6 +141,10 @@
     }
 
     private static CallResult unknown(Throwable failure) {
+        if (WorkFailures.causeOf(failure) instanceof Error error) {
+            // The worker may have heard; that it is this process that fails must not go unseen.
+            WorkFailures.note("worker-call", error);
+        }
         return new CallResult(CallResult.Kind.UNKNOWN, -1, String.valueOf(failure.getMessage()));
     }
 
--- a/src/main/java/org/standlink/platform/ReadyServer.java
+++ b/src/main/java/org/standlink/platform/ReadyServer.java
@@ -46,7 +46,7 @@
     public ReadyServer(InetSocketAddress address, Executor executor, BooleanSupplier ready) {
         this.ready = ready;
         server = HttpService.newServer(address, executor);
-        server.createContext("/v1/ready", this::handle);
+        HttpService.serve(server, "/v1/ready", 500, this::handle);
         server.start();
     }
 
@@ -57,8 +57,6 @@
 
     // -----------------------------------------------------------------------
     private void handle(HttpExchange exchange) throws IOException {
-        try (exchange) {
-            exchange.sendResponseHeaders(ready.getAsBoolean() ? 200 : 503, -1);
-        }
+        exchange.sendResponseHeaders(ready.getAsBoolean() ? 200 : 503, -1);
     }
 }
--- a/src/main/java/org/standlink/process/HttpService.java
+++ b/src/main/java/org/standlink/process/HttpService.java
@@ -18,6 +18,7 @@
 import com.fasterxml.jackson.core.JsonProcessingException;
 import com.fasterxml.jackson.databind.ObjectMapper;
 import com.sun.net.httpserver.HttpExchange;
+import com.sun.net.httpserver.HttpHandler;
 import com.sun.net.httpserver.HttpServer;
 import java.io.IOException;
 import java.net.InetSocketAddress;
@@ -130,7 +131,7 @@
      */
     public HttpService(InetSocketAddress address, Executor executor) {
         server = newServer(address, executor);
-        server.createContext("/", this::handle);
+        serve(server, "/", 500, this::handle);
         server.start();
     }
 
@@ -156,6 +157,34 @@
         }
     }
 
+    /**
+     * Handles all paths with a beginning; each request is answered, also if its handling fails.
+     *
+     * @param server the server
+     * @param path the beginning of the paths
+     * @param failedStatus the HTTP status of the answer if the handling fails; it must be true
+     *     whatever was done by then
+     * @param handler the handler, which need not close the exchange
+     */
+    public static void serve(
+            HttpServer server, String path, int failedStatus, HttpHandler handler) {
+        server.createContext(path, exchange -> handle(exchange, failedStatus, handler));
+    }
+
+    private static void handle(HttpExchange exchange, int failedStatus, HttpHandler handler)
+            throws IOException {
+        try {
+            handler.handle(exchange);
+        } catch (RuntimeException | Error thrown) {
+            WorkFailures.note("request", thrown);
+            if (exchange.getResponseCode() < 0) {
+                exchange.sendResponseHeaders(failedStatus, -1);
+            }
+        } finally {
+            exchange.close();
+        }
+    }
+
     /**
      * Handles a path.
      *
@@ -185,21 +214,19 @@
 
     // -----------------------------------------------------------------------
     private void handle(HttpExchange exchange) throws IOException {
-        try (exchange) {
-            String path = exchange.getRequestURI().getPath();
-            String query = exchange.getRequestURI().getRawQuery();
-            byte[] body = exchange.getRequestBody().readAllBytes();
-            Handler handler = handlers.get(exchange.getRequestMethod() + " " + path);
-            Answer answer =
-                    handler == null
-                            ? Answer.ofText(404, "nothing at " + path)
-                            : answer(handler, new Request(query == null ? "" : query, body));
-            exchange.getResponseHeaders().set("Content-Type", answer.contentType());
-            boolean none = answer.body().length == 0;
-            exchange.sendResponseHeaders(answer.status(), none ? -1 : answer.body().length);
-            if (!none) {
-                exchange.getResponseBody().write(answer.body());
-            }
+        String path = exchange.getRequestURI().getPath();
+        String query = exchange.getRequestURI().getRawQuery();
+        byte[] body = exchange.getRequestBody().readAllBytes();
+        Handler handler = handlers.get(exchange.getRequestMethod() + " " + path);
+        Answer answer =
+                handler == null
+                        ? Answer.ofText(404, "nothing at " + path)
+                        : answer(handler, new Request(query == null ? "" : query, body));
+        exchange.getResponseHeaders().set("Content-Type", answer.contentType());
+        boolean none = answer.body().length == 0;
+        exchange.sendResponseHeaders(answer.status(), none ? -1 : answer.body().length);
+        if (!none) {
+            exchange.getResponseBody().write(answer.body());
         }
     }
 
--- a/src/main/java/org/standlink/process/LogWriter.java
+++ b/src/main/java/org/standlink/process/LogWriter.java
@@ -58,7 +58,7 @@
      */
     LogWriter(PrintStream output) {
         this.output = output;
-        Thread thread = new Thread(this::writeAll, "log-writer");
+        Thread thread = new Thread(this::writeUntilStopped, "log-writer");
         thread.setDaemon(true);
         thread.start();
     }
@@ -87,6 +87,18 @@
     }
 
     // -----------------------------------------------------------------------
+    /** What a batch throws, such as for want of memory, costs that batch only. */
+    private void writeUntilStopped() {
+        while (!Thread.currentThread().isInterrupted()) {
+            try {
+                writeAll();
+            } catch (RuntimeException | Error thrown) {
+                dropped.incrementAndGet();
+                WorkFailures.note("log-writer", thrown);
+            }
+        }
+    }
+
     private void writeAll() {
         StringBuilder batch = new StringBuilder();
         try {
--- a/src/main/java/org/standlink/process/ProcessThreads.java
+++ b/src/main/java/org/standlink/process/ProcessThreads.java
@@ -15,8 +15,10 @@
  */
 package org.standlink.process;
 
+import java.util.concurrent.ExecutionException;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.Future;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.ScheduledThreadPoolExecutor;
@@ -76,7 +78,7 @@
      * @return the executor
      */
     public static ScheduledExecutorService newScheduled(String name, int threads) {
-        ScheduledThreadPoolExecutor pool = new ScheduledThreadPoolExecutor(threads, factory(name));
+        ScheduledThreadPoolExecutor pool = new WatchedTimers(name, threads);
         pool.setRemoveOnCancelPolicy(true);
         return pool;
     }
@@ -86,7 +88,34 @@
         return work -> {
             Thread thread = new Thread(work, name + "-" + number.incrementAndGet());
             thread.setDaemon(true);
+            thread.setUncaughtExceptionHandler((at, thrown) -> WorkFailures.note(name, thrown));
             return thread;
         };
     }
+
+    /** Timers that tell what their work throws, which the JDK's keep in a future. */
+    private static final class WatchedTimers extends ScheduledThreadPoolExecutor {
+
+        /** The name of the threads. */
+        private final String name;
+
+        WatchedTimers(String name, int threads) {
+            super(threads, factory(name));
+            this.name = name;
+        }
+
+        @Override
+        protected void afterExecute(Runnable work, Throwable thrown) {
+            super.afterExecute(work, thrown);
+            if (work instanceof Future<?> ended && ended.isDone() && !ended.isCancelled()) {
+                try {
+                    ended.get();
+                } catch (ExecutionException failed) {
+                    WorkFailures.note(name, failed.getCause());
+                } catch (InterruptedException stopped) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        }
+    }
 }
--- a/src/main/java/org/standlink/process/Timers.java
+++ b/src/main/java/org/standlink/process/Timers.java
@@ -20,7 +20,6 @@
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ConcurrentHashMap;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
@@ -72,8 +71,7 @@
      * @param work the work
      */
     public void every(String name, long pauseMillis, Runnable work) {
-        scheduler.scheduleWithFixedDelay(
-                () -> run(name, work), 0, pauseMillis, TimeUnit.MILLISECONDS);
+        Guarded.repeat(name, scheduler, pauseMillis, () -> run(name, work));
     }
 
     @Override
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -34,6 +34,7 @@
 import org.standlink.lease.MonotonicClock;
 import org.standlink.policy.HarmTable;
 import org.standlink.process.EventLog;
+import org.standlink.process.Guarded;
 import org.standlink.wire.AgentGrant;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.Connection;
@@ -150,7 +151,7 @@
 
     /** Begins to report. */
     public void start() {
-        loop.scheduleWithFixedDelay(this::beat, 0, LOOK_MILLIS, TimeUnit.MILLISECONDS);
+        Guarded.repeat("report", loop, LOOK_MILLIS, this::beat);
     }
 
     // -----------------------------------------------------------------------
@@ -322,9 +323,11 @@
                         workers.values().stream().anyMatch(WorkerSupervisor::isFenceRefused),
                         List.copyOf(sent.values()),
                         over);
-        leader.call(report, ANSWER_MILLIS)
-                .whenCompleteAsync(
-                        (answer, failure) -> reported(answer, failure, sent, sentAt), loop);
+        Guarded.thenOn(
+                "report-answer",
+                leader.call(report, ANSWER_MILLIS),
+                loop,
+                (answer, failure) -> reported(answer, failure, sent, sentAt));
     }
 
     private void reported(
--- a/src/main/java/org/standlink/runner/RunShares.java
+++ b/src/main/java/org/standlink/runner/RunShares.java
@@ -15,6 +15,7 @@
  */
 package org.standlink.runner;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.function.ToIntFunction;
 
 /**
@@ -68,16 +69,22 @@
             return;
         }
         run.setCalling(true);
-        context.calls()
-                .throttle(context.worker().get(), run.getRun(), wanted, context.fence().get())
-                .thenAcceptAsync(
-                        result -> {
-                            run.setCalling(false);
-                            if (result.kind() == CallResult.Kind.DONE) {
-                                run.setShare(wanted);
-                            }
-                            then.run();
-                        },
-                        context.loop());
+        CompletableFuture<CallResult> answer =
+                context.calls()
+                        .throttle(
+                                context.worker().get(),
+                                run.getRun(),
+                                wanted,
+                                context.fence().get());
+        context.whenAnswered(
+                "throttle",
+                answer,
+                result -> {
+                    run.setCalling(false);
+                    if (result.kind() == CallResult.Kind.DONE) {
+                        run.setShare(wanted);
+                    }
+                    then.run();
+                });
     }
 }
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -20,7 +20,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.TimeUnit;
+import java.util.concurrent.CompletableFuture;
 import java.util.function.BooleanSupplier;
 import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
@@ -215,9 +215,14 @@
         }
         run.setCalling(true);
         long until = leaseClock.renew(leaseEnd.get());
-        context.calls()
-                .start(context.worker().get(), run.getOrder(), until, context.fence().get())
-                .thenAcceptAsync(result -> started(run, result), context.loop());
+        CompletableFuture<CallResult> answer =
+                context.calls()
+                        .start(
+                                context.worker().get(),
+                                run.getOrder(),
+                                until,
+                                context.fence().get());
+        context.whenAnswered("start", answer, result -> started(run, result));
     }
 
     /** Tells what keeps runs from being started now; empty if nothing does. */
@@ -235,7 +240,7 @@
         run.setCalling(false);
         leaseClock.answered(result.clockMillis(), context.clock().nowMillis());
         if (result.kind() != CallResult.Kind.DONE) {
-            logCall("start", run, result);
+            context.log("start", run.getRun(), result);
         }
         if (isDropped(run)) {
             return;
@@ -297,7 +302,7 @@
     }
 
     private void afterPause(Runnable call) {
-        context.loop().schedule(call, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        context.later(PAUSE_MILLIS, call);
     }
 
     private void callStop(LocalRun run) {
@@ -310,14 +315,14 @@
             return;
         }
         run.setCalling(true);
-        context.calls()
-                .stop(context.worker().get(), run.getRun(), present)
-                .thenAcceptAsync(result -> stopped(run, result, present), context.loop());
+        CompletableFuture<CallResult> answer =
+                context.calls().stop(context.worker().get(), run.getRun(), present);
+        context.whenAnswered("stop", answer, result -> stopped(run, result, present));
     }
 
     private void stopped(LocalRun run, CallResult result, Fence sentFence) {
         run.setCalling(false);
-        logCall("stop", run, result);
+        context.log("stop", run.getRun(), result);
         if (isDropped(run)) {
             return;
         }
@@ -332,16 +337,6 @@
         }
     }
 
-    private void logCall(String call, LocalRun run, CallResult result) {
-        LOG.info("worker-" + call)
-                .with("run", run.getRun())
-                .with("worker", context.worker().get().id())
-                .with("fence", context.fence().get())
-                .with("result", result.kind())
-                .with("detail", result.detail())
-                .write();
-    }
-
     /**
      * Brings what is known of each run in line with the worker's lists.
      *
--- a/src/main/java/org/standlink/runner/WorkerContext.java
+++ b/src/main/java/org/standlink/runner/WorkerContext.java
@@ -15,11 +15,17 @@
  */
 package org.standlink.runner;
 
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ScheduledExecutorService;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import java.util.function.Supplier;
 import org.standlink.Fence;
+import org.standlink.job.RunId;
 import org.standlink.job.WorkerDescription;
 import org.standlink.lease.MonotonicClock;
+import org.standlink.process.EventLog;
+import org.standlink.process.Guarded;
 
 /**
  * What all that calls one worker needs.
@@ -37,4 +43,55 @@
         WorkerCalls calls,
         MonotonicClock clock,
         ScheduledExecutorService loop,
-        Supplier<Fence> fence) {}
+        Supplier<Fence> fence) {
+
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(WorkerContext.class);
+
+    /**
+     * Does something with the answer to a call, on the agent's loop.
+     *
+     * @param call the name of the call
+     * @param answer the answer
+     * @param then takes the answer; a call that fails altogether may have been heard
+     */
+    void whenAnswered(
+            String call, CompletableFuture<CallResult> answer, Consumer<CallResult> then) {
+        Guarded.thenOn(
+                "worker-" + call,
+                answer,
+                loop,
+                (result, failure) -> then.accept(failure == null ? result : unknown(failure)));
+    }
+
+    /**
+     * Does something later, on the agent's loop.
+     *
+     * @param millis after how long, in milliseconds
+     * @param work what is done
+     */
+    void later(long millis, Runnable work) {
+        loop.schedule(work, millis, TimeUnit.MILLISECONDS);
+    }
+
+    /**
+     * Writes what became of a call.
+     *
+     * @param call the name of the call
+     * @param run the run that it was about
+     * @param result the answer
+     */
+    void log(String call, RunId run, CallResult result) {
+        LOG.info("worker-" + call)
+                .with("run", run)
+                .with("worker", worker.get().id())
+                .with("fence", fence.get())
+                .with("result", result.kind())
+                .with("detail", result.detail())
+                .write();
+    }
+
+    private static CallResult unknown(Throwable failure) {
+        return new CallResult(CallResult.Kind.UNKNOWN, -1, failure.toString());
+    }
+}
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -17,7 +17,6 @@
 
 import java.util.List;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.Supplier;
 import org.standlink.Fence;
 import org.standlink.cell.CellTimes;
@@ -60,8 +59,8 @@
     /** The clock. */
     private final MonotonicClock clock;
 
-    /** The agent's loop. */
-    private final ScheduledExecutorService loop;
+    /** The series of renewals. */
+    private final RenewalSeries renewals;
 
     /** Tells until when runs may go on, on the agent's clock. */
     private final Supplier<Long> leaseEnd;
@@ -149,7 +148,7 @@
         this.worker = worker;
         this.calls = calls;
         this.clock = clock;
-        this.loop = loop;
+        this.renewals = new RenewalSeries(loop, PAUSE_MILLIS, () -> renew(0));
         this.leaseEnd = leaseEnd;
         this.fence = fence;
         this.whenChanged = whenChanged;
@@ -327,7 +326,7 @@
         }
         if (isFenceRefused()) {
             // Whoever has been replaced stays silent until it knows the higher fence.
-            loop.schedule(() -> renew(0), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            renewals.later(PAUSE_MILLIS);
             return;
         }
         Fence present = fence.get();
@@ -336,8 +335,9 @@
         boolean prolong = leaseClock.isKnown() && reachable && end > clock.nowMillis();
         long until = prolong ? leaseClock.renew(end) : -1;
         long sentAt = clock.nowMillis();
-        calls.renew(worker, until, present, recordedEnd, waitMillis)
-                .thenAcceptAsync(result -> held(result, present, sentAt), loop);
+        renewals.whenAnswered(
+                calls.renew(worker, until, present, recordedEnd, waitMillis),
+                result -> held(result, present, sentAt));
     }
 
     private void held(RenewalResult result, Fence sentFence, long sentAt) {
@@ -370,7 +370,7 @@
             whenChanged.run();
         }
         if (!answers) {
-            loop.schedule(() -> renew(0), PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+            renewals.later(PAUSE_MILLIS);
             return;
         }
         lapseNoted = false;
@@ -393,7 +393,7 @@
         if (ended.isEmpty()) {
             renew(WAIT_MILLIS);
         } else {
-            loop.schedule(() -> renew(0), RECORD_MILLIS, TimeUnit.MILLISECONDS);
+            renewals.later(RECORD_MILLIS);
         }
     }
 }
--- a/src/main/java/org/standlink/store/TopicFollower.java
+++ b/src/main/java/org/standlink/store/TopicFollower.java
@@ -16,7 +16,6 @@
 package org.standlink.store;
 
 import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.CompletionException;
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -24,6 +23,8 @@
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
 import org.standlink.process.EventLog;
+import org.standlink.process.Guarded;
+import org.standlink.process.WorkFailures;
 
 /**
  * Reads a topic for as long as the process runs: first the newest record of each key, then each new
@@ -127,7 +128,16 @@
                 position == NOTHING_READ
                         ? store.readNewest(topic)
                         : store.read(topic, position, WAIT_MILLIS);
-        result.whenCompleteAsync(this::handle, executor);
+        Guarded.thenIn(
+                result,
+                executor,
+                (read, failure) ->
+                        Guarded.work("follow", () -> handle(read, failure), this::readOnLater)
+                                .run());
+    }
+
+    private void readOnLater() {
+        timers.schedule(this::readOn, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
     }
 
     private void handle(ReadResult result, Throwable failure) {
@@ -145,7 +155,10 @@
     }
 
     private void handleFailure(Throwable failure) {
-        Throwable cause = failure instanceof CompletionException ? failure.getCause() : failure;
+        Throwable cause = WorkFailures.causeOf(failure);
+        if (cause instanceof Error error) {
+            throw error;
+        }
         if (cause instanceof StandlinkException known && known.getCode() == ErrorCode.LOG_GAP) {
             LOG.info("history-dropped").with("topic", topic).with("offset", position).write();
             position = NOTHING_READ;
@@ -156,6 +169,6 @@
             failing = true;
             LOG.warning("store-read-lost").with("topic", topic).with("cause", cause).write();
         }
-        timers.schedule(this::readOn, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        readOnLater();
     }
 }
--- a/src/main/java/org/standlink/wire/Connection.java
+++ b/src/main/java/org/standlink/wire/Connection.java
@@ -29,6 +29,7 @@
 import java.util.concurrent.atomic.AtomicLong;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
+import org.standlink.process.Guarded;
 
 /**
  * One TCP connection that carries frames both ways.
@@ -125,7 +126,7 @@
         long number = lastCall.incrementAndGet();
         CompletableFuture<Message> answer = new CompletableFuture<>();
         calls.put(number, answer);
-        answer.whenComplete((value, failure) -> calls.remove(number));
+        Guarded.then("call", answer, (value, failure) -> calls.remove(number));
         try {
             write(new Frame(number, false, message));
         } catch (StandlinkException lost) {
@@ -227,6 +228,9 @@
         } catch (IOException | StandlinkException ended) {
             // The end of the stream and a broken frame both end the connection.
             close();
+        } finally {
+            // Nothing is read any more, whatever was thrown; the other side must not wait.
+            close();
         }
     }
 
--- a/src/main/java/org/standlink/wire/ConnectionWatch.java
+++ b/src/main/java/org/standlink/wire/ConnectionWatch.java
@@ -15,11 +15,9 @@
  */
 package org.standlink.wire;
 
-import java.util.concurrent.CompletableFuture;
-import java.util.concurrent.Executor;
-import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicBoolean;
+import org.standlink.process.Guarded;
 
 /**
  * Closes a connection that has gone silent, so that whoever waits on it can go on over a new one.
@@ -70,8 +68,13 @@
 
     // -----------------------------------------------------------------------
     private void lookLater() {
-        Executor later = CompletableFuture.delayedExecutor(QUIET_MILLIS, TimeUnit.MILLISECONDS);
-        later.execute(this::look);
+        Guarded.later(QUIET_MILLIS, Guarded.work("connection-watch", this::look, this::giveUp));
+    }
+
+    /** A connection that is watched no more would be waited for until each call's own limit. */
+    private void giveUp() {
+        watching.set(false);
+        connection.close();
     }
 
     private void look() {
@@ -87,7 +90,8 @@
             lookLater();
             return;
         }
-        connection.call(new KeepAlive(), ANSWER_MILLIS).whenComplete(this::judge);
+        Guarded.then(
+                "connection-watch", connection.call(new KeepAlive(), ANSWER_MILLIS), this::judge);
     }
 
     private void judge(Message answer, Throwable failure) {
--- a/src/main/java/org/standlink/wire/JobAnswer.java
+++ b/src/main/java/org/standlink/wire/JobAnswer.java
@@ -39,7 +39,9 @@
         /** The leader did not do it and will not. */
         NOT_DONE,
         /** It may have been done. */
-        UNKNOWN
+        UNKNOWN,
+        /** The leader failed over it; it may have been done, and the next leader may fail too. */
+        FAILED
     }
 
     /**
--- a/src/main/java/org/standlink/wire/WireServer.java
+++ b/src/main/java/org/standlink/wire/WireServer.java
@@ -24,6 +24,7 @@
 import java.util.concurrent.ExecutorService;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
+import org.standlink.process.WorkFailures;
 
 /**
  * Accepts connections from other processes of standlink and greets each of them.
@@ -124,6 +125,9 @@
             } catch (IOException | StandlinkException ended) {
                 // A peer that left at once is passed over; a closed listener ends the loop.
                 continue;
+            } catch (RuntimeException | Error thrown) {
+                // Whoever connects next must still be heard.
+                WorkFailures.note("accept", thrown);
             }
         }
     }
--- a/src/test/java/org/standlink/cell/TestWhatIsToldIsKept.java
+++ b/src/test/java/org/standlink/cell/TestWhatIsToldIsKept.java
@@ -168,8 +168,7 @@
 
         private void report(List<RunId> running) {
             List<RunEnd> ends = new ArrayList<>();
-            ended.forEach(
-                    (run, number) -> ends.add(new RunEnd(number, run, RunEndKind.DONE, "")));
+            ended.forEach((run, number) -> ends.add(new RunEnd(number, run, RunEndKind.DONE, "")));
             WorkerReport part =
                     new WorkerReport(
                             WORKER,
@@ -256,8 +255,7 @@
 
         private List<String> findForgottenEnds() {
             JobBoard read = new JobBoard();
-            List<KeyedRecord> records =
-                    store.readNewest(Topic.CELL).join().records();
+            List<KeyedRecord> records = store.readNewest(Topic.CELL).join().records();
             read.restore(records);
             long recorded = agent.greatestRecordedEnd();
             List<String> forgotten = new ArrayList<>();
