Let an agent end only once all who may send know that it leaves

Cause: the agent ended after 500 ms of quiet, which does not tell who may still send; an entry that heard later sent to an agent that was gone.

Now a leaving agent tells everybody who is connected and waits until each has answered. An entry sends no request over a connection behind that answer, which the same lock orders. Requests count as open until their answers are written, and, if their connection was lost, until their callers have stopped waiting, so that what became of them can be asked for. Then the agent stops to listen, says on each connection that nothing more comes, and ends when the others have read all.

--- a/src/main/java/org/standlink/agent/AgentProcess.java
+++ b/src/main/java/org/standlink/agent/AgentProcess.java
@@ -21,6 +21,7 @@
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BooleanSupplier;
 import org.standlink.Incarnation;
 import org.standlink.Resources;
 import org.standlink.bundle.Bundle;
@@ -56,12 +57,11 @@
  */
 public final class AgentProcess implements AutoCloseable {
 
-    /**
-     * How long nothing may be in progress before a leaving agent ends, in milliseconds: a request
-     * that an entry sent before it heard of the leave arrives within a tenth of it, and an answer
-     * counts as given a moment before it is written.
-     */
-    private static final long QUIET_MILLIS = 500;
+    /** The time between two looks at whether a leaving agent may end, in milliseconds. */
+    private static final long LOOK_MILLIS = 50;
+
+    /** How long the others may take to read the last answers, in milliseconds. */
+    private static final long READ_MILLIS = 2000;
 
     /** The log of changes of state. */
     private static final System.Logger LOGGER = System.getLogger(AgentProcess.class.getName());
@@ -111,6 +111,9 @@
     /** What the next heartbeat tells; used by its timer alone. */
     private final ReportDelta delta = new ReportDelta();
 
+    /** Requests that are not over for those who sent them. */
+    private final OpenRequests openRequests = new OpenRequests();
+
     /** The server. */
     private final WireServer server;
 
@@ -207,23 +210,30 @@
     }
 
     /**
-     * Ends in order: no new work, requests end, tasks are checkpointed and handed back.
+     * Ends in order: no new work, requests end, tasks are checkpointed and handed back. It ends
+     * only once everybody who is connected has answered that it sends no more requests.
      *
      * @throws InterruptedException if the thread is interrupted
      */
     public void drain() throws InterruptedException {
         leave();
+        server.leave();
         long until = clock.nowMillis() + settings.drainMillis();
-        long quietSince = clock.nowMillis();
-        long now = quietSince;
-        while (now < until && now - quietSince < QUIET_MILLIS) {
-            TimeUnit.MILLISECONDS.sleep(LOAD_MILLIS / 5);
-            now = clock.nowMillis();
-            quietSince = isDrained() ? quietSince : now;
-        }
+        await(() -> isDrained() && server.isLeaveKnown(), until);
+        // Whoever connects from now on is refused and knows that nothing was sent.
+        server.stopListening();
+        await(() -> isDrained() && server.isLeaveKnown(), until);
+        server.finish();
+        await(server::isEmpty, Math.min(until, clock.nowMillis() + READ_MILLIS));
         close();
     }
 
+    private void await(BooleanSupplier condition, long untilMillis) throws InterruptedException {
+        while (clock.nowMillis() < untilMillis && !condition.getAsBoolean()) {
+            TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
+        }
+    }
+
     @Override
     public void close() {
         timers.close();
@@ -245,11 +255,9 @@
         SupervisorReport report = answeredReport;
         boolean tasksHandedBack =
                 supervisor.getRunning() == 0 && report != null && report == supervisor.getReport();
-        return requests.outstanding() == 0 && (tasksHandedBack || supervisorIdle());
-    }
-
-    private boolean supervisorIdle() {
-        return supervisor.getReport().tasks().isEmpty();
+        boolean requestsOver =
+                requests.outstanding() == 0 && openRequests.isOver(clock.nowMillis());
+        return requestsOver && (tasksHandedBack || supervisor.getReport().tasks().isEmpty());
     }
 
     private void addGauges() {
@@ -336,9 +344,11 @@
     // -----------------------------------------------------------------------
     private void handle(Connection connection, long call, Message message) {
         if (message instanceof Forward forward) {
-            askForBundle(connection);
+            openRequests.begin(connection, clock.nowMillis() + forward.budgetMillis());
             answerWhenDone(connection, call, requests.forward(forward));
+            askForBundle(connection);
         } else if (message instanceof OutcomeQuery query) {
+            openRequests.begin(connection, clock.nowMillis());
             answerWhenDone(connection, call, requests.outcome(query));
         } else if (message instanceof Heartbeat heartbeat) {
             connection.answer(call, leaderRole.answer(heartbeat));
@@ -351,9 +361,18 @@
         }
     }
 
-    private static void answerWhenDone(
+    private void answerWhenDone(
             Connection connection, long call, CompletableFuture<ForwardAnswer> outcome) {
-        Guarded.then("request", outcome, (answer, failure) -> connection.answer(call, answer));
+        Guarded.then(
+                "request",
+                outcome,
+                (answer, failure) -> {
+                    try {
+                        connection.answer(call, answer);
+                    } finally {
+                        openRequests.end();
+                    }
+                });
     }
 
     private void askForBundle(Connection connection) {
--- a/src/main/java/org/standlink/entry/RequestRouter.java
+++ b/src/main/java/org/standlink/entry/RequestRouter.java
@@ -20,10 +20,11 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.ExecutionException;
-import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
+import java.util.function.Supplier;
 import org.standlink.ErrorCode;
 import org.standlink.HallId;
 import org.standlink.Incarnation;
@@ -228,7 +229,7 @@
         upstream.sent();
         ForwardAnswer answer;
         try {
-            answer = send(connection, forward, left + GRACE_MILLIS);
+            answer = send(() -> connection.callUnlessLeft(forward, left + GRACE_MILLIS));
             if (answer == null) {
                 answer = resolve(upstream, id, hello, untilMillis);
             }
@@ -251,24 +252,26 @@
     }
 
     /** Sends a message; null if the connection was lost, so that the outcome must be asked for. */
-    private static ForwardAnswer send(Connection connection, Message message, long waitMillis) {
+    private static ForwardAnswer send(Supplier<CompletableFuture<Message>> call) {
         try {
-            Message answer = connection.call(message, waitMillis).get();
+            Message answer = call.get().get();
             return answer instanceof ForwardAnswer forwarded
                     ? forwarded
                     : unknown("an answer of the wrong kind");
         } catch (ExecutionException | CompletionException failure) {
-            return isLost(failure.getCause()) ? null : unknown("no answer in time");
+            if (hasCode(failure.getCause(), ErrorCode.PEER_UNREACHABLE)) {
+                return notSent();
+            }
+            boolean lost = hasCode(failure.getCause(), ErrorCode.CONNECTION_LOST);
+            return lost ? null : unknown("no answer in time");
         } catch (InterruptedException stopped) {
             Thread.currentThread().interrupt();
             return unknown("the entry was interrupted");
         }
     }
 
-    private static boolean isLost(Throwable cause) {
-        return !(cause instanceof TimeoutException)
-                && cause instanceof StandlinkException lost
-                && lost.getCode() == ErrorCode.CONNECTION_LOST;
+    private static boolean hasCode(Throwable cause, ErrorCode code) {
+        return cause instanceof StandlinkException known && known.getCode() == code;
     }
 
     /** Asks what became of a try whose connection was lost. */
@@ -281,7 +284,7 @@
         try {
             Connection connection = upstream.getPeer().connect();
             OutcomeQuery query = new OutcomeQuery(id, hello.incarnation());
-            ForwardAnswer answer = send(connection, query, left);
+            ForwardAnswer answer = send(() -> connection.call(query, left));
             return answer == null ? unknown("the connection was lost twice") : answer;
         } catch (StandlinkException unreachable) {
             return unknown("the agent is gone and cannot be asked");
--- a/src/main/java/org/standlink/entry/Upstream.java
+++ b/src/main/java/org/standlink/entry/Upstream.java
@@ -94,7 +94,8 @@
      */
     boolean isOpen() {
         Connection connection = peer.getOpen();
-        boolean greeted = connection != null && connection.getHello() != null;
+        boolean greeted =
+                connection != null && connection.getHello() != null && !connection.isLeftByPeer();
         return greeted && !isLeaving() && !load.failing();
     }
 
--- a/src/main/java/org/standlink/wire/Connection.java
+++ b/src/main/java/org/standlink/wire/Connection.java
@@ -62,6 +62,12 @@
     /** Whether the connection is gone. */
     private volatile boolean closed;
 
+    /** Whether the other side has said that it leaves; set while {@link #output} is held. */
+    private volatile boolean leftByPeer;
+
+    /** Whether the other side has answered that it knows that this side leaves. */
+    private volatile boolean leaveKnown;
+
     /** What the other side said it is, null until then. */
     private volatile Hello hello;
 
@@ -138,6 +144,68 @@
         return answer.orTimeout(timeoutMillis, TimeUnit.MILLISECONDS);
     }
 
+    /**
+     * Sends a request and waits for its answer, unless the other side has said that it leaves: once
+     * that has been answered, nothing is sent any more that it would have to wait for.
+     *
+     * @param request the request
+     * @param timeoutMillis how long to wait, in milliseconds
+     * @return the answer; fails with PEER_UNREACHABLE only if nothing was sent
+     */
+    public CompletableFuture<Message> callUnlessLeft(Message request, long timeoutMillis) {
+        synchronized (output) {
+            return leftByPeer
+                    ? CompletableFuture.failedFuture(leaves())
+                    : call(request, timeoutMillis);
+        }
+    }
+
+    /**
+     * Tells the other side that this side leaves, until it has answered.
+     *
+     * @param timeoutMillis how long to wait before it is told again, in milliseconds
+     */
+    void tellLeave(long timeoutMillis) {
+        Guarded.then(
+                "leave",
+                call(new Leaving(), timeoutMillis),
+                (answer, failure) -> {
+                    leaveKnown = failure == null;
+                    if (failure != null && !closed) {
+                        tellLeave(timeoutMillis);
+                    }
+                });
+    }
+
+    /** Says that nothing more is sent; the other side closes once it has read all. */
+    void finish() {
+        try {
+            synchronized (output) {
+                socket.shutdownOutput();
+            }
+        } catch (IOException gone) {
+            close();
+        }
+    }
+
+    /**
+     * Checks whether the other side has said that it leaves.
+     *
+     * @return true if so
+     */
+    public boolean isLeftByPeer() {
+        return leftByPeer;
+    }
+
+    /**
+     * Checks whether the other side knows that this side leaves.
+     *
+     * @return true if it has answered so
+     */
+    boolean isLeaveKnown() {
+        return leaveKnown;
+    }
+
     /**
      * Sends a message and waits for its answer, and closes this connection if it goes silent
      * meanwhile, well before a time limit of seconds.
@@ -243,6 +311,11 @@
             }
         } else if (frame.message() instanceof KeepAlive) {
             answer(frame.call(), frame.message());
+        } else if (frame.message() instanceof Leaving) {
+            synchronized (output) {
+                leftByPeer = true;
+                answer(frame.call(), frame.message());
+            }
         } else if (frame.message() instanceof Hello greeting) {
             hello = greeting;
             handler.handle(this, frame.call(), greeting);
@@ -251,6 +324,11 @@
         }
     }
 
+    private static StandlinkException leaves() {
+        return new StandlinkException(
+                ErrorCode.PEER_UNREACHABLE, "the peer leaves", "send the request elsewhere");
+    }
+
     private static StandlinkException lost(Throwable cause) {
         return new StandlinkException(
                 ErrorCode.CONNECTION_LOST,
--- a/src/main/java/org/standlink/wire/Message.java
+++ b/src/main/java/org/standlink/wire/Message.java
@@ -47,7 +47,8 @@
     @JsonSubTypes.Type(value = JobQuery.class, name = "20"),
     @JsonSubTypes.Type(value = QueueQuery.class, name = "21"),
     @JsonSubTypes.Type(value = JobAnswer.class, name = "22"),
-    @JsonSubTypes.Type(value = KeepAlive.class, name = "23")
+    @JsonSubTypes.Type(value = KeepAlive.class, name = "23"),
+    @JsonSubTypes.Type(value = Leaving.class, name = "24")
 })
 public sealed interface Message
         permits Hello,
@@ -72,4 +73,5 @@
                 JobQuery,
                 QueueQuery,
                 JobAnswer,
-                KeepAlive {}
+                KeepAlive,
+                Leaving {}
--- a/src/main/java/org/standlink/wire/WireServer.java
+++ b/src/main/java/org/standlink/wire/WireServer.java
@@ -45,6 +45,12 @@
     /** What answers messages. */
     private final MessageHandler handler;
 
+    /** How long an answer to a leave is waited for before it is told again, in milliseconds. */
+    private static final long LEAVE_MILLIS = 5000;
+
+    /** Whether this server leaves. */
+    private volatile boolean leaving;
+
     /** Whether this server is closed. */
     private volatile boolean closed;
 
@@ -106,14 +112,49 @@
         }
     }
 
-    @Override
-    public void close() {
-        closed = true;
+    /** Tells everybody who is connected, and whoever connects from now on, that it leaves. */
+    public void leave() {
+        leaving = true;
+        connections.forEach(connection -> connection.tellLeave(LEAVE_MILLIS));
+    }
+
+    /**
+     * Checks whether all who are connected know that this server leaves, so that none of them sends
+     * a request any more.
+     *
+     * @return true if so
+     */
+    public boolean isLeaveKnown() {
+        return leaving && connections.stream().allMatch(Connection::isLeaveKnown);
+    }
+
+    /** Takes no more connections; those that are open go on. */
+    public void stopListening() {
         try {
             listener.close();
         } catch (IOException ignored) {
             // Nothing is left to close.
         }
+    }
+
+    /** Says on all connections that nothing more is sent; the others close once they have read. */
+    public void finish() {
+        connections.forEach(Connection::finish);
+    }
+
+    /**
+     * Checks whether anybody is connected.
+     *
+     * @return true if nobody is
+     */
+    public boolean isEmpty() {
+        return connections.isEmpty();
+    }
+
+    @Override
+    public void close() {
+        closed = true;
+        stopListening();
         connections.forEach(Connection::close);
     }
 
@@ -144,5 +185,8 @@
         }
         connection.send(hello);
         connection.start(executor);
+        if (leaving) {
+            connection.tellLeave(LEAVE_MILLIS);
+        }
     }
 }
