Programs need their jar no more once they run: archive of all its classes, jar kept open

Cause of the missing classes: a class that the archive does not hold is read from the jar when it is first needed; the jar could not be read by then.

--- a/src/main/java/org/standlink/command/AbstractServerCommand.java
+++ b/src/main/java/org/standlink/command/AbstractServerCommand.java
@@ -64,6 +64,7 @@
         CountDownLatch never = new CountDownLatch(1);
         Runtime.getRuntime().addShutdownHook(new Thread(() -> runQuietly(stop), "stop"));
         ProcessEnd.install(LONGEST_STOP_MILLIS);
+        ProgramClasses.keepOpen();
         never.await();
         return 0;
     }
--- a/src/main/java/org/standlink/command/PlatformRehearseCommand.java
+++ b/src/main/java/org/standlink/command/PlatformRehearseCommand.java
@@ -34,7 +34,7 @@
 
 /**
  * {@code standlink platform rehearse}: runs an entry and an agent that leads against stand-ins for
- * some seconds and ends, so that a class archive can be written.
+ * some seconds, loads all other classes and ends, so that a class archive can be written.
  *
  * <p>What a process does here need not be read from the jar and verified when it starts again after
  * a loss of power; on half a core that takes longer than all else that it does until it serves.
@@ -105,6 +105,7 @@
                         + freeAddress()
                         + "\"}");
         boolean served = serve(worker);
+        System.out.println("classes loaded: " + ProgramClasses.loadAll());
         System.out.println(served ? "rehearsed" : "not ready in time; rehearsed in part only");
         return 0;
     }
