--- a/src/main/java/org/standlink/agent/AgentProcess.java
+++ b/src/main/java/org/standlink/agent/AgentProcess.java
@@ -36,6 +36,7 @@
 import org.standlink.port.VmListPort;
 import org.standlink.process.Guarded;
 import org.standlink.process.Timers;
+import org.standlink.process.WorkFailures;
 import org.standlink.wire.BundleAnswer;
 import org.standlink.wire.BundleQuery;
 import org.standlink.wire.Connection;
@@ -261,6 +262,7 @@
     }
 
     private void addGauges() {
+        WorkFailures.showIn(registry);
         registry.gauge("standlink.agent.outstanding", requests, RequestHandler::outstanding);
         registry.gauge("standlink.agent.tasks.running", supervisor, TaskSupervisor::getRunning);
         registry.gauge(
--- a/src/main/java/org/standlink/command/Main.java
+++ b/src/main/java/org/standlink/command/Main.java
@@ -127,7 +127,8 @@
         output.println("usage: standlink COMMAND [OPTIONS]; 'standlink COMMAND --help' for each");
         COMMANDS.forEach((name, entry) -> output.printf("  %-20s %s%n", name, entry.summary()));
         output.println("exit codes: 0 done, 1 internal, 2 usage, 3 invalid input, 4 refused,");
-        output.println("            5 not reachable, 6 outcome not known");
+        output.println("            5 not reachable, 6 outcome not known,");
+        output.println("            7 a program ended itself after an error");
     }
 
     private static Map<String, Entry> commands() {
--- a/src/main/java/org/standlink/command/PlatformBase.java
+++ b/src/main/java/org/standlink/command/PlatformBase.java
@@ -28,6 +28,7 @@
 import org.standlink.platform.HttpStore;
 import org.standlink.process.EventLog;
 import org.standlink.process.ProcessThreads;
+import org.standlink.process.WorkFailures;
 import org.standlink.store.KeyedRecord;
 import org.standlink.store.KeyedStore;
 import org.standlink.store.Topic;
@@ -69,6 +70,7 @@
      */
     PlatformBase(String storeAddress) {
         store = new HttpStore(storeCaller, storeAddress);
+        WorkFailures.showIn(registry);
     }
 
     /**
--- a/src/main/java/org/standlink/entry/EntryProcess.java
+++ b/src/main/java/org/standlink/entry/EntryProcess.java
@@ -38,6 +38,7 @@
 import org.standlink.port.VmListPort;
 import org.standlink.process.Guarded;
 import org.standlink.process.Timers;
+import org.standlink.process.WorkFailures;
 import org.standlink.wire.BundleAnswer;
 import org.standlink.wire.BundleQuery;
 import org.standlink.wire.Message;
@@ -132,6 +133,7 @@
                         clock,
                         registry);
         this.server = new CallerServer(settings.listen(), callers, router, holder, clock, registry);
+        WorkFailures.showIn(registry);
         registry.gauge("standlink.entry.in.progress", server, CallerServer::getInProgress);
         registry.gauge(
                 "standlink.entry.bundle.version",
--- a/src/main/java/org/standlink/process/WorkFailures.java
+++ b/src/main/java/org/standlink/process/WorkFailures.java
@@ -15,6 +15,8 @@
  */
 package org.standlink.process;
 
+import io.micrometer.core.instrument.FunctionCounter;
+import io.micrometer.core.instrument.MeterRegistry;
 import java.util.concurrent.CompletionException;
 import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.atomic.AtomicReference;
@@ -81,6 +83,17 @@
         return COUNT.get();
     }
 
+    /**
+     * Shows the number of failures among the counters of a process.
+     *
+     * @param registry the counters
+     */
+    public static void showIn(MeterRegistry registry) {
+        FunctionCounter.builder("standlink.work.failures", COUNT, AtomicLong::get)
+                .description("work that threw though nothing expected it")
+                .register(registry);
+    }
+
     /**
      * Sets what ends the process after an error.
      *
