--- a/src/test/java/org/standlink/simulation/SimulatedDay.java
+++ b/src/test/java/org/standlink/simulation/SimulatedDay.java
@@ -44,12 +44,16 @@
 
     private static final int MOST_LASTING = 5;
     private static final int MOST_SUSPENSIONS = 4;
+    private static final int MOST_THROWS = 40;
+    private static final int MOST_READINGS = 120;
+    private static final int NEXT_LEADER_MILLIS = 700;
     private static final long LONGEST_SUSPENSION_MILLIS = 12_000;
 
     private final World world;
     private final SimulatedCell cell;
     private final List<Fault> faults;
     private final Random suspensions;
+    private Random thrown;
     private final Map<JobId, Optional<JobState>> states = new HashMap<>();
 
     SimulatedDay(long seed) {
@@ -69,6 +73,12 @@
         this.cell = new SimulatedCell(world, MACHINES, seed % 3 == 0, statusMillis);
     }
 
+    /** Lets leaders throw besides, as is drawn. */
+    SimulatedDay withThrows(Random drawn) {
+        thrown = drawn;
+        return this;
+    }
+
     List<Fault> getFaults() {
         return faults;
     }
@@ -88,6 +98,9 @@
         if (suspensions != null) {
             planSuspensions();
         }
+        if (thrown != null) {
+            planThrows();
+        }
         planJobs();
         world.playUntil(FAULTS_MILLIS);
         world.note("calm");
@@ -115,6 +128,32 @@
         }
     }
 
+    private void planThrows() {
+        int count = 1 + thrown.nextInt(MOST_THROWS);
+        for (int i = 0; i < count; i++) {
+            long at = thrown.nextInt((int) FAULTS_MILLIS - 2 * NEXT_LEADER_MILLIS);
+            long reading = 1 + thrown.nextInt(MOST_READINGS);
+            Throwable cause =
+                    thrown.nextBoolean()
+                            ? new IllegalStateException("on purpose")
+                            : new NoClassDefFoundError("on purpose");
+            long after = 100 + thrown.nextInt(NEXT_LEADER_MILLIS);
+            world.later(at, () -> letLeaderThrow(reading, cause, after));
+        }
+    }
+
+    /** The leader throws, and another one begins after a while. */
+    private void letLeaderThrow(long reading, Throwable cause, long after) {
+        cell.getReferee().impaired(NEXT_LEADER_MILLIS * 2);
+        cell.newestLeader().throwAt(reading, cause);
+        world.later(
+                after,
+                () -> {
+                    cell.lead();
+                    cell.getMachines().forEach(machine -> machine.tell(cell.newestNotice()));
+                });
+    }
+
     /** Suspends the machine of an agent, or that of the leader. */
     private void suspend(int which, long millis) {
         world.note("SUSPENDED " + which + " for " + millis);
--- a/src/test/java/org/standlink/simulation/SimulatedLeader.java
+++ b/src/test/java/org/standlink/simulation/SimulatedLeader.java
@@ -91,6 +91,11 @@
         wholeFrozen = whole;
     }
 
+    /** Lets the leader throw wherever it reads its clock for the n-th time from now on. */
+    void throwAt(long reading, Throwable thrown) {
+        process.throwAt(reading, thrown);
+    }
+
     /** Suspends the machine. */
     void suspend(long millis) {
         process.suspend(millis);
--- a/src/test/java/org/standlink/simulation/TestCellSimulation.java
+++ b/src/test/java/org/standlink/simulation/TestCellSimulation.java
@@ -83,6 +83,24 @@
         assertEquals(0, red.size(), () -> "of " + count + "\n" + String.join("\n", red));
     }
 
+    /**
+     * Seen: what callers and workers had been told was not in the store, since changes that had
+     * been taken were lost by a throw. A leader throws wherever it reads its clock.
+     */
+    @Test
+    public void noDayOnWhichLeadersThrowBreaksARule() {
+        int first = Integer.getInteger("standlink.simulation.first", 1);
+        int count = Integer.getInteger("standlink.simulation.seeds", USUAL_SEEDS);
+        List<String> red = new ArrayList<>();
+        for (long seed = first; seed < first + count; seed++) {
+            List<String> found = new SimulatedDay(seed).withThrows(new Random(seed * 13)).play();
+            if (!found.isEmpty()) {
+                red.add("seed " + seed + ": " + found);
+            }
+        }
+        assertEquals(0, red.size(), () -> "of " + count + "\n" + String.join("\n", red));
+    }
+
     @Test
     public void aDayIsTheSameEachTime() {
         SimulatedDay first = new SimulatedDay(REPEATED_SEED);
--- a/src/test/java/org/standlink/simulation/World.java
+++ b/src/test/java/org/standlink/simulation/World.java
@@ -49,6 +49,8 @@
         private final FakeLoop work = new FakeLoop(clock);
         private long frozenUntil;
         private long asleepMillis;
+        private long readingsLeft;
+        private Throwable toBeThrown;
 
         ProcessLoop() {
             processes.add(this);
@@ -65,7 +67,40 @@
 
         /** Gets the clock of the process, which stands still while its machine is suspended. */
         MonotonicClock getClock() {
-            return () -> clock.nowMillis() - asleepMillis;
+            return this::readClock;
+        }
+
+        /** Lets the clock throw when it is read for the n-th time from now on, once. */
+        void throwAt(long reading, Throwable thrown) {
+            readingsLeft = reading;
+            toBeThrown = thrown;
+        }
+
+        private long readClock() {
+            readingsLeft--;
+            if (readingsLeft == 0) {
+                note("THROWN " + toBeThrown);
+                if (toBeThrown instanceof Error error) {
+                    throw error;
+                }
+                throw (RuntimeException) toBeThrown;
+            }
+            return clock.nowMillis() - asleepMillis;
+        }
+
+        /** Runs what is due; what is thrown on purpose ends the work that threw it. */
+        private void runDue() {
+            boolean all = false;
+            while (!all) {
+                try {
+                    work.runDue();
+                    all = true;
+                } catch (RuntimeException | Error thrown) {
+                    if (thrown != toBeThrown) {
+                        throw thrown;
+                    }
+                }
+            }
         }
 
         /** Suspends the machine: nothing runs, and the clock does not count that time. */
@@ -137,7 +172,7 @@
             loop.runDue();
             for (ProcessLoop process : List.copyOf(processes)) {
                 if (!process.isFrozen()) {
-                    process.work.runDue();
+                    process.runDue();
                 }
             }
             long next = loop.nextDue();
--- a/src/test/java/org/standlink/specification/TestSpecifications.java
+++ b/src/test/java/org/standlink/specification/TestSpecifications.java
@@ -261,6 +261,19 @@
         return new SpecificationCheck("Cell", name, "OnePlace NoneAfterDone", constants, broken);
     }
 
+    @TestFactory
+    Stream<DynamicTest> appends() {
+        Map<String, String> all = with("Changes", "{1, 2, 3}", "EndsOnThrow", "TRUE");
+        return SpecificationCheck.tests(
+                appends("told-once-kept", all, null),
+                appends("goes-on-after-a-throw", with(all, "EndsOnThrow", "FALSE"), "ToldIsKept"));
+    }
+
+    private static SpecificationCheck appends(
+            String name, Map<String, String> constants, String broken) {
+        return new SpecificationCheck("Appends", name, "ToldIsKept", constants, broken);
+    }
+
     /** Two processes of an agent, and calls that are carried out late. */
     private static final Map<String, String> LATE_CALLS =
             with(
