--- /dev/null
+++ b/src/test/java/org/standlink/cell/TestLeaderSeat.java
@@ -0,0 +1,118 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.cell;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.FakeLoop;
+import org.standlink.Incarnation;
+import org.standlink.election.Claim;
+import org.standlink.election.LeaderLink;
+import org.standlink.store.FakeKeyedStore;
+import org.standlink.store.KeyedRecord;
+import org.standlink.store.Topic;
+import org.standlink.wire.LeaderNotice;
+import org.standlink.wire.SubmitJob;
+
+/** Tests that a process whose leader has failed gives up the place, so that another takes it. */
+public class TestLeaderSeat {
+
+    private static final Claim CLAIM = new Claim(Epoch.of(1), "10.0.0.1:1", Incarnation.of(1));
+
+    private final FakeClock clock = new FakeClock();
+    private final FakeLoop loop = new FakeLoop(clock);
+    private final FakeKeyedStore store = new FakeKeyedStore();
+    private final FakeChannel entry = new FakeChannel();
+    private final LeaderLink link = new LeaderLink(loop, (from, call, message) -> {}, clock);
+    private boolean broken;
+    private final LeaderSeat seat =
+            new LeaderSeat(
+                    store,
+                    new CellTimes(6000, 120_000),
+                    this::readClock,
+                    loop,
+                    Incarnation.of(1),
+                    link);
+
+    private long readClock() {
+        if (broken) {
+            throw new IllegalStateException("on purpose");
+        }
+        return clock.nowMillis();
+    }
+
+    private void lead() {
+        store.records(Topic.CLAIMS).add(CLAIM.toRecord());
+        seat.claimed(CLAIM);
+        loop.advance(50);
+        seat.handle(entry, 1, new SubmitJob(CellFixtures.job("a", 1)));
+        loop.advance(50);
+        assertTrue(entry.findAnswer(1) != null, "the process leads");
+    }
+
+    private Claim newestClaim() {
+        List<KeyedRecord> claims = store.records(Topic.CLAIMS);
+        return Claim.of(claims.get(claims.size() - 1));
+    }
+
+    private void failFor(long millis) {
+        broken = true;
+        loop.advance(millis);
+        broken = false;
+    }
+
+    @Test
+    public void theClaimOfALeaderThatHasFailedIsVacated() {
+        lead();
+        failFor(500);
+        assertEquals(Epoch.of(1), newestClaim().epoch());
+        assertFalse(newestClaim().isHeld());
+        seat.handle(entry, 2, new SubmitJob(CellFixtures.job("b", 1)));
+        loop.advance(50);
+        assertTrue(entry.findAnswer(2) instanceof LeaderNotice, "others are told who leads");
+    }
+
+    @Test
+    public void aClaimThatCouldNotBeVacatedIsVacatedOnceTheStoreIsBack() {
+        lead();
+        store.setMode(FakeKeyedStore.Mode.DOWN);
+        failFor(500);
+        loop.advance(3000);
+        assertTrue(newestClaim().isHeld());
+        store.setMode(FakeKeyedStore.Mode.UP);
+        loop.advance(1000);
+        assertFalse(newestClaim().isHeld());
+    }
+
+    @Test
+    public void theClaimOfTheNextLeaderIsLeftAlone() {
+        lead();
+        store.setMode(FakeKeyedStore.Mode.DOWN);
+        failFor(500);
+        store.setMode(FakeKeyedStore.Mode.UP);
+        Claim next = new Claim(Epoch.of(2), "10.0.0.2:1", Incarnation.of(2));
+        store.records(Topic.CLAIMS).add(next.toRecord());
+        seat.claimed(next);
+        loop.advance(3000);
+        assertEquals(next, newestClaim());
+    }
+}
--- a/src/test/java/org/standlink/election/TestCandidate.java
+++ b/src/test/java/org/standlink/election/TestCandidate.java
@@ -74,6 +74,16 @@
         assertEquals(Epoch.of(2), Claim.of(store.records(Topic.CLAIMS).get(1)).epoch());
     }
 
+    /** Whoever has failed as a leader is likely to fail again. */
+    @Test
+    public void letsTheOthersGoFirstWhenItHasGivenThePlaceUpItself() {
+        candidate.claimed(new Claim(Epoch.of(1), "", Incarnation.of(1)));
+        tickFor(Candidate.SUSPECT_MILLIS - 200, false, false);
+        assertEquals(1, claims());
+        tickFor(200, false, false);
+        assertEquals(2, claims());
+    }
+
     @Test
     public void neverClaimsWhileTheLeaderAnswers() {
         tickFor(10_000, false, true);
--- /dev/null
+++ b/src/test/java/org/standlink/process/TestGuarded.java
@@ -0,0 +1,173 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.process;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import com.sun.net.httpserver.HttpServer;
+import java.io.IOException;
+import java.net.HttpURLConnection;
+import java.net.InetSocketAddress;
+import java.net.URL;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.ScheduledExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.FakeClock;
+import org.standlink.FakeLoop;
+
+/**
+ * Tests that work which nobody waits for never ends unseen.
+ *
+ * <p>Seen: a leader's timer that never ran again for the last 24 s of a day, and threads that ended
+ * while they answered callers, without a line in the log.
+ *
+ * <p>Cause: the JDK keeps what such work throws in a future that nobody looks at, and does not
+ * repeat work that threw.
+ */
+public class TestGuarded {
+
+    private static final IllegalStateException DEFECT = new IllegalStateException("on purpose");
+
+    private final List<Throwable> ended = new ArrayList<>();
+    private final FakeLoop loop = new FakeLoop(new FakeClock());
+    private long before;
+    private int runs;
+
+    @BeforeEach
+    public void begin() {
+        before = WorkFailures.getCount();
+        WorkFailures.endBy(ended::add);
+    }
+
+    @AfterEach
+    public void end() {
+        WorkFailures.endBy(thrown -> {});
+    }
+
+    private long noted() {
+        return WorkFailures.getCount() - before;
+    }
+
+    private void fail() {
+        runs++;
+        throw DEFECT;
+    }
+
+    private static void overflow(int depth) {
+        overflow(depth + 1);
+        assertTrue(depth >= 0);
+    }
+
+    @Test
+    public void workThatIsRepeatedGoesOnAfterItHasThrown() {
+        Guarded.repeat("test", loop, 10, this::fail);
+        loop.advance(35);
+        assertEquals(4, runs);
+        assertEquals(4, noted());
+        assertEquals(List.of(), ended);
+    }
+
+    @Test
+    public void whatDependsOnWorkThatThrowsIsDoneInstead() {
+        List<String> instead = new ArrayList<>();
+        Guarded.work("test", this::fail, () -> instead.add("again")).run();
+        assertEquals(List.of("again"), instead);
+    }
+
+    @Test
+    public void whatIsDoneWithAResultIsNotedIfItThrows() {
+        CompletableFuture<String> value = new CompletableFuture<>();
+        Guarded.then("test", value, (text, failure) -> fail());
+        Guarded.thenOn("test", value, loop, (text, failure) -> fail());
+        value.complete("done");
+        loop.runDue();
+        assertEquals(2, runs);
+        assertEquals(2, noted());
+    }
+
+    @Test
+    public void anErrorEndsTheProcess() {
+        NoClassDefFoundError error = new NoClassDefFoundError("on purpose");
+        Guarded.work(
+                        "test",
+                        () -> {
+                            throw error;
+                        })
+                .run();
+        assertEquals(List.of(error), ended);
+    }
+
+    /** A caller's request may cause it, and would end one process after the other. */
+    @Test
+    public void anOverflowOfTheStackDoesNotEndTheProcess() {
+        Guarded.work("test", () -> overflow(0)).run();
+        assertEquals(1, noted());
+        assertEquals(List.of(), ended);
+    }
+
+    @Test
+    public void theThreadsOfAProcessTellWhatTheirWorkThrows() throws Exception {
+        ScheduledExecutorService timers = ProcessThreads.newScheduled("timers", 1);
+        timers.execute(this::fail);
+        timers.submit(() -> {}).get();
+        assertEquals(1, noted());
+        ExecutorService threads = ProcessThreads.newBounded("threads", 1);
+        threads.execute(this::fail);
+        // A thread that has ended is replaced, and its end was told before that.
+        threads.submit(() -> {}).get();
+        while (noted() < 2) {
+            Thread.onSpinWait();
+        }
+        timers.shutdownNow();
+        threads.shutdownNow();
+    }
+
+    // -----------------------------------------------------------------------
+    private static int statusOf(HttpServer server) throws IOException {
+        URL url = new URL("http://127.0.0.1:" + server.getAddress().getPort() + "/");
+        HttpURLConnection call = (HttpURLConnection) url.openConnection();
+        int status = call.getResponseCode();
+        call.disconnect();
+        return status;
+    }
+
+    @Test
+    public void aRequestWhoseHandlingFailsIsAnswered() throws IOException {
+        ExecutorService threads = ProcessThreads.newCached("server");
+        HttpServer server = HttpService.newServer(new InetSocketAddress("127.0.0.1", 0), threads);
+        HttpService.serve(
+                server,
+                "/",
+                504,
+                exchange -> {
+                    throw new NoClassDefFoundError("on purpose");
+                });
+        server.start();
+        assertEquals(504, statusOf(server));
+        assertEquals(504, statusOf(server));
+        assertEquals(2, noted());
+        assertFalse(ended.isEmpty());
+        server.stop(0);
+        threads.shutdownNow();
+    }
+}
