Count a request as in progress up to the last byte of its answer; go on after more throws

Found by reading the change: since requests are closed by HttpService, they counted as over before their answer was flushed, so that a leaving entry could end between. Likewise: a report that could not be made kept an agent from the next; a read that could not be begun ended the follower of a topic; the watch of a connection could end.

--- a/src/main/java/org/standlink/election/LeaderCalls.java
+++ b/src/main/java/org/standlink/election/LeaderCalls.java
@@ -15,6 +15,7 @@
  */
 package org.standlink.election;
 
+import java.net.ConnectException;
 import java.util.concurrent.CompletableFuture;
 import org.standlink.wire.LeaderNotice;
 import org.standlink.wire.Message;
@@ -49,4 +50,18 @@
      * @return the answer; fails with PEER_UNREACHABLE only if nothing was sent
      */
     CompletableFuture<Message> call(Message message, long timeoutMillis);
+
+    /**
+     * Checks whether a call failed since no process listens at the leader's address.
+     *
+     * @param failure why the call failed, null if it did not
+     * @return true if the connection was refused
+     */
+    static boolean isRefused(Throwable failure) {
+        Throwable cause = failure;
+        while (cause != null && !(cause instanceof ConnectException)) {
+            cause = cause.getCause();
+        }
+        return cause != null && String.valueOf(cause.getMessage()).contains("refused");
+    }
 }
--- a/src/main/java/org/standlink/entry/CallerServer.java
+++ b/src/main/java/org/standlink/entry/CallerServer.java
@@ -130,7 +130,7 @@
         this.drain = new ConnectionDrain(clock);
         server = HttpService.newServer(address, executor);
         // Whether a request ran is not known if answering it fails.
-        HttpService.serve(server, "/", 504, this::handle);
+        HttpService.serve(server, "/", 504, drain, this::handle);
         server.start();
     }
 
@@ -173,19 +173,11 @@
 
     // -----------------------------------------------------------------------
     private void handle(HttpExchange exchange) throws IOException {
-        Object connection = exchange.getRemoteAddress();
-        drain.begin(connection);
-        try {
-            long start = System.nanoTime();
-            Optional<byte[]> body = RequestBody.read(exchange, MOST_BODY_BYTES);
-            RoutedAnswer answer =
-                    body.isEmpty()
-                            ? tooLong(exchange)
-                            : answer(exchange, body.orElseThrow(), start);
-            write(exchange, answer);
-        } finally {
-            drain.end(connection);
-        }
+        long start = System.nanoTime();
+        Optional<byte[]> body = RequestBody.read(exchange, MOST_BODY_BYTES);
+        RoutedAnswer answer =
+                body.isEmpty() ? tooLong(exchange) : answer(exchange, body.orElseThrow(), start);
+        write(exchange, answer);
     }
 
     private RoutedAnswer answer(HttpExchange exchange, byte[] body, long start) {
--- a/src/main/java/org/standlink/platform/CallerHttp.java
+++ b/src/main/java/org/standlink/platform/CallerHttp.java
@@ -74,7 +74,7 @@
         this.drain = drain;
         server = HttpService.newServer(address, executor);
         // Whether a job was taken is not known if answering it fails.
-        HttpService.serve(server, "/", 504, this::handle);
+        HttpService.serve(server, "/", 504, drain, this::handle);
         server.start();
     }
 
@@ -94,17 +94,11 @@
 
     // -----------------------------------------------------------------------
     private void handle(HttpExchange exchange) throws IOException {
-        Object connection = exchange.getRemoteAddress();
-        drain.begin(connection);
-        try {
-            int most = gateway.getMostBodyBytes().orElse(MOST_BODY_BYTES);
-            Optional<byte[]> body = RequestBody.read(exchange, most);
-            JobReply reply =
-                    body.isEmpty() ? tooLong(exchange, most) : reply(exchange, body.orElseThrow());
-            write(exchange, reply);
-        } finally {
-            drain.end(connection);
-        }
+        int most = gateway.getMostBodyBytes().orElse(MOST_BODY_BYTES);
+        Optional<byte[]> body = RequestBody.read(exchange, most);
+        JobReply reply =
+                body.isEmpty() ? tooLong(exchange, most) : reply(exchange, body.orElseThrow());
+        write(exchange, reply);
     }
 
     /** What was not read of the body would be taken for the next request. */
--- a/src/main/java/org/standlink/process/HttpService.java
+++ b/src/main/java/org/standlink/process/HttpService.java
@@ -171,6 +171,35 @@
         server.createContext(path, exchange -> handle(exchange, failedStatus, handler));
     }
 
+    /**
+     * Handles all paths with a beginning as {@link #serve(HttpServer, String, int, HttpHandler)}
+     * does, and notes when requests are in progress, up to the last byte of their answers.
+     *
+     * @param server the server
+     * @param path the beginning of the paths
+     * @param failedStatus the HTTP status of the answer if the handling fails
+     * @param drain tells when a planned stop cuts nobody
+     * @param handler the handler, which need not close the exchange
+     */
+    public static void serve(
+            HttpServer server,
+            String path,
+            int failedStatus,
+            ConnectionDrain drain,
+            HttpHandler handler) {
+        server.createContext(
+                path,
+                exchange -> {
+                    Object connection = exchange.getRemoteAddress();
+                    drain.begin(connection);
+                    try {
+                        handle(exchange, failedStatus, handler);
+                    } finally {
+                        drain.end(connection);
+                    }
+                });
+    }
+
     private static void handle(HttpExchange exchange, int failedStatus, HttpHandler handler)
             throws IOException {
         try {
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -15,7 +15,6 @@
  */
 package org.standlink.runner;
 
-import java.net.ConnectException;
 import java.util.ArrayList;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -296,8 +295,19 @@
         }
     }
 
+    /** A report that cannot even be made must not keep this agent from the next. */
     private void report() {
         reporting = true;
+        boolean sent = false;
+        try {
+            sendReport();
+            sent = true;
+        } finally {
+            reporting = sent;
+        }
+    }
+
+    private void sendReport() {
         changed = false;
         reportedAt = clock.nowMillis();
         long sentAt = lease.markTime(reportedAt);
@@ -339,7 +349,7 @@
             if (!other) {
                 observer.leaderGone();
             }
-        } else if (isRefused(failure)) {
+        } else if (LeaderCalls.isRefused(failure)) {
             observer.leaderGone();
         }
         boolean granted =
@@ -377,15 +387,6 @@
         }
     }
 
-    /** A refused connection says that no process listens at the leader's address. */
-    private static boolean isRefused(Throwable failure) {
-        Throwable cause = failure;
-        while (cause != null && !(cause instanceof ConnectException)) {
-            cause = cause.getCause();
-        }
-        return cause != null && String.valueOf(cause.getMessage()).contains("refused");
-    }
-
     private void reported(WorkerId id, WorkerReport report) {
         WorkerSupervisor supervisor = workers.get(id);
         if (supervisor != null) {
--- a/src/main/java/org/standlink/store/TopicFollower.java
+++ b/src/main/java/org/standlink/store/TopicFollower.java
@@ -137,7 +137,10 @@
     }
 
     private void readOnLater() {
-        timers.schedule(this::readOn, PAUSE_MILLIS, TimeUnit.MILLISECONDS);
+        timers.schedule(
+                Guarded.work("follow", this::readOn, this::readOnLater),
+                PAUSE_MILLIS,
+                TimeUnit.MILLISECONDS);
     }
 
     private void handle(ReadResult result, Throwable failure) {
--- a/src/main/java/org/standlink/wire/ConnectionWatch.java
+++ b/src/main/java/org/standlink/wire/ConnectionWatch.java
@@ -44,6 +44,9 @@
      */
     static final long ANSWER_MILLIS = 500;
 
+    /** The name of the work in the log. */
+    private static final String NAME = "connection-watch";
+
     /** The connection. */
     private final Connection connection;
 
@@ -68,7 +71,7 @@
 
     // -----------------------------------------------------------------------
     private void lookLater() {
-        Guarded.later(QUIET_MILLIS, Guarded.work("connection-watch", this::look, this::giveUp));
+        Guarded.later(QUIET_MILLIS, Guarded.work(NAME, this::look, this::giveUp));
     }
 
     /** A connection that is watched no more would be waited for until each call's own limit. */
@@ -91,10 +94,12 @@
             return;
         }
         Guarded.then(
-                "connection-watch", connection.call(new KeepAlive(), ANSWER_MILLIS), this::judge);
+                NAME,
+                connection.call(new KeepAlive(), ANSWER_MILLIS),
+                (answer, failure) -> Guarded.work(NAME, () -> judge(failure), this::giveUp).run());
     }
 
-    private void judge(Message answer, Throwable failure) {
+    private void judge(Throwable failure) {
         if (failure instanceof TimeoutException && connection.getQuietMillis() >= ANSWER_MILLIS) {
             connection.close();
         }
