--- a/src/test/java/org/standlink/cell/TestCommitQueue.java
+++ b/src/test/java/org/standlink/cell/TestCommitQueue.java
@@ -93,6 +93,23 @@
         assertEquals(2, store.records(Topic.CELL).size());
     }
 
+    /**
+     * Seen by reading: the leader asked on without a line until another one took over, since what
+     * became of its append could not be read any more.
+     */
+    @Test
+    public void anAppendWhoseHistoryIsDroppedEndsTheLeader() {
+        store.setMode(FakeKeyedStore.Mode.SILENT);
+        board.add(CellFixtures.job("a", 1));
+        queue.afterCommit(() -> seen.add("effect"));
+        queue.pump();
+        loop.advance(50);
+        store.dropHistory();
+        store.setMode(FakeKeyedStore.Mode.UP);
+        loop.advance(300);
+        assertEquals(List.of("fenced"), seen);
+    }
+
     @Test
     public void asLongAsNothingIsHeardOnlySomeCallsAreUnderWay() {
         store.setMode(FakeKeyedStore.Mode.SILENT);
--- a/src/test/java/org/standlink/simulation/TestCellSimulation.java
+++ b/src/test/java/org/standlink/simulation/TestCellSimulation.java
@@ -25,6 +25,7 @@
 import java.util.List;
 import java.util.Random;
 import java.util.TreeMap;
+import java.util.function.LongFunction;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -70,17 +71,11 @@
 
     @Test
     public void noDayOnWhichMachinesAreSuspendedBreaksARule() {
-        int first = Integer.getInteger("standlink.simulation.first", 1);
-        int count = Integer.getInteger("standlink.simulation.seeds", USUAL_SEEDS);
-        List<String> red = new ArrayList<>();
-        for (long seed = first; seed < first + count; seed++) {
-            List<Fault> faults = new SimulatedDay(seed).getFaults();
-            List<String> found = new SimulatedDay(seed, faults, new Random(seed * 17)).play();
-            if (!found.isEmpty()) {
-                red.add("seed " + seed + ": " + found);
-            }
-        }
-        assertEquals(0, red.size(), () -> "of " + count + "\n" + String.join("\n", red));
+        playSeeds(
+                seed -> {
+                    List<Fault> faults = new SimulatedDay(seed).getFaults();
+                    return new SimulatedDay(seed, faults, new Random(seed * 17));
+                });
     }
 
     /**
@@ -89,16 +84,7 @@
      */
     @Test
     public void noDayOnWhichLeadersThrowBreaksARule() {
-        int first = Integer.getInteger("standlink.simulation.first", 1);
-        int count = Integer.getInteger("standlink.simulation.seeds", USUAL_SEEDS);
-        List<String> red = new ArrayList<>();
-        for (long seed = first; seed < first + count; seed++) {
-            List<String> found = new SimulatedDay(seed).withThrows(new Random(seed * 13)).play();
-            if (!found.isEmpty()) {
-                red.add("seed " + seed + ": " + found);
-            }
-        }
-        assertEquals(0, red.size(), () -> "of " + count + "\n" + String.join("\n", red));
+        playSeeds(seed -> new SimulatedDay(seed).withThrows(new Random(seed * 13)));
     }
 
     @Test
@@ -110,6 +96,19 @@
         assertEquals(first.getNotes(), second.getNotes());
     }
 
+    private static void playSeeds(LongFunction<SimulatedDay> days) {
+        int first = Integer.getInteger("standlink.simulation.first", 1);
+        int count = Integer.getInteger("standlink.simulation.seeds", USUAL_SEEDS);
+        List<String> red = new ArrayList<>();
+        for (long seed = first; seed < first + count; seed++) {
+            List<String> found = days.apply(seed).play();
+            if (!found.isEmpty()) {
+                red.add("seed " + seed + ": " + found);
+            }
+        }
+        assertEquals(0, red.size(), () -> "of " + count + "\n" + String.join("\n", red));
+    }
+
     /** Leaves out one fault after the other as long as the day still shows what it showed. */
     private static void trace(long seed) throws IOException {
         List<Fault> faults = new ArrayList<>(new SimulatedDay(seed).getFaults());
--- a/src/test/java/org/standlink/store/FakeKeyedStore.java
+++ b/src/test/java/org/standlink/store/FakeKeyedStore.java
@@ -58,6 +58,7 @@
     private final Map<Topic, Long> sequences = new EnumMap<>(Topic.class);
     private Mode mode = Mode.UP;
     private int appends;
+    private boolean historyDropped;
     private ScheduledExecutorService timers;
     private long silentMillis;
 
@@ -77,6 +78,11 @@
         mostRead = records;
     }
 
+    /** Drops the history: only the newest record of each key can be read from now on. */
+    public void dropHistory() {
+        historyDropped = true;
+    }
+
     /** Gets how many appends of a writer were tried. */
     public int getAppends() {
         return appends;
@@ -159,6 +165,9 @@
     public CompletableFuture<ReadResult> read(Topic topic, long from, long waitMillis) {
         return call(
                 () -> {
+                    if (historyDropped) {
+                        throw failure(ErrorCode.LOG_GAP);
+                    }
                     List<KeyedRecord> all = records(topic);
                     int start = (int) Math.min(from, all.size());
                     int end = Math.min(all.size(), start + mostRead);
