--- a/src/main/java/org/standlink/process/Guarded.java
+++ b/src/main/java/org/standlink/process/Guarded.java
@@ -117,7 +117,8 @@
     }
 
     /**
-     * Does something with the result of a future, on an executor that sees to failures itself.
+     * Does something with the result of a future, on an executor that sees to failures itself, such
+     * as a leader's loop: there a throw must not be noted only, but end the leader.
      *
      * @param future the future
      * @param executor where it is done
--- a/src/main/java/org/standlink/process/WorkFailures.java
+++ b/src/main/java/org/standlink/process/WorkFailures.java
@@ -37,7 +37,7 @@
     /** The log. */
     private static final EventLog LOG = EventLog.of(WorkFailures.class);
 
-    /** The most calls of a stack that a line tells: the own ones of all that was seen so far. */
+    /** The most calls of a stack that a line tells: enough to reach this program's own code. */
     private static final int MOST_FRAMES = 12;
 
     /** The longest message of a cause in a line, in characters. */
