--- a/src/test/java/org/standlink/cell/TestWhatIsToldIsKept.java
+++ b/src/test/java/org/standlink/cell/TestWhatIsToldIsKept.java
@@ -64,8 +64,8 @@
  *
  * <p>Cause: a throw between taking changes and keeping them lost the changes, but not what waited
  * for them. The lines that showed it: {@code NoClassDefFoundError ... at BeliefKeeper.takeChanges
- * ... at CommitQueue.pump}, {@code "lost":43}, and then an append of six records with 86 jobs'
- * changes outstanding.
+ * ... at CommitQueue.pump} and {@code "lost":43}; in another play, a first append of six records
+ * after 8.5 s without the store.
  *
  * <p>Proof: a leader whose clock throws once, at each of its readings in turn, which are spread
  * over all that a leader does; and a queue whose sources and effects throw at each of their calls.
