Ask a store that refuses at a pace, also while earlier calls are unanswered

Callers pay: the store's calls are shared and priced, and the leader has little time for anything else.

--- a/src/main/java/org/standlink/cell/CommitQueue.java
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -112,6 +112,9 @@
     /** When the append under way was begun; null if there is none. */
     private Moment begun;
 
+    /** When the last call was made, on the steady clock, in milliseconds. */
+    private long calledAt;
+
     /** How long the last append took that was taken, in milliseconds. */
     private long tookMillis;
 
@@ -236,6 +239,7 @@
         }
         append.called();
         Moment sent = contact.now();
+        calledAt = sent.steady();
         Guarded.thenIn(
                 store.append(Topic.CELL, append.getRecords(), new Writer(epoch, sequence, end)),
                 loop,
@@ -379,8 +383,10 @@
         if (append.getCalls() == 0) {
             sendAgainLater(append, PAUSE_MILLIS);
         } else if (append.getCalls() == MOST_CALLS - 1) {
-            // All that may be were under way, so none was to follow the last one.
-            send(append);
+            // All that may be were under way, so none was to follow the last one. At a pace: a
+            // store that refuses answers at once, and each answer leads here again.
+            long since = contact.now().steady() - calledAt;
+            sendAgainLater(append, Math.max(0, AGAIN_MILLIS - since));
         }
     }
 }
--- a/src/test/java/org/standlink/cell/TestCommitQueue.java
+++ b/src/test/java/org/standlink/cell/TestCommitQueue.java
@@ -163,6 +163,26 @@
         assertTrue(store.getAppends() <= 11, () -> store.getAppends() + " calls in a second");
     }
 
+    /**
+     * Seen: a leader made 12,000 calls a second for as long as the store refused. Cause: with all
+     * but one of the calls that may be under way unanswered, each refusal led to the next call at
+     * once.
+     */
+    @Test
+    public void aStoreThatRefusesAfterASilenceIsAskedAtAPace() {
+        store.failSilentCallsAfter(1000, loop);
+        store.setMode(FakeKeyedStore.Mode.SILENT);
+        board.add(CellFixtures.job("a", 1));
+        queue.pump();
+        loop.advance(950);
+        store.setMode(FakeKeyedStore.Mode.DOWN);
+        store.refuseAfter(1, loop);
+        int before = store.getAppends();
+        loop.advance(1000);
+        int calls = store.getAppends() - before;
+        assertTrue(calls <= 22, () -> calls + " calls in a second");
+    }
+
     @Test
     public void callersAreToldOnlyWhatWasKept() {
         JobEntry job = board.add(CellFixtures.job("a", 1));
--- a/src/test/java/org/standlink/store/FakeKeyedStore.java
+++ b/src/test/java/org/standlink/store/FakeKeyedStore.java
@@ -61,6 +61,7 @@
     private boolean historyDropped;
     private ScheduledExecutorService timers;
     private long silentMillis;
+    private long refusalMillis;
 
     /** Sets how calls behave from now on. */
     public void setMode(Mode next) {
@@ -73,6 +74,12 @@
         timers = loop;
     }
 
+    /** Lets refusals come after a while, as those of a real store do. */
+    public void refuseAfter(long millis, ScheduledExecutorService loop) {
+        refusalMillis = millis;
+        timers = loop;
+    }
+
     /** Sets how many records a read answers at most. */
     public void setMostRead(int records) {
         mostRead = records;
@@ -211,9 +218,24 @@
         }
     }
 
+    private <T> CompletableFuture<T> refusal() {
+        StandlinkException refused = failure(ErrorCode.PLATFORM_UNAVAILABLE);
+        if (refusalMillis == 0) {
+            return CompletableFuture.failedFuture(refused);
+        }
+        CompletableFuture<T> answer = new CompletableFuture<>();
+        timers.schedule(
+                () -> {
+                    answer.completeExceptionally(refused);
+                },
+                refusalMillis,
+                TimeUnit.MILLISECONDS);
+        return answer;
+    }
+
     private <T> CompletableFuture<T> call(java.util.function.Supplier<T> effect) {
         if (mode == Mode.DOWN) {
-            return CompletableFuture.failedFuture(failure(ErrorCode.PLATFORM_UNAVAILABLE));
+            return refusal();
         }
         try {
             T value = effect.get();
