Model: lives of a worker under one id, with starts that are carried out by the next life

Broken, as they must be, without: lives in lists, a generation that rises first, waiting for lists, lists under the risen generation, runs that are taken over, numbers that start anew. Two variants show what is open: a start called for twice of which one call is carried out by the next life after the end was noted, and two rebirths within the time that a call may be late.

--- a/src/test/java/org/standlink/specification/TestSpecifications.java
+++ b/src/test/java/org/standlink/specification/TestSpecifications.java
@@ -331,6 +331,46 @@
         return new SpecificationCheck("AgentLeases", name, both, constants, broken);
     }
 
+    /** A worker that starts again once under its id; each start is called for once. */
+    private static final Map<String, String> TWO_LIVES =
+            with(
+                    allTrue(
+                            "TellsLives",
+                            "RaisesFirst",
+                            "WaitsForLists",
+                            "ListsUnderRaised",
+                            "TakesOver",
+                            "RecordsAnew"),
+                    "RepeatsCalls",
+                    "FALSE",
+                    "MaxRun",
+                    "3",
+                    "MaxLife",
+                    "2",
+                    "MaxCalls",
+                    "2");
+
+    /** The last two are not barred: they show what is known to be open. */
+    @TestFactory
+    Stream<DynamicTest> workerLives() {
+        return SpecificationCheck.tests(
+                lives("two-lives", TWO_LIVES, null),
+                lives("tells-no-lives", with(TWO_LIVES, "TellsLives", "FALSE"), "NoEndLost"),
+                lives("raises-nothing", with(TWO_LIVES, "RaisesFirst", "FALSE"), "OnePlace"),
+                lives("waits-for-nothing", with(TWO_LIVES, "WaitsForLists", "FALSE"), "OnePlace"),
+                lives("any-lists", with(TWO_LIVES, "ListsUnderRaised", "FALSE"), "OnePlace"),
+                lives("gives-up-all", with(TWO_LIVES, "TakesOver", "FALSE"), "OnePlace"),
+                lives("records-go-on", with(TWO_LIVES, "RecordsAnew", "FALSE"), "NoEndLost"),
+                lives("calls-repeated", with(TWO_LIVES, "RepeatsCalls", "TRUE"), "NotAgain"),
+                lives("three-lives", with(TWO_LIVES, "MaxLife", "3"), "OnePlace"));
+    }
+
+    private static SpecificationCheck lives(
+            String name, Map<String, String> constants, String broken) {
+        String all = "OnePlace NotAgain NoEndLost";
+        return new SpecificationCheck("WorkerLives", name, all, constants, broken);
+    }
+
     // -----------------------------------------------------------------------
     private static Map<String, String> allTrue(String... names) {
         Map<String, String> result = new TreeMap<>();
