--- a/src/test/java/org/standlink/runner/TestAgentNode.java
+++ b/src/test/java/org/standlink/runner/TestAgentNode.java
@@ -33,6 +33,7 @@
 import org.standlink.election.LeaderObserver;
 import org.standlink.job.RunId;
 import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
 import org.standlink.job.WorkerLife;
 import org.standlink.wire.StartOrder;
 
@@ -68,12 +69,14 @@
     private final class Address implements WorkerCalls {
 
         private WorkerLife present;
+        private boolean silent;
         private final List<WorkerLife> called = new ArrayList<>();
         private WorkerDescription last;
 
         private CompletableFuture<CallResult> answer(WorkerDescription to) {
             boolean same = to.life().equals(present);
             CallResult.Kind kind = same ? CallResult.Kind.DONE : CallResult.Kind.OTHER_LIFE;
+            kind = silent ? CallResult.Kind.UNKNOWN : kind;
             return CompletableFuture.completedFuture(
                     new CallResult(kind, clock.nowMillis(), "scripted"));
         }
@@ -177,4 +180,73 @@
         assertEquals(1, address.called.stream().distinct().count());
         assertEquals(WorkerLife.parse("new@1000"), address.called.get(0));
     }
+
+    private static WorkerDescription again(long born, boolean leaves) {
+        WorkerDescription life = life("one");
+        return new WorkerDescription(
+                WorkerLife.parse("one@" + born),
+                life.service(),
+                life.address(),
+                life.capacity(),
+                life.labels(),
+                leaves,
+                0);
+    }
+
+    private long count(long born) {
+        return address.called.stream().filter(WorkerLife.parse("one@" + born)::equals).count();
+    }
+
+    @Test
+    public void aLifeUnderTheSameIdReplacesTheOneBeforeWhicheverWasBornFirst() {
+        for (long born : List.of(3000L, 2000L)) {
+            address.present = WorkerLife.parse("one@" + born);
+            agent.heartbeat(again(born, false), 1);
+            loop.advance(1000);
+        }
+        address.called.clear();
+        agent.heartbeat(again(3000, false), 9);
+        loop.advance(1000);
+        assertEquals(0, count(3000));
+        assertTrue(count(2000) > 0);
+    }
+
+    /** A departure names the id alone; it was sent by the life before, and came late. */
+    @Test
+    public void aLateDepartureDoesNotEndALifeThatAnswers() {
+        for (boolean leaves : List.of(false, true)) {
+            address.present = WorkerLife.parse("one@2000");
+            agent.heartbeat(again(2000, leaves), leaves ? 2 : 1);
+            loop.advance(1000);
+            agent.left(WorkerId.parse("one"));
+            loop.advance(3000);
+            address.called.clear();
+            loop.advance(1000);
+            assertTrue(count(2000) > 0, "leaves: " + leaves);
+        }
+    }
+
+    @Test
+    public void aWorkerThatLeavesAndAnswersNoMoreIsOver() {
+        address.present = WorkerLife.parse("one@2000");
+        agent.heartbeat(again(2000, true), 1);
+        loop.advance(1000);
+        agent.left(WorkerId.parse("one"));
+        address.silent = true;
+        loop.advance(1000);
+        address.called.clear();
+        loop.advance(1000);
+        assertEquals(0, count(2000));
+    }
+
+    /** One id may be used again thousands of times. */
+    @Test
+    public void whatIsRememberedOfLivesThatAreOverIsBounded() {
+        EndedLives ended = new EndedLives();
+        for (int born = 0; born < 10_000; born++) {
+            assertTrue(ended.add(WorkerLife.parse("one@" + born), 1000));
+        }
+        assertTrue(ended.list().size() < 100);
+        assertTrue(ended.contains(WorkerLife.parse("one@9999")));
+    }
 }
