--- /dev/null
+++ b/src/test/java/org/standlink/platform/TestStandInWorker.java
@@ -0,0 +1,98 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.platform;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.ExecutorService;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.Fence;
+import org.standlink.LeaseGeneration;
+import org.standlink.job.RunId;
+import org.standlink.job.TaskName;
+import org.standlink.job.WorkerDescription;
+import org.standlink.job.WorkerId;
+import org.standlink.process.ProcessThreads;
+import org.standlink.runner.CallResult;
+import org.standlink.runner.RenewalResult;
+import org.standlink.wire.StartOrder;
+
+/**
+ * Tests that the stand-in of a worker starts again as a worker does: under its id, knowing nothing.
+ */
+public class TestStandInWorker {
+
+    private static final WorkerId ID = WorkerId.parse("i-1");
+    private static final Fence FENCE = Fence.of(Epoch.of(1), LeaseGeneration.of(1));
+    private static final long WORK_MILLIS = 1000;
+
+    private final FakeClock clock = new FakeClock();
+    private final ExecutorService threads = ProcessThreads.newCached("test");
+    private final StandInWorker worker =
+            new StandInWorker(
+                    new InetSocketAddress("127.0.0.1", 0), threads, clock::nowMillis, WORK_MILLIS);
+    private final HttpWorkerCalls calls = new HttpWorkerCalls(new HttpCaller(threads));
+
+    @AfterEach
+    public void close() {
+        worker.close();
+        threads.shutdownNow();
+    }
+
+    private WorkerDescription describe() {
+        byte[] body = worker.heartbeat("s", 1).getBytes(StandardCharsets.UTF_8);
+        return HeartbeatFormat.decode(ID, body).worker();
+    }
+
+    private void start(WorkerDescription to, int index) {
+        RunId run = new RunId(TaskName.parse("5c0e7a21d94b36f8.0.0." + index), 1);
+        StartOrder order = new StartOrder(run, "text", "", false, 0, "");
+        assertEquals(CallResult.Kind.DONE, calls.start(to, order, 60_000, FENCE).join().kind());
+    }
+
+    private RenewalResult renew(WorkerDescription to) {
+        return calls.renew(to, 60_000, FENCE, 0, 0).join();
+    }
+
+    @Test
+    public void theNextLifeListsNothingAndCountsAnew() {
+        WorkerDescription former = describe();
+        start(former, 0);
+        clock.advance(WORK_MILLIS);
+        start(former, 1);
+        RenewalResult before = renew(former);
+        assertEquals(former.life(), before.life());
+        assertEquals(1, before.running().size());
+        assertEquals(1, before.ended().size());
+        worker.startAgain();
+        RenewalResult after = renew(former);
+        assertTrue(after.life().isOtherLifeOf(former.life()));
+        assertEquals(List.of(), after.running());
+        assertEquals(List.of(), after.ended());
+        WorkerDescription present = describe();
+        assertEquals(present.life(), after.life());
+        start(present, 2);
+        clock.advance(WORK_MILLIS);
+        assertEquals(1, renew(present).ended().get(0).number());
+    }
+}
