--- a/src/test/java/org/standlink/simulation/TestCellSimulation.java
+++ b/src/test/java/org/standlink/simulation/TestCellSimulation.java
@@ -97,6 +97,18 @@
         playSeeds(seed -> new SimulatedDay(seed).withKeptIds());
     }
 
+    /** Several kinds of trouble at once, each drawn on its own. */
+    @Test
+    public void noDayWithAllOfTheseBreaksARule() {
+        playSeeds(
+                seed -> {
+                    List<Fault> faults = new SimulatedDay(seed).getFaults();
+                    return new SimulatedDay(seed, faults, new Random(seed * 17))
+                            .withThrows(new Random(seed * 13))
+                            .withKeptIds();
+                });
+    }
+
     @Test
     public void aDayIsTheSameEachTime() {
         SimulatedDay first = new SimulatedDay(REPEATED_SEED);
