Read a worker that tells no birth as one that has another id in each life

Cause: the birth was demanded of everybody. It is told only where workers may start again under their ids; elsewhere the id still tells the lives apart, and another life answers 421. A worker that has told a birth once is held to it: heartbeats and lists without one count for nothing then. Spoilt births are refused as before.

--- a/src/main/java/org/standlink/job/WorkerLife.java
+++ b/src/main/java/org/standlink/job/WorkerLife.java
@@ -25,8 +25,9 @@
  *
  * <p>A worker may start again under the id that it had. It then knows nothing of before, so
  * whatever is known of a worker, promised to it, counted or ordered belongs to one life and not to
- * an id. Which of two lives is the present one is told by who answers, not by the births: a
- * worker's time of day may have been set back between two starts.
+ * an id. A worker that tells no birth has another id in each life. Which of two lives is the
+ * present one is told by who answers, not by the births: a worker's time of day may have been set
+ * back between two starts.
  *
  * <p>{@code WorkerLife} is thread-safe and immutable.
  */
@@ -71,8 +72,18 @@
     }
 
     /**
-     * Parses a life from text; one without a birth, as older programs wrote it, is some life of the
-     * worker that is not known to be the present one.
+     * Names a life of a worker that tells no birth.
+     *
+     * @param id the id of the worker
+     * @return the life
+     */
+    public static WorkerLife withoutBirth(WorkerId id) {
+        return new WorkerLife(id, NO_BIRTH);
+    }
+
+    /**
+     * Parses a life from text. One without a birth is that of a worker that tells none; beside
+     * another life of the same id it is one that an older program wrote, and nobody knows which.
      *
      * @param text the id, and behind an at-sign the birth
      * @return the life
@@ -82,7 +93,7 @@
     public static WorkerLife parse(String text) {
         int at = text == null ? -1 : text.indexOf(SEPARATOR);
         if (at < 0) {
-            return new WorkerLife(WorkerId.parse(text), NO_BIRTH);
+            return withoutBirth(WorkerId.parse(text));
         }
         WorkerId id = WorkerId.parse(text.substring(0, at));
         try {
@@ -112,7 +123,7 @@
     /**
      * Checks whether the birth is known, so that this life can be told from others of the worker.
      *
-     * @return false if an older program wrote it
+     * @return false if the worker or an older program told none
      */
     public boolean isKnown() {
         return bornMillis != NO_BIRTH;
--- a/src/main/java/org/standlink/platform/HttpWorkerCalls.java
+++ b/src/main/java/org/standlink/platform/HttpWorkerCalls.java
@@ -199,7 +199,7 @@
             return RenewalResult.notDone(result);
         }
         JsonNode body = body(response);
-        WorkerLife life = LifeFormat.read(asked.life().getId(), body);
+        WorkerLife life = LifeFormat.readAnswer(asked.life(), body);
         List<RunProgress> running = new ArrayList<>();
         for (JsonNode row : body.path("running")) {
             running.add(
--- a/src/main/java/org/standlink/platform/LifeFormat.java
+++ b/src/main/java/org/standlink/platform/LifeFormat.java
@@ -35,23 +35,43 @@
     private LifeFormat() {}
 
     /**
-     * Reads the life that speaks.
+     * Reads the life that speaks; a worker that tells no birth has another id in each life.
      *
      * @param id the id of the worker
      * @param fields what it said
      * @return the life
      * @throws StandlinkException with code INVALID_MESSAGE, which names the field, if the birth is
-     *     missing or not a whole number of milliseconds: what the worker says then counts for none
+     *     there and not a whole number of milliseconds: what the worker says then counts for none
      *     of its lives
      */
     static WorkerLife read(WorkerId id, JsonNode fields) {
-        JsonNode birth = fields.path(BIRTH);
-        if (!birth.isIntegralNumber() || !birth.canConvertToLong() || birth.longValue() < 0) {
+        return fields.has(BIRTH)
+                ? WorkerLife.of(id, birth(fields.path(BIRTH)))
+                : WorkerLife.withoutBirth(id);
+    }
+
+    /**
+     * Reads which life of a worker answers.
+     *
+     * @param asked the life that was asked
+     * @param fields what it said
+     * @return the life
+     * @throws StandlinkException with code INVALID_MESSAGE, which names the field, if the birth is
+     *     not a whole number of milliseconds, or missing though the worker has told one before
+     */
+    static WorkerLife readAnswer(WorkerLife asked, JsonNode fields) {
+        return asked.isKnown()
+                ? WorkerLife.of(asked.getId(), birth(fields.path(BIRTH)))
+                : read(asked.getId(), fields);
+    }
+
+    private static long birth(JsonNode field) {
+        if (!field.isIntegralNumber() || !field.canConvertToLong() || field.longValue() < 0) {
             throw new StandlinkException(
                     ErrorCode.INVALID_MESSAGE,
                     "a worker's " + BIRTH + " is missing or not a whole number",
                     "check what the worker sends");
         }
-        return WorkerLife.of(id, birth.longValue());
+        return field.longValue();
     }
 }
--- a/src/main/java/org/standlink/runner/AgentWorkers.java
+++ b/src/main/java/org/standlink/runner/AgentWorkers.java
@@ -128,7 +128,7 @@
      * @param sequence the number of the heartbeat in that life
      */
     void heartbeat(WorkerDescription worker, long sequence) {
-        if (ended.contains(worker.life())) {
+        if (ended.contains(worker.life()) || lacksBirth(worker.life())) {
             return;
         }
         WorkerSupervisor present = workers.get(worker.life());
@@ -159,6 +159,18 @@
         made.start();
     }
 
+    /** A worker that has told births tells one in each heartbeat; without, it names no life. */
+    private boolean lacksBirth(WorkerLife told) {
+        boolean lacks =
+                !told.isKnown()
+                        && (ended.knowsBirthOf(told.getId())
+                                || workers.keySet().stream().anyMatch(told::isOtherLifeOf));
+        if (lacks) {
+            LOG.info("heartbeat-without-birth").with("worker", told).write();
+        }
+        return lacks;
+    }
+
     /**
      * Takes note that a worker has said that it has left.
      *
--- a/src/main/java/org/standlink/runner/EndedLives.java
+++ b/src/main/java/org/standlink/runner/EndedLives.java
@@ -71,6 +71,16 @@
         return lives.containsKey(life);
     }
 
+    /**
+     * Checks whether a worker has told the birth of one of these lives.
+     *
+     * @param id the id of the worker
+     * @return true if so
+     */
+    boolean knowsBirthOf(WorkerId id) {
+        return lives.keySet().stream().anyMatch(life -> life.isKnown() && life.getId().equals(id));
+    }
+
     /**
      * Takes note that another life answers under an id. Nobody is told what is over under that id
      * until the life has said what it is: only its lists tell what became of the runs.
--- a/src/test/java/org/standlink/platform/TestHeartbeatFormat.java
+++ b/src/test/java/org/standlink/platform/TestHeartbeatFormat.java
@@ -91,7 +91,9 @@
     @Test
     public void eachFieldHasToBeThere() {
         for (String name : fields()) {
-            assertRefused(whole().without(name));
+            if (!name.equals("born")) {
+                assertRefused(whole().without(name));
+            }
         }
         for (String part : List.of("cpu", "mem_mb", "gpu")) {
             ObjectNode body = whole();
@@ -100,6 +102,14 @@
         }
     }
 
+    /** Workers that have another id in each life tell none. */
+    @Test
+    public void aWorkerThatTellsNoBirthIsKnownByItsId() {
+        HeartbeatFormat.Heartbeat read =
+                HeartbeatFormat.decode(ID, Json.write(whole().without("born")));
+        assertEquals(WorkerLife.withoutBirth(ID), read.worker().life());
+    }
+
     @Test
     public void eachFieldHasToBeOfItsType() {
         for (String name : fields()) {
--- a/src/test/java/org/standlink/platform/TestHttpWorkerCalls.java
+++ b/src/test/java/org/standlink/platform/TestHttpWorkerCalls.java
@@ -132,6 +132,22 @@
         }
     }
 
+    @Test
+    public void aWorkerThatTellsNoBirthAnswersWithoutOne() {
+        worker =
+                new WorkerDescription(
+                        WorkerLife.parse("i-7f3a91c2"),
+                        worker.service(),
+                        worker.address(),
+                        worker.capacity(),
+                        worker.labels(),
+                        worker.draining(),
+                        worker.remainingMillis());
+        answer = "{\"clock_ms\":1,\"running\":[],\"ended\":[]}";
+        RenewalResult result = calls.renew(worker, 486000, FENCE, 57, 0).join();
+        assertEquals(worker.life(), result.life());
+    }
+
     @Test
     public void aListTellsWhichLifeAnswers() {
         answer = "{\"born\":2000,\"clock_ms\":1,\"running\":[],\"ended\":[]}";
--- a/src/test/java/org/standlink/runner/TestAgentNode.java
+++ b/src/test/java/org/standlink/runner/TestAgentNode.java
@@ -239,6 +239,27 @@
         assertEquals(0, count(2000));
     }
 
+    @Test
+    public void aHeartbeatWithoutABirthChangesNothingOfAWorkerThatHasToldOne() {
+        address.present = WorkerLife.parse("one@2000");
+        agent.heartbeat(again(2000, false), 1);
+        loop.advance(1000);
+        WorkerDescription present = again(2000, true);
+        agent.heartbeat(
+                new WorkerDescription(
+                        WorkerLife.parse("one"),
+                        present.service(),
+                        present.address(),
+                        present.capacity(),
+                        present.labels(),
+                        true,
+                        0),
+                9);
+        loop.advance(1000);
+        assertTrue(address.called.stream().allMatch(WorkerLife.parse("one@2000")::equals));
+        assertTrue(!address.last.draining());
+    }
+
     /** One id may be used again thousands of times. */
     @Test
     public void whatIsRememberedOfLivesThatAreOverIsBounded() {
