--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -24,6 +24,7 @@
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
 import org.standlink.job.Configuration;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.policy.HarmTable;
 import org.standlink.process.EventLog;
@@ -91,7 +92,7 @@
     private final JobBoard board = new JobBoard();
 
     /** The workers. */
-    private final WorkerBoard workers = new WorkerBoard();
+    private final WorkerBoard workers;
 
     /** Keeps what is believed of images. */
     private final BeliefKeeper beliefs;
@@ -141,6 +142,7 @@
      * @param clock the clock
      * @param wallClock the time of day, in milliseconds since 1970
      * @param configuration the configuration in force
+     * @param evacuated the halls that this process knows to be evacuated
      * @param loop the loop, of one thread
      * @param whenOver is told when this leader leads no more
      */
@@ -151,6 +153,7 @@
             MonotonicClock clock,
             LongSupplier wallClock,
             Supplier<Configuration> configuration,
+            Supplier<EvacuatedHalls> evacuated,
             ScheduledExecutorService loop,
             LeaderEnd whenOver) {
         this.epoch = epoch;
@@ -159,6 +162,7 @@
         this.clock = clock;
         this.wallClock = wallClock;
         this.configuration = configuration;
+        this.workers = new WorkerBoard(evacuated);
         this.loop = new LeaderLoop(loop, this::fail);
         this.whenOver = whenOver;
         HarmTable harm = new HarmTable();
--- a/src/main/java/org/standlink/cell/LeaderSeat.java
+++ b/src/main/java/org/standlink/cell/LeaderSeat.java
@@ -20,11 +20,13 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicReference;
+import java.util.function.Supplier;
 import org.standlink.Epoch;
 import org.standlink.Incarnation;
 import org.standlink.election.Claim;
 import org.standlink.election.LeaderLink;
 import org.standlink.job.Configuration;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
 import org.standlink.process.Guarded;
@@ -67,6 +69,9 @@
     /** The leader, as this process knows it. */
     private final LeaderLink link;
 
+    /** The halls that this process knows to be evacuated. */
+    private final Supplier<EvacuatedHalls> evacuated;
+
     /** The configuration in force. */
     private final AtomicReference<Configuration> configuration =
             new AtomicReference<>(Configuration.NONE);
@@ -86,6 +91,7 @@
      * @param loop the loop, of one thread
      * @param self the run of this process
      * @param link the leader, as this process knows it
+     * @param evacuated the halls that this process knows to be evacuated
      */
     public LeaderSeat(
             KeyedStore store,
@@ -93,13 +99,15 @@
             MonotonicClock clock,
             ScheduledExecutorService loop,
             Incarnation self,
-            LeaderLink link) {
+            LeaderLink link,
+            Supplier<EvacuatedHalls> evacuated) {
         this.store = store;
         this.times = times;
         this.clock = clock;
         this.loop = loop;
         this.self = self;
         this.link = link;
+        this.evacuated = evacuated;
     }
 
     /**
@@ -141,6 +149,7 @@
                             clock,
                             System::currentTimeMillis,
                             configuration::get,
+                            evacuated,
                             loop,
                             new PlaceHolder(claim.epoch()));
             leader.start();
--- a/src/main/java/org/standlink/cell/Scheduler.java
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -100,6 +100,8 @@
                     usable.computeIfAbsent(service, name -> workers.usable(name, now));
             if (!fit.isEmpty()) {
                 assign(candidate.job(), fit, now, wallMillis, assigned);
+            } else if (!workers.getEvacuated().isEmpty()) {
+                countWaiting(candidate.job(), wallMillis);
             }
         }
         tellWaiting(now);
@@ -111,7 +113,18 @@
             toldAt = now;
             waiting.forEach(
                     (job, tasks) ->
-                            LOG.info("waiting").with("job", job).with("tasks", tasks).write());
+                            LOG.info("waiting")
+                                    .with("job", job)
+                                    .with("tasks", tasks)
+                                    .with("halls-evacuated", workers.getEvacuated())
+                                    .write());
+        }
+    }
+
+    private void countWaiting(JobEntry job, long wallMillis) {
+        int ready = job.readyTasks(wallMillis).size();
+        if (ready > 0) {
+            waiting.put(job.getId().toString(), ready);
         }
     }
 
--- a/src/main/java/org/standlink/cell/WorkerBoard.java
+++ b/src/main/java/org/standlink/cell/WorkerBoard.java
@@ -23,7 +23,9 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Supplier;
 import org.standlink.LeaseGeneration;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.WorkerLife;
 import org.standlink.process.EventLog;
 import org.standlink.store.KeyedRecord;
@@ -62,6 +64,18 @@
     /** The workers. */
     private final Map<WorkerLife, WorkerEntry> workers = new LinkedHashMap<>();
 
+    /** The halls in which nothing may be started. */
+    private final Supplier<EvacuatedHalls> evacuated;
+
+    /**
+     * Constructor.
+     *
+     * @param evacuated the halls in which nothing may be started
+     */
+    WorkerBoard(Supplier<EvacuatedHalls> evacuated) {
+        this.evacuated = evacuated;
+    }
+
     // -----------------------------------------------------------------------
     /**
      * Takes over what was kept.
@@ -224,11 +238,13 @@
      */
     List<WorkerEntry> usable(String service, long now) {
         List<WorkerEntry> usable = new ArrayList<>();
+        EvacuatedHalls closed = evacuated.get();
         for (WorkerEntry worker : workers.values()) {
             boolean fit =
                     worker.getDescription() != null
                             && worker.getDescription().service().equals(service)
                             && !worker.getDescription().draining()
+                            && !closed.contains(worker.getDescription().hall())
                             && worker.isReachable()
                             && !worker.getToldGeneration().equals(LeaseGeneration.NONE)
                             // What is given under a lease that is over would only wait for the
@@ -243,6 +259,15 @@
         return usable;
     }
 
+    /**
+     * Gets the halls in which nothing may be started.
+     *
+     * @return the halls
+     */
+    EvacuatedHalls getEvacuated() {
+        return evacuated.get();
+    }
+
     /**
      * Lists the workers.
      *
--- a/src/main/java/org/standlink/command/PlatformAgentCommand.java
+++ b/src/main/java/org/standlink/command/PlatformAgentCommand.java
@@ -28,6 +28,7 @@
 import org.standlink.election.Candidate;
 import org.standlink.election.Claim;
 import org.standlink.election.LeaderLink;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.platform.HeartbeatServer;
 import org.standlink.platform.HttpCaller;
 import org.standlink.platform.HttpWorkerCalls;
@@ -67,6 +68,9 @@
     /** The agent. */
     private AgentNode agent;
 
+    /** What the operator has asked for. */
+    private OperatorTopic operator;
+
     /** Follows claims. */
     private TopicFollower claims;
 
@@ -98,7 +102,8 @@
                         new HttpWorkerCalls(new HttpCaller(base.getExecutor())),
                         base.getClock(),
                         base.getLoop(),
-                        candidate);
+                        candidate,
+                        this::getEvacuated);
         LeaderSeat seat =
                 new LeaderSeat(
                         base.getStore(),
@@ -108,9 +113,11 @@
                         base.getClock(),
                         base.getLoop(),
                         self,
-                        leader);
+                        leader,
+                        this::getEvacuated);
+        operator = new OperatorTopic(seat::offer);
         // Reading begins before the servers are made, which takes about half of a start.
-        base.followConfiguration(seat::offer);
+        base.followOperator(operator);
         claims = base.followClaims(claim -> claimed(claim, candidate, seat, base));
         new WireServer(
                 settings.listen(),
@@ -127,6 +134,10 @@
     }
 
     // -----------------------------------------------------------------------
+    private EvacuatedHalls getEvacuated() {
+        return operator.getEvacuated();
+    }
+
     private void claimed(Claim claim, Candidate candidate, LeaderSeat seat, PlatformBase base) {
         candidate.claimed(claim);
         seat.claimed(claim);
--- a/src/main/java/org/standlink/command/PlatformBase.java
+++ b/src/main/java/org/standlink/command/PlatformBase.java
@@ -21,9 +21,7 @@
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.function.Consumer;
 import org.standlink.election.Claim;
-import org.standlink.job.Configuration;
 import org.standlink.lease.MonotonicClock;
-import org.standlink.platform.ConfigurationFormat;
 import org.standlink.platform.HttpCaller;
 import org.standlink.platform.HttpStore;
 import org.standlink.process.EventLog;
@@ -33,6 +31,7 @@
 import org.standlink.store.KeyedStore;
 import org.standlink.store.Topic;
 import org.standlink.store.TopicFollower;
+import org.standlink.store.TopicReceiver;
 
 /**
  * What every process on the users' platform has: threads, the client, the store and counters.
@@ -74,12 +73,12 @@
     }
 
     /**
-     * Follows the operator's configuration.
+     * Follows what the operator asks for.
      *
-     * @param receiver what receives each version
+     * @param operator what receives it
      */
-    void followConfiguration(Consumer<Configuration> receiver) {
-        follow(Topic.OPERATOR, record -> ConfigurationFormat.decode(record).ifPresent(receiver));
+    void followOperator(OperatorTopic operator) {
+        follow(Topic.OPERATOR, operator);
     }
 
     /**
@@ -89,12 +88,12 @@
      * @return the follower
      */
     TopicFollower followClaims(Consumer<Claim> receiver) {
-        return follow(Topic.CLAIMS, record -> receiver.accept(Claim.of(record)));
+        return follow(
+                Topic.CLAIMS, record -> hand(claim -> receiver.accept(Claim.of(claim)), record));
     }
 
-    private TopicFollower follow(Topic topic, Consumer<KeyedRecord> receiver) {
-        TopicFollower follower =
-                new TopicFollower(store, topic, loop, loop, record -> hand(receiver, record));
+    private TopicFollower follow(Topic topic, TopicReceiver receiver) {
+        TopicFollower follower = new TopicFollower(store, topic, loop, loop, receiver);
         follower.start();
         return follower;
     }
--- a/src/main/java/org/standlink/command/PlatformEntryCommand.java
+++ b/src/main/java/org/standlink/command/PlatformEntryCommand.java
@@ -61,7 +61,7 @@
                         base.getExecutor(), (connection, call, message) -> {}, base.getClock());
         JobGateway gateway = new JobGateway(leader, base.getClock(), base.getRegistry());
         // Reading begins before the servers are made, which takes about half of a start.
-        base.followConfiguration(gateway::offer);
+        base.followOperator(new OperatorTopic(gateway::offer));
         base.followClaims(claim -> noteClaim(leader, claim));
         ConnectionDrain drain = new ConnectionDrain(base.getClock());
         new CallerHttp(
--- a/src/main/java/org/standlink/job/WorkerDescription.java
+++ b/src/main/java/org/standlink/job/WorkerDescription.java
@@ -17,6 +17,7 @@
 
 import com.fasterxml.jackson.annotation.JsonFormat;
 import java.util.List;
+import org.standlink.HallId;
 import org.standlink.Resources;
 
 /**
@@ -28,6 +29,7 @@
  * @param service the service whose queues it may run
  * @param address where it takes calls, host and port
  * @param capacity its room
+ * @param hall the hall it is in
  * @param labels its labels, such as its kind and rack
  * @param draining whether it is about to leave
  * @param remainingMillis when draining, the least time left, in milliseconds
@@ -38,6 +40,7 @@
         String service,
         String address,
         Resources capacity,
+        HallId hall,
         List<String> labels,
         boolean draining,
         long remainingMillis) {}
--- a/src/main/java/org/standlink/platform/HeartbeatFormat.java
+++ b/src/main/java/org/standlink/platform/HeartbeatFormat.java
@@ -20,6 +20,7 @@
 import java.util.List;
 import java.util.Set;
 import org.standlink.ErrorCode;
+import org.standlink.HallId;
 import org.standlink.Resources;
 import org.standlink.StandlinkException;
 import org.standlink.job.WorkerDescription;
@@ -42,7 +43,7 @@
     private static final String DRAINING = "draining";
 
     /** The fields that are always texts, besides those that are read. */
-    private static final Set<String> OTHER_TEXTS = Set.of("zone", "version");
+    private static final Set<String> OTHER_TEXTS = Set.of("version");
 
     /** The fields that are always whole numbers, besides those that are read. */
     private static final Set<String> OTHER_NUMBERS = Set.of("slots", "cold_remaining_ms");
@@ -81,6 +82,7 @@
                         text(fields, "service"),
                         address(fields),
                         capacity(fields.path("capacity")),
+                        hall(fields),
                         labels(fields.path("labels")),
                         state.equals(DRAINING),
                         fields.has("remaining_ms") ? number(fields, "remaining_ms") : 0);
@@ -116,6 +118,15 @@
         return new Resources(number(room, "cpu"), number(room, "mem_mb"), number(room, "gpu"));
     }
 
+    private static HallId hall(JsonNode fields) {
+        String name = text(fields, "zone");
+        try {
+            return HallId.parse(name);
+        } catch (StandlinkException unknownForm) {
+            throw malformed("zone");
+        }
+    }
+
     private static List<String> labels(JsonNode field) {
         if (!field.isArray()) {
             throw malformed("labels");
--- a/src/main/java/org/standlink/platform/HttpWorkerCalls.java
+++ b/src/main/java/org/standlink/platform/HttpWorkerCalls.java
@@ -148,7 +148,8 @@
             // The worker may have heard; that it is this process that fails must not go unseen.
             WorkFailures.note("worker-call", error);
         }
-        return new CallResult(CallResult.Kind.UNKNOWN, -1, String.valueOf(failure.getMessage()));
+        return new CallResult(
+                CallResult.Kind.UNKNOWN, CallResult.NO_CLOCK, String.valueOf(failure.getMessage()));
     }
 
     private static RenewalResult noAnswer(Throwable failure) {
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -20,11 +20,13 @@
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
 import org.standlink.Epoch;
 import org.standlink.Fence;
 import org.standlink.Incarnation;
 import org.standlink.election.LeaderCalls;
 import org.standlink.election.LeaderObserver;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
 import org.standlink.job.WorkerLife;
@@ -117,6 +119,7 @@
      * @param clock the clock
      * @param loop the loop, of one thread
      * @param observer is told what this agent sees of the leader
+     * @param evacuated the halls that this process knows to be evacuated
      */
     public AgentNode(
             String node,
@@ -126,7 +129,8 @@
             WorkerCalls calls,
             MonotonicClock clock,
             ScheduledExecutorService loop,
-            LeaderObserver observer) {
+            LeaderObserver observer,
+            Supplier<EvacuatedHalls> evacuated) {
         this.node = node;
         this.address = address;
         this.self = self;
@@ -134,7 +138,14 @@
         this.clock = clock;
         this.loop = loop;
         this.observer = observer;
-        this.workers = new AgentWorkers(calls, clock, loop, lease, harm, this::changed);
+        this.workers =
+                new AgentWorkers(
+                        new EvacuationGuard(calls, evacuated),
+                        clock,
+                        loop,
+                        lease,
+                        harm,
+                        this::changed);
     }
 
     /** Begins to report. */
--- a/src/main/java/org/standlink/runner/CallResult.java
+++ b/src/main/java/org/standlink/runner/CallResult.java
@@ -26,6 +26,9 @@
  */
 public record CallResult(Kind kind, long clockMillis, String detail) {
 
+    /** The worker's clock where no answer told it. */
+    public static final long NO_CLOCK = -1;
+
     /** What became of a call. */
     public enum Kind {
         /** The worker did it, or had done it before. */
@@ -42,6 +45,8 @@
         INVALID,
         /** The worker is unwell and did nothing. */
         UNWELL,
+        /** The worker's hall is evacuated; the worker was not called. */
+        EVACUATED,
         /** Another life of the worker answered; the one meant is gone. */
         OTHER_LIFE,
         /** No answer came: it may have been done, or be done later. */
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -257,6 +257,7 @@
             }
             case LEASE_PAST -> afterPause(() -> callStart(run));
             case NO_ROOM, UNWELL, INVALID -> refused(run, result);
+            case EVACUATED -> evacuated(run, result);
             case SUPERSEDED -> superseded(run);
             case FENCED, OTHER_LIFE -> runs.remove(run.getRun());
         }
@@ -277,11 +278,24 @@
             return;
         }
         runs.remove(run.getRun());
-        boolean unwell = result.kind() == CallResult.Kind.UNWELL;
-        released.refuse(new StartRefusal(run.getRun(), result.detail(), unwell));
+        // A leader that has not read of an evacuation would order the next run there at once.
+        boolean avoided =
+                result.kind() == CallResult.Kind.UNWELL
+                        || result.kind() == CallResult.Kind.EVACUATED;
+        released.refuse(new StartRefusal(run.getRun(), result.detail(), avoided));
         whenChanged.run();
     }
 
+    /** What runs in an evacuated hall goes on; what has not begun goes back to the leader. */
+    private void evacuated(LocalRun run, CallResult result) {
+        if (lists.isRunning(run.getRun())) {
+            run.setPhase(LocalRun.Phase.RUNNING);
+            applyShare(run);
+        } else {
+            refused(run, result);
+        }
+    }
+
     /** The worker has seen the end of this run, or a later one; its next list tells which. */
     private void superseded(LocalRun run) {
         runs.remove(run.getRun());
--- a/src/main/java/org/standlink/runner/WorkerContext.java
+++ b/src/main/java/org/standlink/runner/WorkerContext.java
@@ -92,6 +92,6 @@
     }
 
     private static CallResult unknown(Throwable failure) {
-        return new CallResult(CallResult.Kind.UNKNOWN, -1, failure.toString());
+        return new CallResult(CallResult.Kind.UNKNOWN, CallResult.NO_CLOCK, failure.toString());
     }
 }
--- a/src/main/java/org/standlink/store/TopicFollower.java
+++ b/src/main/java/org/standlink/store/TopicFollower.java
@@ -19,7 +19,6 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
 import org.standlink.process.EventLog;
@@ -31,7 +30,8 @@
  * record as it comes.
  *
  * <p>A record may be delivered more than once, and an older one after a newer one when history was
- * dropped meanwhile; the receiver must bear that.
+ * dropped meanwhile; the receiver must bear that. After such a loss the newest records are read
+ * again, since the removal of a key may have been among what was dropped.
  *
  * <p>{@code TopicFollower} is thread-safe.
  */
@@ -67,7 +67,7 @@
     private final Executor executor;
 
     /** What receives records. */
-    private final Consumer<KeyedRecord> receiver;
+    private final TopicReceiver receiver;
 
     /** The offset to read on from. */
     private volatile long position = NOTHING_READ;
@@ -92,7 +92,7 @@
             Topic topic,
             ScheduledExecutorService timers,
             Executor executor,
-            Consumer<KeyedRecord> receiver) {
+            TopicReceiver receiver) {
         this.store = store;
         this.topic = topic;
         this.timers = timers;
@@ -152,7 +152,11 @@
             failing = false;
             LOG.info("store-read-regained").with("topic", topic).write();
         }
-        result.records().forEach(receiver);
+        if (position == NOTHING_READ) {
+            receiver.receiveNewest(result.records());
+        } else {
+            result.records().forEach(receiver::receive);
+        }
         position = result.next();
         readOn();
     }
--- a/src/test/java/org/standlink/cell/CellFixtures.java
+++ b/src/test/java/org/standlink/cell/CellFixtures.java
@@ -19,9 +19,11 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
+import org.standlink.HallId;
 import org.standlink.JobId;
 import org.standlink.Resources;
 import org.standlink.job.Configuration;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.JobDefinition;
 import org.standlink.job.QueueDefinition;
 import org.standlink.job.StepDefinition;
@@ -115,6 +117,7 @@
                         clock,
                         clock::nowMillis,
                         () -> CONFIGURATION,
+                        () -> EvacuatedHalls.NONE,
                         loop,
                         () -> {});
         leader.start();
@@ -128,6 +131,7 @@
                 "s",
                 "10.0.0.1:" + id.hashCode(),
                 new Resources(cores * 1000L, 10_000, 0),
+                HallId.parse("h"),
                 List.of("a"),
                 false,
                 0);
--- a/src/test/java/org/standlink/cell/TestAgentBoard.java
+++ b/src/test/java/org/standlink/cell/TestAgentBoard.java
@@ -25,6 +25,7 @@
 import org.standlink.Epoch;
 import org.standlink.Incarnation;
 import org.standlink.LeaseGeneration;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.wire.AgentReport;
 
 /** Tests when the generation of an agent's lease rises, and which reports count. */
@@ -33,7 +34,7 @@
     private static final Incarnation AGENT = Incarnation.of(1);
     private static final Incarnation OTHER = Incarnation.of(2);
 
-    private final WorkerBoard workers = new WorkerBoard();
+    private final WorkerBoard workers = new WorkerBoard(() -> EvacuatedHalls.NONE);
     private final AgentBoard agents = new AgentBoard(Epoch.of(1), workers);
 
     private static AgentReport report(
--- a/src/test/java/org/standlink/cell/TestCrashDesk.java
+++ b/src/test/java/org/standlink/cell/TestCrashDesk.java
@@ -47,6 +47,7 @@
                         told.service(),
                         told.address(),
                         told.capacity(),
+                        told.hall(),
                         told.labels(),
                         draining,
                         0),
--- a/src/test/java/org/standlink/cell/TestLeaderSeat.java
+++ b/src/test/java/org/standlink/cell/TestLeaderSeat.java
@@ -27,6 +27,7 @@
 import org.standlink.Incarnation;
 import org.standlink.election.Claim;
 import org.standlink.election.LeaderLink;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.store.KeyedRecord;
 import org.standlink.store.Topic;
@@ -51,7 +52,8 @@
                     this::readClock,
                     loop,
                     Incarnation.of(1),
-                    link);
+                    link,
+                    () -> EvacuatedHalls.NONE);
 
     private long readClock() {
         if (broken) {
--- a/src/test/java/org/standlink/cell/TestMoveDesk.java
+++ b/src/test/java/org/standlink/cell/TestMoveDesk.java
@@ -25,6 +25,7 @@
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
 import org.standlink.LeaseGeneration;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.RunId;
@@ -38,7 +39,7 @@
     private final FakeClock clock = new FakeClock();
     private final FakeLoop loop = new FakeLoop(clock);
     private final JobBoard board = new JobBoard();
-    private final WorkerBoard workers = new WorkerBoard();
+    private final WorkerBoard workers = new WorkerBoard(() -> EvacuatedHalls.NONE);
     private final HarmTable harm = new HarmTable();
     private final Placement placement = new LeastAskedPlacement(harm);
     private final Scheduler scheduler = new Scheduler(board, workers, placement);
--- a/src/test/java/org/standlink/cell/TestOrderDesk.java
+++ b/src/test/java/org/standlink/cell/TestOrderDesk.java
@@ -22,6 +22,7 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.WorkerDescription;
 import org.standlink.store.FakeKeyedStore;
 
@@ -35,7 +36,7 @@
     private final FakeKeyedStore store = new FakeKeyedStore();
     private final FakeChannel agent = new FakeChannel();
     private final JobBoard board = new JobBoard();
-    private final WorkerBoard workers = new WorkerBoard();
+    private final WorkerBoard workers = new WorkerBoard(() -> EvacuatedHalls.NONE);
     private final CommitQueue commits =
             new CommitQueue(
                     store,
--- a/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
+++ b/src/test/java/org/standlink/cell/TestOvertakenDecisions.java
@@ -219,6 +219,7 @@
                         WORKER.service(),
                         WORKER.address(),
                         WORKER.capacity(),
+                        WORKER.hall(),
                         WORKER.labels(),
                         false,
                         0);
--- a/src/test/java/org/standlink/cell/TestReportDesk.java
+++ b/src/test/java/org/standlink/cell/TestReportDesk.java
@@ -25,9 +25,11 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
+import org.standlink.HallId;
 import org.standlink.Incarnation;
 import org.standlink.LeaseGeneration;
 import org.standlink.Resources;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.RunProgress;
@@ -49,7 +51,7 @@
     private final FakeLoop loop = new FakeLoop(clock);
     private final FakeKeyedStore store = new FakeKeyedStore();
     private final JobBoard board = new JobBoard();
-    private final WorkerBoard workers = new WorkerBoard();
+    private final WorkerBoard workers = new WorkerBoard(() -> EvacuatedHalls.NONE);
     private final CommitQueue commits =
             new CommitQueue(
                     store,
@@ -176,7 +178,7 @@
         report(false, List.of());
         commits.pump();
         loop.advance(0);
-        WorkerBoard restored = new WorkerBoard();
+        WorkerBoard restored = new WorkerBoard(() -> EvacuatedHalls.NONE);
         restored.restore(store.records(Topic.CELL), clock.nowMillis() + 9000);
         tasks.forEach(task -> restored.place(task, 0));
         AgentBoard nextAgents = new AgentBoard(Epoch.of(1), restored);
@@ -195,6 +197,7 @@
                         "s",
                         WORKER.address(),
                         WORKER.capacity(),
+                        HallId.parse("h"),
                         List.of(),
                         false,
                         0);
@@ -230,6 +233,7 @@
                         WORKER.service(),
                         WORKER.address(),
                         new Resources(cores * 1000L, 10_000, 0),
+                        WORKER.hall(),
                         WORKER.labels(),
                         false,
                         0);
--- a/src/test/java/org/standlink/cell/TestScheduler.java
+++ b/src/test/java/org/standlink/cell/TestScheduler.java
@@ -20,10 +20,13 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.standlink.HallId;
 import org.standlink.LeaseGeneration;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.StepDefinition;
+import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerLife;
 import org.standlink.policy.HarmTable;
 
@@ -32,8 +35,9 @@
 
     private static final long NOW = 1_000_000;
 
+    private EvacuatedHalls evacuated = EvacuatedHalls.NONE;
     private final JobBoard board = new JobBoard();
-    private final WorkerBoard workers = new WorkerBoard();
+    private final WorkerBoard workers = new WorkerBoard(() -> evacuated);
     private final HarmTable harm = new HarmTable();
     private final Scheduler scheduler =
             new Scheduler(board, workers, new LeastAskedPlacement(harm));
@@ -91,6 +95,42 @@
         assertEquals(List.of(suspect), schedule(NOW + 2510));
     }
 
+    @Test
+    public void nothingIsAssignedInAnEvacuatedHallUntilItIsTakenBack() {
+        WorkerEntry away = worker("i-1", 8);
+        WorkerEntry here = worker("i-2", 2);
+        here.heard(in(here.getDescription(), "other"), null, true, NOW);
+        evacuated = EvacuatedHalls.of(List.of(away.getDescription().hall()));
+        add("a", CellFixtures.step(4, List.of(), 0, false));
+        assertEquals(2, schedule(NOW).size());
+        assertEquals(8000, away.free().milliCores());
+        evacuated = EvacuatedHalls.NONE;
+        assertEquals(2, schedule(NOW + 100).size());
+    }
+
+    @Test
+    public void nothingIsAssignedWhileAllHallsAreEvacuatedHoweverLongItWaits() {
+        WorkerEntry only = worker("i-1", 8);
+        evacuated = EvacuatedHalls.of(List.of(only.getDescription().hall()));
+        add("a", CellFixtures.step(1, List.of(), 0, false));
+        for (long after = 0; after < 20_000; after += 1000) {
+            only.prolong(NOW + after + 6000);
+            assertEquals(List.of(), schedule(NOW + after));
+        }
+    }
+
+    private static WorkerDescription in(WorkerDescription told, String hall) {
+        return new WorkerDescription(
+                told.life(),
+                told.service(),
+                told.address() + "0",
+                told.capacity(),
+                HallId.parse(hall),
+                told.labels(),
+                false,
+                0);
+    }
+
     @Test
     public void aStepIsSpreadAsItAsks() {
         worker("i-1", 8);
--- a/src/test/java/org/standlink/cell/TestSuccessionDesk.java
+++ b/src/test/java/org/standlink/cell/TestSuccessionDesk.java
@@ -28,6 +28,7 @@
 import org.standlink.FakeLoop;
 import org.standlink.Incarnation;
 import org.standlink.LeaseGeneration;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.RunId;
@@ -58,7 +59,7 @@
     private final FakeClock clock = new FakeClock();
     private final FakeLoop loop = new FakeLoop(clock);
     private final JobBoard board = new JobBoard();
-    private final WorkerBoard workers = new WorkerBoard();
+    private final WorkerBoard workers = new WorkerBoard(() -> EvacuatedHalls.NONE);
     private final CommitQueue commits =
             new CommitQueue(
                     new FakeKeyedStore(),
@@ -104,6 +105,7 @@
                         FORMER.service(),
                         FORMER.address(),
                         FORMER.capacity(),
+                        FORMER.hall(),
                         FORMER.labels(),
                         false,
                         0);
--- a/src/test/java/org/standlink/cell/TestWhatIsToldIsKept.java
+++ b/src/test/java/org/standlink/cell/TestWhatIsToldIsKept.java
@@ -30,6 +30,7 @@
 import org.standlink.Fence;
 import org.standlink.Incarnation;
 import org.standlink.JobId;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.JobState;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
@@ -139,6 +140,7 @@
                             leaderClock,
                             clock::nowMillis,
                             () -> CellFixtures.CONFIGURATION,
+                            () -> EvacuatedHalls.NONE,
                             loop,
                             () -> {});
             leaderClock.arm(reading);
--- /dev/null
+++ b/src/test/java/org/standlink/command/TestOperatorTopic.java
@@ -0,0 +1,92 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.command;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.standlink.HallId;
+import org.standlink.job.Configuration;
+import org.standlink.job.EvacuatedHalls;
+import org.standlink.store.KeyedRecord;
+
+/** Tests what becomes of the operator's records. */
+public class TestOperatorTopic {
+
+    private static final HallId NORTH = HallId.parse("north");
+    private static final HallId SOUTH = HallId.parse("south");
+
+    private final List<Configuration> configurations = new ArrayList<>();
+    private final OperatorTopic topic = new OperatorTopic(configurations::add);
+
+    private static KeyedRecord record(String key, String value) {
+        return new KeyedRecord(key, value.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    public void aHallIsEvacuatedUntilItsKeyIsRemoved() {
+        topic.receive(record("evacuate/north", "{}"));
+        topic.receive(record("evacuate/south", "{}"));
+        assertEquals(EvacuatedHalls.of(List.of(NORTH, SOUTH)), topic.getEvacuated());
+        topic.receive(record("evacuate/north", ""));
+        assertFalse(topic.getEvacuated().contains(NORTH));
+        assertTrue(topic.getEvacuated().contains(SOUTH));
+    }
+
+    @Test
+    public void aHallThatIsTakenBackTwiceOrWasNeverEvacuatedIsInUse() {
+        topic.receive(record("evacuate/north", ""));
+        topic.receive(record("evacuate/north", "{}"));
+        topic.receive(record("evacuate/north", ""));
+        topic.receive(record("evacuate/north", ""));
+        assertEquals(EvacuatedHalls.NONE, topic.getEvacuated());
+    }
+
+    /** The record of the removal was dropped with the history, so nothing else tells of it. */
+    @Test
+    public void whatIsMissingAmongTheNewestIsInUse() {
+        topic.receive(record("evacuate/north", "{}"));
+        topic.receiveNewest(List.of(record("evacuate/south", "{}")));
+        assertEquals(EvacuatedHalls.of(List.of(SOUTH)), topic.getEvacuated());
+    }
+
+    @Test
+    public void aRecordThatCannotBeReadHidesNoOther() {
+        topic.receiveNewest(
+                List.of(
+                        record("evacuate/", "{}"),
+                        record("config", "{\"version\":[oops"),
+                        record("evacuate/North Hall", "{}"),
+                        record("evacuate/south", "{}"),
+                        record("config", "{\"version\":3}")));
+        topic.receive(record("evacuate/No Hall", "{}"));
+        assertEquals(EvacuatedHalls.of(List.of(SOUTH)), topic.getEvacuated());
+        assertEquals(List.of(3L), configurations.stream().map(Configuration::version).toList());
+    }
+
+    @Test
+    public void otherKeysEvacuateNothing() {
+        topic.receive(record("wave/1", "{}"));
+        topic.receive(record("evacuated/north", "{}"));
+        assertEquals(EvacuatedHalls.NONE, topic.getEvacuated());
+        assertEquals(List.of(), configurations);
+    }
+}
--- a/src/test/java/org/standlink/platform/TestHttpWorkerCalls.java
+++ b/src/test/java/org/standlink/platform/TestHttpWorkerCalls.java
@@ -32,6 +32,7 @@
 import org.junit.jupiter.api.Test;
 import org.standlink.Epoch;
 import org.standlink.Fence;
+import org.standlink.HallId;
 import org.standlink.LeaseGeneration;
 import org.standlink.Resources;
 import org.standlink.job.RunEnd;
@@ -78,6 +79,7 @@
                         "s",
                         "127.0.0.1:" + server.getAddress().getPort(),
                         Resources.NONE,
+                        HallId.parse("h"),
                         List.of(),
                         false,
                         0);
@@ -140,6 +142,7 @@
                         worker.service(),
                         worker.address(),
                         worker.capacity(),
+                        worker.hall(),
                         worker.labels(),
                         worker.draining(),
                         worker.remainingMillis());
--- a/src/test/java/org/standlink/runner/RunnerFixtures.java
+++ b/src/test/java/org/standlink/runner/RunnerFixtures.java
@@ -19,6 +19,7 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.TimeUnit;
 import org.standlink.FakeLoop;
+import org.standlink.HallId;
 import org.standlink.Resources;
 import org.standlink.job.RunId;
 import org.standlink.job.TaskName;
@@ -35,7 +36,14 @@
 
     static final WorkerDescription WORKER =
             new WorkerDescription(
-                    ID, "s", "10.0.0.1:1", new Resources(1000, 100, 0), List.of(), false, 0);
+                    ID,
+                    "s",
+                    "10.0.0.1:1",
+                    new Resources(1000, 100, 0),
+                    HallId.parse("h"),
+                    List.of(),
+                    false,
+                    0);
 
     /** Hears of lives and does nothing. */
     static final LifeObserver NO_OBSERVER =
--- a/src/test/java/org/standlink/runner/TestAgentNode.java
+++ b/src/test/java/org/standlink/runner/TestAgentNode.java
@@ -27,10 +27,12 @@
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
 import org.standlink.Fence;
+import org.standlink.HallId;
 import org.standlink.Incarnation;
 import org.standlink.Resources;
 import org.standlink.election.LeaderLink;
 import org.standlink.election.LeaderObserver;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.RunId;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
@@ -53,7 +55,8 @@
                     address,
                     clock,
                     loop,
-                    new Nobody());
+                    new Nobody(),
+                    () -> EvacuatedHalls.NONE);
 
     /** Hears nothing of a leader. */
     private static final class Nobody implements LeaderObserver {
@@ -123,6 +126,7 @@
                 life.service(),
                 life.address(),
                 life.capacity(),
+                life.hall(),
                 life.labels(),
                 true,
                 1000);
@@ -134,6 +138,7 @@
                 "s",
                 "10.0.0.1:1",
                 new Resources(1000, 100, 0),
+                HallId.parse("h"),
                 List.of(),
                 false,
                 0);
@@ -188,6 +193,7 @@
                 life.service(),
                 life.address(),
                 life.capacity(),
+                life.hall(),
                 life.labels(),
                 leaves,
                 0);
@@ -251,6 +257,7 @@
                         present.service(),
                         present.address(),
                         present.capacity(),
+                        present.hall(),
                         present.labels(),
                         true,
                         0),
--- a/src/test/java/org/standlink/runner/TestAgentReports.java
+++ b/src/test/java/org/standlink/runner/TestAgentReports.java
@@ -34,6 +34,7 @@
 import org.standlink.LeaseGeneration;
 import org.standlink.election.LeaderCalls;
 import org.standlink.election.LeaderObserver;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.RunId;
 import org.standlink.job.WorkerDescription;
 import org.standlink.wire.AgentGrant;
@@ -62,7 +63,8 @@
                     worker,
                     clock,
                     loop,
-                    new Nobody());
+                    new Nobody(),
+                    () -> EvacuatedHalls.NONE);
 
     /** Hears nothing of a leader. */
     private static final class Nobody implements LeaderObserver {
--- /dev/null
+++ b/src/test/java/org/standlink/runner/TestEvacuatedHall.java
@@ -0,0 +1,177 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.standlink.Epoch;
+import org.standlink.FakeClock;
+import org.standlink.FakeLoop;
+import org.standlink.Fence;
+import org.standlink.LeaseGeneration;
+import org.standlink.job.EvacuatedHalls;
+import org.standlink.job.RunId;
+import org.standlink.job.RunProgress;
+import org.standlink.job.WorkerDescription;
+import org.standlink.policy.HarmTable;
+import org.standlink.wire.RunOrders;
+import org.standlink.wire.StartOrder;
+import org.standlink.wire.StartRefusal;
+
+/**
+ * Tests that an agent starts nothing in an evacuated hall, whoever ordered it, and that what runs
+ * there goes on.
+ *
+ * <p>Seen: 842 tasks were started in two halls after the operator had evacuated them. The leader
+ * may have read less than the agent, so the agent's last step decides.
+ */
+public class TestEvacuatedHall {
+
+    private static final EvacuatedHalls HERE =
+            EvacuatedHalls.of(List.of(RunnerFixtures.WORKER.hall()));
+
+    private final FakeClock clock = new FakeClock();
+    private final FakeLoop loop = new FakeLoop(clock);
+    private final Fence fence = Fence.of(Epoch.of(1), LeaseGeneration.of(1));
+    private final Script worker = new Script();
+    private EvacuatedHalls evacuated = EvacuatedHalls.NONE;
+    private WorkerSupervisor supervisor;
+
+    /** A worker that answers as the test says. */
+    private final class Script implements WorkerCalls {
+
+        private final List<String> seen = new ArrayList<>();
+        private CallResult.Kind starts = CallResult.Kind.DONE;
+        private List<RunProgress> running = List.of();
+        private int renewals;
+
+        private CompletableFuture<CallResult> answer(CallResult.Kind kind) {
+            long told = kind == CallResult.Kind.UNKNOWN ? CallResult.NO_CLOCK : clock.nowMillis();
+            return RunnerFixtures.later(loop, 10, new CallResult(kind, told, "scripted"));
+        }
+
+        @Override
+        public CompletableFuture<CallResult> start(
+                WorkerDescription to, StartOrder order, long until, Fence under) {
+            seen.add("start");
+            return answer(starts);
+        }
+
+        @Override
+        public CompletableFuture<CallResult> stop(WorkerDescription to, RunId run, Fence under) {
+            seen.add("stop");
+            return answer(CallResult.Kind.DONE);
+        }
+
+        @Override
+        public CompletableFuture<RenewalResult> renew(
+                WorkerDescription to, long until, Fence under, long recorded, long waitMillis) {
+            renewals++;
+            CallResult done = new CallResult(CallResult.Kind.DONE, clock.nowMillis(), "");
+            return RunnerFixtures.later(
+                    loop, 10, new RenewalResult(done, to.life(), running, List.of()));
+        }
+
+        @Override
+        public CompletableFuture<CallResult> throttle(
+                WorkerDescription to, RunId run, int percent, Fence under) {
+            return answer(CallResult.Kind.DONE);
+        }
+    }
+
+    @BeforeEach
+    public void start() {
+        supervisor =
+                new WorkerSupervisor(
+                        RunnerFixtures.WORKER,
+                        new EvacuationGuard(worker, () -> evacuated),
+                        clock,
+                        loop,
+                        () -> clock.nowMillis() + 6000,
+                        () -> fence,
+                        () -> {},
+                        RunnerFixtures.NO_OBSERVER,
+                        new HarmTable());
+        supervisor.start();
+        loop.advance(100);
+    }
+
+    private void order() {
+        supervisor.order(
+                new RunOrders(
+                        fence.getEpoch(),
+                        fence.getGeneration(),
+                        RunnerFixtures.ID,
+                        List.of(RunnerFixtures.startOrder()),
+                        List.of(),
+                        0));
+    }
+
+    @Test
+    public void anOrderIsGivenBackWithoutACallAndItsWorkerAvoidedForAWhile() {
+        evacuated = HERE;
+        order();
+        loop.advance(1000);
+        assertEquals(List.of(), worker.seen);
+        List<StartRefusal> refused = supervisor.report().refused();
+        assertEquals(RunnerFixtures.RUN, refused.get(0).run());
+        assertTrue(refused.get(0).unwell());
+    }
+
+    @Test
+    public void aStartWithoutAnAnswerIsNotRepeatedButStopped() {
+        worker.starts = CallResult.Kind.UNKNOWN;
+        order();
+        loop.advance(50);
+        evacuated = HERE;
+        loop.advance(3000);
+        assertEquals("start", worker.seen.get(0));
+        assertEquals("stop", worker.seen.get(1));
+        assertEquals(1, worker.seen.stream().filter("start"::equals).count());
+        assertEquals(List.of(RunnerFixtures.RUN), supervisor.report().gone());
+    }
+
+    @Test
+    public void whatRunsGoesOnAndIsKeptAlsoAfterItsOrderWasToldAnew() {
+        order();
+        loop.advance(50);
+        worker.running = List.of(new RunProgress(RunnerFixtures.RUN, "", 10, 0));
+        loop.advance(1000);
+        evacuated = HERE;
+        supervisor.fenceRaised();
+        int before = worker.renewals;
+        order();
+        loop.advance(3000);
+        assertEquals(List.of("start"), worker.seen);
+        assertTrue(worker.renewals > before);
+        assertEquals(List.of(), supervisor.report().refused());
+    }
+
+    @Test
+    public void aHallThatWasTakenBackIsUsedAtOnce() {
+        evacuated = HERE;
+        evacuated = EvacuatedHalls.NONE;
+        order();
+        loop.advance(50);
+        assertEquals(List.of("start"), worker.seen);
+    }
+}
--- a/src/test/java/org/standlink/runner/TestUnguardedRoom.java
+++ b/src/test/java/org/standlink/runner/TestUnguardedRoom.java
@@ -31,6 +31,7 @@
 import org.standlink.FakeClock;
 import org.standlink.FakeLoop;
 import org.standlink.Fence;
+import org.standlink.HallId;
 import org.standlink.LeaseGeneration;
 import org.standlink.Resources;
 import org.standlink.job.RunEnd;
@@ -61,7 +62,14 @@
     private static final WorkerLife ID = WorkerLife.parse("i-1@1000");
     private static final WorkerDescription WORKER =
             new WorkerDescription(
-                    ID, "s", "10.0.0.1:1", new Resources(ROOM, ROOM, 0), List.of(), false, 0);
+                    ID,
+                    "s",
+                    "10.0.0.1:1",
+                    new Resources(ROOM, ROOM, 0),
+                    HallId.parse("h"),
+                    List.of(),
+                    false,
+                    0);
 
     /** One day with one seed. */
     private static final class Day {
--- /dev/null
+++ b/src/test/java/org/standlink/simulation/OperatorView.java
@@ -0,0 +1,36 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.simulation;
+
+import org.standlink.job.EvacuatedHalls;
+
+/** What a process has read of the operator's requests: the newest that has come so far. */
+final class OperatorView {
+
+    private long newest;
+    private EvacuatedHalls evacuated = EvacuatedHalls.NONE;
+
+    void read(long number, EvacuatedHalls halls) {
+        if (number > newest) {
+            newest = number;
+            evacuated = halls;
+        }
+    }
+
+    EvacuatedHalls getEvacuated() {
+        return evacuated;
+    }
+}
--- a/src/test/java/org/standlink/simulation/Referee.java
+++ b/src/test/java/org/standlink/simulation/Referee.java
@@ -20,8 +20,10 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import org.standlink.HallId;
 import org.standlink.JobId;
 import org.standlink.Resources;
+import org.standlink.job.EvacuationChange;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.RunId;
 import org.standlink.job.TaskName;
@@ -41,6 +43,9 @@
     /** How long nothing may have been impaired for the times to count. */
     private static final long CALM_MILLIS = 3000;
 
+    /** How long after an evacuation is acknowledged a run may still begin in that hall. */
+    private static final long EVACUATE_MILLIS = 2500;
+
     /** After how many crashes under a task its starts are counted. */
     private static final int COUNTED_CRASHES = 3;
 
@@ -52,6 +57,7 @@
     private final List<Good> goods = new ArrayList<>();
     private final Map<TaskName, List<long[]>> starts = new HashMap<>();
     private final Map<JobId, Long> cancelled = new HashMap<>();
+    private final Map<HallId, Long> evacuated = new HashMap<>();
     private final List<long[]> impairments = new ArrayList<>();
     private final Map<TaskName, Integer> crashes = new HashMap<>();
     private final Map<TaskName, Integer> startsAfterCrashes = new HashMap<>();
@@ -104,6 +110,10 @@
         if (!late && crashes.getOrDefault(run.task(), 0) >= COUNTED_CRASHES) {
             countStartAfterCrashes(run);
         }
+        Long evacuatedAt = evacuated.get(life.getHall());
+        if (!late && evacuatedAt != null && world.now() > evacuatedAt + EVACUATE_MILLIS) {
+            blame("EVAC " + run + " begins " + (world.now() - evacuatedAt) + " ms after the ack");
+        }
         Long ack = cancelled.get(run.task().job());
         if (ack != null && !late && world.now() > ack + CANCEL_MILLIS && isCalm()) {
             blame("UNASKED " + run + " begins " + (world.now() - ack) + " ms after the cancel");
@@ -166,6 +176,14 @@
         cancelled.putIfAbsent(job, world.now());
     }
 
+    void evacuationAcknowledged(EvacuationChange change) {
+        if (change.evacuated()) {
+            evacuated.putIfAbsent(change.hall(), world.now());
+        } else {
+            evacuated.remove(change.hall());
+        }
+    }
+
     /** Takes note of an impairment from now on. */
     void impaired(long millis) {
         impairments.add(new long[] {world.now(), world.now() + millis});
--- a/src/test/java/org/standlink/simulation/SimulatedCell.java
+++ b/src/test/java/org/standlink/simulation/SimulatedCell.java
@@ -20,6 +20,8 @@
 import org.standlink.Epoch;
 import org.standlink.cell.CellTimes;
 import org.standlink.job.Configuration;
+import org.standlink.job.EvacuatedHalls;
+import org.standlink.job.EvacuationChange;
 import org.standlink.job.QueueDefinition;
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.wire.LeaderNotice;
@@ -32,6 +34,7 @@
 
     private static final int MOST_ATTEMPTS = 4;
     private static final int CORES = 3;
+    private static final long LONGEST_READ_MILLIS = 2100;
     private static final Configuration CONFIGURATION =
             new Configuration(
                     1,
@@ -58,6 +61,9 @@
     private final List<SimulatedLeader> gone = new ArrayList<>();
     private final List<SimulatedMachine> machines = new ArrayList<>();
     private final SimulatedCallers callers;
+    private EvacuatedHalls evacuated = EvacuatedHalls.NONE;
+    private final OperatorView leadersOperator = new OperatorView();
+    private long changes;
 
     /** A cell of so many machines that forgets no jobs. */
     SimulatedCell(World world, int count, boolean guarded) {
@@ -126,6 +132,7 @@
                         weather,
                         times,
                         CONFIGURATION,
+                        leadersOperator::getEvacuated,
                         this::newestNotice);
         leaders.add(made);
         return made;
@@ -136,6 +143,21 @@
         return gone.contains(newestLeader());
     }
 
+    /** The operator evacuates a hall or takes it back; each process reads it a little later. */
+    void change(EvacuationChange change) {
+        world.note(change.toString());
+        evacuated = evacuated.with(change);
+        referee.evacuationAcknowledged(change);
+        EvacuatedHalls told = evacuated;
+        long number = ++changes;
+        for (SimulatedMachine machine : machines) {
+            long after = world.draw(0, LONGEST_READ_MILLIS);
+            world.later(after, () -> machine.getOperator().read(number, told));
+        }
+        long after = world.draw(0, LONGEST_READ_MILLIS);
+        world.later(after, () -> leadersOperator.read(number, told));
+    }
+
     /** Ends all that hinders; agents and a leader run again. */
     void heal() {
         weather.heal();
--- a/src/test/java/org/standlink/simulation/SimulatedDay.java
+++ b/src/test/java/org/standlink/simulation/SimulatedDay.java
@@ -21,7 +21,9 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.Random;
+import org.standlink.HallId;
 import org.standlink.JobId;
+import org.standlink.job.EvacuationChange;
 import org.standlink.job.JobDefinition;
 import org.standlink.job.JobState;
 import org.standlink.job.TaskName;
@@ -45,6 +47,8 @@
     private static final int MOST_LASTING = 5;
     private static final int MOST_SUSPENSIONS = 4;
     private static final int MOST_THROWS = 40;
+    private static final int MOST_EVACUATIONS = 4;
+    private static final long LONGEST_EVACUATION_MILLIS = 12_000;
     private static final int MOST_READINGS = 120;
     private static final int NEXT_LEADER_MILLIS = 700;
     private static final long LONGEST_SUSPENSION_MILLIS = 12_000;
@@ -54,6 +58,7 @@
     private final List<Fault> faults;
     private final Random suspensions;
     private Random thrown;
+    private Random evacuations;
     private final Map<JobId, Optional<JobState>> states = new HashMap<>();
 
     SimulatedDay(long seed) {
@@ -79,6 +84,12 @@
         return this;
     }
 
+    /** Lets the operator evacuate halls besides, as is drawn; each machine is in one of its own. */
+    SimulatedDay withEvacuations(Random drawn) {
+        evacuations = drawn;
+        return this;
+    }
+
     /** Lets each worker that starts again have the id that it had. */
     SimulatedDay withKeptIds() {
         cell.getMachines().forEach(SimulatedMachine::keepId);
@@ -107,6 +118,9 @@
         if (thrown != null) {
             planThrows();
         }
+        if (evacuations != null) {
+            planEvacuations();
+        }
         planJobs();
         world.playUntil(FAULTS_MILLIS);
         world.note("calm");
@@ -148,6 +162,23 @@
         }
     }
 
+    private void planEvacuations() {
+        int count = 1 + evacuations.nextInt(MOST_EVACUATIONS);
+        for (int i = 0; i < count; i++) {
+            boolean all = evacuations.nextInt(4) == 0;
+            int which = evacuations.nextInt(MACHINES);
+            long millis = 200 + evacuations.nextInt((int) LONGEST_EVACUATION_MILLIS);
+            long at = evacuations.nextInt((int) (FAULTS_MILLIS - LONGEST_EVACUATION_MILLIS - 200));
+            for (SimulatedMachine machine : cell.getMachines()) {
+                if (all || machine == cell.getMachines().get(which)) {
+                    HallId hall = machine.getHall();
+                    world.later(at, () -> cell.change(new EvacuationChange(hall, true)));
+                    world.later(at + millis, () -> cell.change(new EvacuationChange(hall, false)));
+                }
+            }
+        }
+    }
+
     /** The leader throws, and another one begins after a while. */
     private void letLeaderThrow(long reading, Throwable cause, long after) {
         cell.getReferee().impaired(NEXT_LEADER_MILLIS * 2);
--- a/src/test/java/org/standlink/simulation/SimulatedLeader.java
+++ b/src/test/java/org/standlink/simulation/SimulatedLeader.java
@@ -20,6 +20,7 @@
 import org.standlink.cell.CellLeader;
 import org.standlink.cell.CellTimes;
 import org.standlink.job.Configuration;
+import org.standlink.job.EvacuatedHalls;
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.wire.LeaderNotice;
 import org.standlink.wire.Message;
@@ -44,6 +45,7 @@
             StoreWeather weather,
             CellTimes times,
             Configuration configuration,
+            Supplier<EvacuatedHalls> evacuated,
             Supplier<LeaderNotice> newest) {
         this.world = world;
         this.epoch = epoch;
@@ -58,6 +60,7 @@
                         process.getClock(),
                         world.getClock()::nowMillis,
                         () -> configuration,
+                        evacuated,
                         process.getLoop(),
                         this::depose);
         world.note("leader of epoch " + epoch + " begins");
--- a/src/test/java/org/standlink/simulation/SimulatedMachine.java
+++ b/src/test/java/org/standlink/simulation/SimulatedMachine.java
@@ -16,6 +16,7 @@
 package org.standlink.simulation;
 
 import java.util.List;
+import org.standlink.HallId;
 import org.standlink.Incarnation;
 import org.standlink.Resources;
 import org.standlink.election.LeaderObserver;
@@ -57,6 +58,7 @@
     private boolean draining;
     private long backMillis = 1000;
     private boolean idKept;
+    private final OperatorView operator = new OperatorView();
 
     SimulatedMachine(
             World world,
@@ -78,6 +80,15 @@
         world.every(HEARTBEAT_MILLIS, this::heartbeat);
     }
 
+    HallId getHall() {
+        return HallId.parse(name);
+    }
+
+    /** What the agent has read, and later processes of it have again at once. */
+    OperatorView getOperator() {
+        return operator;
+    }
+
     Pipe.Direction getUp() {
         return up;
     }
@@ -106,7 +117,8 @@
                         path,
                         process.getClock(),
                         process.getLoop(),
-                        new NoObserver());
+                        new NoObserver(),
+                        operator::getEvacuated);
         link.offer(leader, "simulated");
         agent.start();
         heartbeat();
@@ -218,7 +230,8 @@
         draining = false;
         sequence = 0;
         WorkerLife id = WorkerLife.of(WorkerId.parse(name + "-" + lives), drawBirth());
-        SimulatedWorker life = new SimulatedWorker(world, referee, id, capacity, guarded);
+        SimulatedWorker life =
+                new SimulatedWorker(world, referee, id, getHall(), capacity, guarded);
         life.onCrash(this::crashForAWhile);
         path.setLife(life);
     }
@@ -263,7 +276,8 @@
     private WorkerDescription describe(boolean leaves) {
         WorkerLife id = path.getLife().getId();
         long rest = leaves ? DRAIN_MILLIS : 0;
-        return new WorkerDescription(id, SERVICE, name + ":1", capacity, List.of(), leaves, rest);
+        return new WorkerDescription(
+                id, SERVICE, name + ":1", capacity, HallId.parse(name), List.of(), leaves, rest);
     }
 
     private void deliver(World.ProcessLoop own, Message message) {
--- a/src/test/java/org/standlink/simulation/SimulatedWorker.java
+++ b/src/test/java/org/standlink/simulation/SimulatedWorker.java
@@ -21,6 +21,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import org.standlink.HallId;
 import org.standlink.Resources;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
@@ -59,6 +60,7 @@
     private final World world;
     private final Referee referee;
     private final WorkerLife id;
+    private final HallId hall;
     private final Resources capacity;
     private final boolean guarded;
     private final long bornAt;
@@ -77,10 +79,16 @@
     private record Work(long begunAt, long millis) {}
 
     SimulatedWorker(
-            World world, Referee referee, WorkerLife id, Resources capacity, boolean guarded) {
+            World world,
+            Referee referee,
+            WorkerLife id,
+            HallId hall,
+            Resources capacity,
+            boolean guarded) {
         this.world = world;
         this.referee = referee;
         this.id = id;
+        this.hall = hall;
         this.capacity = capacity;
         this.guarded = guarded;
         this.bornAt = world.now();
@@ -91,6 +99,10 @@
         return id;
     }
 
+    HallId getHall() {
+        return hall;
+    }
+
     /** Sets what happens when a task crashes this worker. */
     void onCrash(Runnable effect) {
         whenCrashing = effect;
--- a/src/test/java/org/standlink/simulation/TestCellSimulation.java
+++ b/src/test/java/org/standlink/simulation/TestCellSimulation.java
@@ -97,6 +97,15 @@
         playSeeds(seed -> new SimulatedDay(seed).withKeptIds());
     }
 
+    /**
+     * Seen: 842 tasks were started in two halls that the operator had evacuated, since nothing read
+     * the request. Starts under way, repeated ones and those that a new leader orders count too.
+     */
+    @Test
+    public void noDayOnWhichHallsAreEvacuatedBreaksARule() {
+        playSeeds(seed -> new SimulatedDay(seed).withEvacuations(new Random(seed * 19)));
+    }
+
     /** Several kinds of trouble at once, each drawn on its own. */
     @Test
     public void noDayWithAllOfTheseBreaksARule() {
--- a/src/test/java/org/standlink/simulation/TestReferee.java
+++ b/src/test/java/org/standlink/simulation/TestReferee.java
@@ -20,7 +20,9 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.standlink.HallId;
 import org.standlink.Resources;
+import org.standlink.job.EvacuationChange;
 import org.standlink.job.RunEndKind;
 import org.standlink.job.RunId;
 import org.standlink.job.TaskName;
@@ -43,6 +45,7 @@
                 world,
                 referee,
                 WorkerLife.parse(id + "@1000"),
+                HallId.parse("h"),
                 new Resources(1000, 1000, 0),
                 false);
     }
@@ -94,6 +97,25 @@
         referee.died(one, run);
     }
 
+    @Test
+    public void aStartInAnEvacuatedHallIsFoundAfterTheTimeToReadOfItUntilItIsTakenBack() {
+        referee.evacuationAcknowledged(new EvacuationChange(one.getHall(), true));
+        world.playUntil(2500);
+        referee.begun(one, FIRST, false);
+        assertFound();
+        referee.died(one, FIRST);
+        world.playUntil(2600);
+        referee.begun(one, SECOND, true);
+        assertFound();
+        referee.died(one, SECOND);
+        referee.begun(one, new RunId(TASK, 3), false);
+        assertFound("EVAC");
+        referee.died(one, new RunId(TASK, 3));
+        referee.evacuationAcknowledged(new EvacuationChange(one.getHall(), false));
+        referee.begun(one, new RunId(TASK, 4), false);
+        assertFound("EVAC");
+    }
+
     @Test
     public void aStartAfterAGoodEndThatIsRecordedLaterIsFound() {
         endWellAndBeginAgain();
