What moves cost is forgotten where none shows it

Found by reading: a cost learnt in an outage would keep all moves from being made, so that nothing showed that it was over. Half of what was learnt counts after 30 s. Test beside it.

--- a/src/main/java/org/standlink/cell/MoveCost.java
+++ b/src/main/java/org/standlink/cell/MoveCost.java
@@ -29,24 +29,38 @@
     /** The weight of a new sample: some ten moves outweigh what was known before. */
     private static final double SAMPLE_WEIGHT = 0.1;
 
-    /** What a move costs, in milliseconds. */
+    /**
+     * The time after which half of what was learnt counts, in milliseconds: moves that were held up
+     * by an outage would keep all others from being made, and so from showing that it is over.
+     */
+    private static final double HALF_LIFE_MILLIS = 30_000;
+
+    /** What a move cost when that was learnt last, in milliseconds. */
     private double millis = PRIOR_MILLIS;
 
+    /** When that was, on the leader's clock. */
+    private long learntAt;
+
     /**
      * Takes note of a move.
      *
      * @param took how long it held the task up, in milliseconds
+     * @param now the time on the leader's clock
      */
-    void learn(long took) {
-        millis += SAMPLE_WEIGHT * (took - millis);
+    void learn(long took, long now) {
+        double before = getMillis(now);
+        millis = before + SAMPLE_WEIGHT * (took - before);
+        learntAt = now;
     }
 
     /**
      * Gets what a move costs.
      *
+     * @param now the time on the leader's clock
      * @return the expected time, in milliseconds
      */
-    double getMillis() {
-        return millis;
+    double getMillis(long now) {
+        double kept = Math.pow(0.5, (now - learntAt) / HALF_LIFE_MILLIS);
+        return PRIOR_MILLIS + (millis - PRIOR_MILLIS) * kept;
     }
 }
--- a/src/main/java/org/standlink/cell/MoveDesk.java
+++ b/src/main/java/org/standlink/cell/MoveDesk.java
@@ -135,7 +135,7 @@
                     .with("worker", worker.getLife())
                     .with("aim", target.getLife())
                     .with("remaining-millis", Math.round(task.getRemainingMillis(now)))
-                    .with("cost-millis", Math.round(cost.getMillis()))
+                    .with("cost-millis", Math.round(cost.getMillis(now)))
                     .with("worst-tail", Math.round(worker.getFigures().getWorstTail() * 100))
                     .write();
         }
@@ -151,7 +151,7 @@
     private boolean isWorthIt(TaskEntry task, WorkerEntry worker, long now) {
         double share = worker.getFigures().getShare(task.getStep().image());
         double gain = task.getRemainingMillis(now) * (1 - share);
-        return gain > LEAST_GAIN * cost.getMillis();
+        return gain > LEAST_GAIN * cost.getMillis(now);
     }
 
     private boolean isMovable(TaskEntry task, WorkerEntry worker, long now) {
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -257,7 +257,7 @@
             task.progress(progress.percent(), clock.nowMillis());
             long took = task.takeMoveMillis(clock.nowMillis());
             if (took >= 0) {
-                moveCost.learn(took);
+                moveCost.learn(took, clock.nowMillis());
             }
             if (reachable) {
                 task.getTrial().seenAtWork(clock.nowMillis());
--- a/src/test/java/org/standlink/cell/TestMoveDesk.java
+++ b/src/test/java/org/standlink/cell/TestMoveDesk.java
@@ -149,12 +149,12 @@
         worker("i-2", 4);
         task.progress(20, clock.nowMillis());
         for (int i = 0; i < 30; i++) {
-            cost.learn(6000);
+            cost.learn(6000, clock.nowMillis());
         }
         moves.move(clock.nowMillis());
         assertTrue(task.isAtWork());
         for (int i = 0; i < 30; i++) {
-            cost.learn(500);
+            cost.learn(500, clock.nowMillis());
         }
         clock.advance(500);
         worker("i-2", 4);
@@ -162,6 +162,16 @@
         assertTrue(isStopped());
     }
 
+    @Test
+    public void movesThatCostMuchDuringAnOutageDoNotEndAllMoves() {
+        for (int i = 0; i < 30; i++) {
+            cost.learn(20_000, clock.nowMillis());
+        }
+        double dear = cost.getMillis(clock.nowMillis());
+        assertTrue(dear > 15_000);
+        assertEquals(1000, cost.getMillis(clock.nowMillis() + 600_000), 1);
+    }
+
     @Test
     public void aMoveCostsTheTimeUntilTheTaskIsFurtherThanItWas() {
         task.beginMoveAway(clock.nowMillis());
