A leaving agent knows of the connections that wait to be accepted

Cause: the test waits 2 s for the drain, so the drain had ended at once: isLeaveKnown is true without connections, and the system had made the entry's before the accepting thread ran; closing a listener resets what it has not accepted. Ruled out: the answer after the leave, since the test had not sent yet by the time that it took. Mended: before the agent says that it leaves, and again before it closes, it connects to itself; that connection is accepted after all earlier ones. What connects between the second time and the close is still reset, some microseconds.

--- a/src/main/java/org/standlink/agent/AgentProcess.java
+++ b/src/main/java/org/standlink/agent/AgentProcess.java
@@ -218,9 +218,12 @@
      */
     public void drain() throws InterruptedException {
         leave();
+        server.awaitAccepted(READ_MILLIS);
         server.leave();
         long until = clock.nowMillis() + settings.drainMillis();
         await(() -> isDrained() && server.isLeaveKnown(), until);
+        server.awaitAccepted(READ_MILLIS);
+        await(() -> isDrained() && server.isLeaveKnown(), until);
         // Whoever connects from now on is refused and knows that nothing was sent.
         server.stopListening();
         await(() -> isDrained() && server.isLeaveKnown(), until);
--- a/src/main/java/org/standlink/wire/WireServer.java
+++ b/src/main/java/org/standlink/wire/WireServer.java
@@ -19,11 +19,15 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.ExecutorService;
+import java.util.concurrent.TimeUnit;
 import org.standlink.ErrorCode;
 import org.standlink.StandlinkException;
+import org.standlink.process.EventLog;
 import org.standlink.process.WorkFailures;
 
 /**
@@ -33,6 +37,9 @@
  */
 public final class WireServer implements AutoCloseable {
 
+    /** The log. */
+    private static final EventLog LOG = EventLog.of(WireServer.class);
+
     /** The listening socket. */
     private final ServerSocket listener;
 
@@ -54,6 +61,9 @@
     /** Whether this server is closed. */
     private volatile boolean closed;
 
+    /** The local ports of connections of this process to itself, and what waits for them. */
+    private final Map<Integer, CountDownLatch> ownPorts = new ConcurrentHashMap<>();
+
     /** The open connections. */
     private final Set<Connection> connections = ConcurrentHashMap.newKeySet();
 
@@ -151,6 +161,30 @@
         return connections.isEmpty();
     }
 
+    /**
+     * Waits until all connections that were made before this call have been accepted. The system
+     * makes connections before they are accepted, and resets those when the listener closes. A
+     * connection to itself is accepted after all of them.
+     *
+     * @param timeoutMillis how long it may take, in milliseconds
+     * @throws InterruptedException if the thread is interrupted
+     */
+    public void awaitAccepted(long timeoutMillis) throws InterruptedException {
+        try (Socket last = new Socket()) {
+            last.bind(null);
+            CountDownLatch accepted = new CountDownLatch(1);
+            ownPorts.put(last.getLocalPort(), accepted);
+            try {
+                last.connect(listener.getLocalSocketAddress(), (int) timeoutMillis);
+                accepted.await(timeoutMillis, TimeUnit.MILLISECONDS);
+            } finally {
+                ownPorts.remove(last.getLocalPort());
+            }
+        } catch (IOException closedOrFull) {
+            LOG.info("accepted-unknown").with("cause", closedOrFull).write();
+        }
+    }
+
     @Override
     public void close() {
         closed = true;
@@ -173,7 +207,21 @@
         }
     }
 
+    /** Takes a connection of this process to itself, which only tells that earlier ones are in. */
+    private boolean isOwn(Socket socket) throws IOException {
+        CountDownLatch accepted = ownPorts.get(socket.getPort());
+        if (accepted == null || !socket.getInetAddress().equals(socket.getLocalAddress())) {
+            return false;
+        }
+        accepted.countDown();
+        socket.close();
+        return true;
+    }
+
     private void accept(Socket socket) throws IOException {
+        if (isOwn(socket)) {
+            return;
+        }
         Connection[] self = new Connection[1];
         Connection connection = new Connection(socket, handler, () -> connections.remove(self[0]));
         self[0] = connection;
