--- a/src/main/java/org/standlink/agent/AgentProcess.java
+++ b/src/main/java/org/standlink/agent/AgentProcess.java
@@ -217,16 +217,17 @@
      * @throws InterruptedException if the thread is interrupted
      */
     public void drain() throws InterruptedException {
+        BooleanSupplier drained = () -> isDrained() && server.isLeaveKnown();
         leave();
         server.awaitAccepted(READ_MILLIS);
         server.leave();
         long until = clock.nowMillis() + settings.drainMillis();
-        await(() -> isDrained() && server.isLeaveKnown(), until);
+        await(drained, until);
         server.awaitAccepted(READ_MILLIS);
-        await(() -> isDrained() && server.isLeaveKnown(), until);
+        await(drained, until);
         // Whoever connects from now on is refused and knows that nothing was sent.
         server.stopListening();
-        await(() -> isDrained() && server.isLeaveKnown(), until);
+        await(drained, until);
         server.finish();
         await(server::isEmpty, Math.min(until, clock.nowMillis() + READ_MILLIS));
         close();
--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -82,6 +82,9 @@
     /** The configuration in force. */
     private final Supplier<Configuration> configuration;
 
+    /** How many runs of a task may fail. */
+    private final AttemptLimits attempts;
+
     /** The loop. */
     private final LeaderLoop loop;
 
@@ -127,9 +130,6 @@
     /** Whether another process leads, or this one has stopped. */
     private volatile boolean closed;
 
-    /** Whether all jobs have been judged by a configuration. */
-    private boolean judged;
-
     /** Whether a decision is due soon. */
     private boolean deciding;
 
@@ -165,6 +165,7 @@
         this.clock = clock;
         this.wallClock = wallClock;
         this.configuration = configuration;
+        this.attempts = new AttemptLimits(configuration);
         this.workers = new WorkerBoard(evacuated);
         this.loop = new LeaderLoop(loop, this::fail);
         this.whenOver = whenOver;
@@ -189,15 +190,7 @@
         this.agents = new AgentBoard(epoch, workers);
         FigureDesk figures = new FigureDesk(board, clock, harm);
         this.reports =
-                new ReportDesk(
-                        board,
-                        workers,
-                        agents,
-                        orders,
-                        job -> configuration.get().getMostAttempts(job.getDefinition().queue()),
-                        clock,
-                        figures,
-                        moveCost);
+                new ReportDesk(board, workers, agents, orders, attempts, clock, figures, moveCost);
         this.leases = new LeaseDesk(epoch, commits, agents, reports, figures, times, clock);
     }
 
@@ -323,27 +316,9 @@
         board.forgetOld(now - times.statusMillis());
     }
 
-    /** What was reported before the configuration was read has been judged without its limits. */
-    private void judgeOnce() {
-        Configuration present = configuration.get();
-        if (judged || !present.isRead()) {
-            return;
-        }
-        judged = true;
-        for (JobEntry job : board.getJobs()) {
-            if (!job.getState().isFinal()) {
-                job.refresh(present.getMostAttempts(job.getDefinition().queue()));
-                if (job.getState().isFinal()) {
-                    board.markChanged(job);
-                    noteFinal(job);
-                }
-            }
-        }
-    }
-
     /** Assigns what can be assigned, and keeps what has changed. */
     private void decide() {
-        judgeOnce();
+        attempts.judgeOnce(board).forEach(this::noteFinal);
         if (!commits.isStalled()) {
             List<TaskEntry> assigned =
                     scheduler.schedule(
--- a/src/main/java/org/standlink/cell/MoveCost.java
+++ b/src/main/java/org/standlink/cell/MoveCost.java
@@ -42,7 +42,7 @@
     private long learntAt;
 
     /**
-     * Takes note of a move.
+     * Learns from a move.
      *
      * @param took how long it held the task up, in milliseconds
      * @param now the time on the leader's clock
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -254,8 +254,8 @@
         TaskEntry task = board.findTask(progress.run().task());
         if (task != null && task.getRun().equals(progress.run())) {
             task.save(progress.checkpoint());
-            task.progress(progress.percent(), clock.nowMillis());
-            long took = task.takeMoveMillis(clock.nowMillis());
+            task.getPace().progress(progress.percent(), clock.nowMillis());
+            long took = task.isStopping() ? -1 : task.getPace().takeMoveMillis(clock.nowMillis());
             if (took >= 0) {
                 moveCost.learn(took, clock.nowMillis());
             }
--- a/src/main/java/org/standlink/cell/TaskEntry.java
+++ b/src/main/java/org/standlink/cell/TaskEntry.java
@@ -29,9 +29,6 @@
  */
 final class TaskEntry {
 
-    /** The share of the work that is done at the end, in percent. */
-    private static final int DONE_PERCENT = 100;
-
     /** The name. */
     private final TaskName name;
 
@@ -62,23 +59,8 @@
      */
     private WorkerLife failedOn;
 
-    /** How much of the last run's work is done, in percent; negative if not told. */
-    private int percent = -1;
-
-    /** When that has changed last, on the leader's clock. */
-    private long progressAt;
-
-    /** How much of the work was done when the last run was first listed, in percent. */
-    private int firstPercent;
-
-    /** When the last run was first listed, on the leader's clock. */
-    private long firstPercentAt;
-
-    /** How much of the work was done when the last move was decided, in percent. */
-    private int movedPercent;
-
-    /** When that was, on the leader's clock; negative once the task is further than it was. */
-    private long movedAt = -1;
+    /** How far the last run is, and what moves have cost the task. */
+    private final RunPace pace = new RunPace();
 
     /** Whether the task may crash its workers. */
     private final TaskTrial trial = new TaskTrial();
@@ -142,7 +124,7 @@
     void assign(WorkerLife place) {
         lastRun++;
         worker = place;
-        percent = -1;
+        pace.begin();
         trial.begin();
         stopping = false;
     }
@@ -205,52 +187,6 @@
         }
     }
 
-    /**
-     * Takes note of how much of the last run's work is done.
-     *
-     * @param told in percent
-     * @param now the time on the leader's clock
-     */
-    void progress(int told, long now) {
-        if (percent < 0) {
-            firstPercent = told;
-            firstPercentAt = now;
-        }
-        if (told != percent) {
-            percent = told;
-            progressAt = now;
-        }
-    }
-
-    /**
-     * Predicts how long the last run still takes at the pace that it has had.
-     *
-     * @param now the time on the leader's clock
-     * @return the time, in milliseconds; 0 if it is not listed
-     */
-    double getRemainingMillis(long now) {
-        if (percent < 0) {
-            return 0;
-        }
-        double elapsed = now - firstPercentAt;
-        return (DONE_PERCENT - percent) * elapsed / Math.max(1, percent - firstPercent);
-    }
-
-    /**
-     * Takes how long the last move has held the task up, once it is over.
-     *
-     * @param now the time on the leader's clock
-     * @return the time, in milliseconds; negative if no move has come to its end
-     */
-    long takeMoveMillis(long now) {
-        if (movedAt < 0 || stopping || percent <= movedPercent) {
-            return -1;
-        }
-        long took = now - movedAt;
-        movedAt = -1;
-        return took;
-    }
-
     /**
      * Checks whether no more runs are to begin.
      *
@@ -270,8 +206,8 @@
      * @return true if it is to be stopped
      */
     boolean isStalled(long heardAt, long millis) {
-        boolean judged = worker != null && percent >= 0 && !step.longRunning() && !step.gang();
-        if (!judged || stopping || heardAt - progressAt < millis) {
+        boolean judged = worker != null && isListed() && !step.longRunning() && !step.gang();
+        if (!judged || stopping || heardAt - pace.getChangedAt() < millis) {
             return false;
         }
         stopping = true;
@@ -300,8 +236,7 @@
         boolean begins = beginMove();
         if (begins) {
             failedOn = worker;
-            movedPercent = percent;
-            movedAt = now;
+            pace.move(now);
         }
         return begins;
     }
@@ -321,7 +256,7 @@
      * @return true if so
      */
     boolean isListed() {
-        return percent >= 0;
+        return pace.isKnown();
     }
 
     /**
@@ -330,7 +265,7 @@
      * @return true if so
      */
     boolean isAtWork() {
-        return worker != null && percent >= 0 && !stopping;
+        return worker != null && isListed() && !stopping;
     }
 
     // -----------------------------------------------------------------------
@@ -379,6 +314,15 @@
         return failures;
     }
 
+    /**
+     * Gets how far the last run is.
+     *
+     * @return the pace, which changes
+     */
+    RunPace getPace() {
+        return pace;
+    }
+
     /**
      * Gets whether the task may crash its workers.
      *
--- a/src/main/java/org/standlink/runner/CallResult.java
+++ b/src/main/java/org/standlink/runner/CallResult.java
@@ -52,4 +52,14 @@
         /** No answer came: it may have been done, or be done later. */
         UNKNOWN
     }
+
+    /**
+     * Checks whether the next run should go elsewhere for a while. In an evacuated hall, a leader
+     * that has not read of the evacuation would order it there at once.
+     *
+     * @return true if the worker is unwell or its hall evacuated
+     */
+    public boolean isWorkerToBeAvoided() {
+        return kind == Kind.UNWELL || kind == Kind.EVACUATED;
+    }
 }
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -207,7 +207,7 @@
                         .with("for", obstacle)
                         .write();
             }
-            afterPause(() -> callStart(run));
+            context.later(PAUSE_MILLIS, () -> callStart(run));
             return;
         }
         run.setCalling(true);
@@ -253,9 +253,9 @@
             }
             case UNKNOWN -> {
                 run.setUncertain();
-                afterPause(() -> callStart(run));
+                context.later(PAUSE_MILLIS, () -> callStart(run));
             }
-            case LEASE_PAST -> afterPause(() -> callStart(run));
+            case LEASE_PAST -> context.later(PAUSE_MILLIS, () -> callStart(run));
             case NO_ROOM, UNWELL, INVALID -> refused(run, result);
             case EVACUATED -> evacuated(run, result);
             case SUPERSEDED -> superseded(run);
@@ -274,15 +274,12 @@
         }
         if (run.isMaybeAtWork() && result.kind() != CallResult.Kind.NO_ROOM) {
             // An unwell worker refuses also what it runs; its next list tells.
-            afterPause(() -> callStart(run));
+            context.later(PAUSE_MILLIS, () -> callStart(run));
             return;
         }
         runs.remove(run.getRun());
-        // A leader that has not read of an evacuation would order the next run there at once.
-        boolean avoided =
-                result.kind() == CallResult.Kind.UNWELL
-                        || result.kind() == CallResult.Kind.EVACUATED;
-        released.refuse(new StartRefusal(run.getRun(), result.detail(), avoided));
+        released.refuse(
+                new StartRefusal(run.getRun(), result.detail(), result.isWorkerToBeAvoided()));
         whenChanged.run();
     }
 
@@ -307,22 +304,18 @@
         whenChanged.run();
     }
 
-    /** What an answer says of a run whose order is void must not count for a later order of it. */
+    /** What an answer says of a run whose order is void must not count for a later order. */
     private boolean isDropped(LocalRun run) {
         return runs.get(run.getRun()) != run;
     }
 
-    private void afterPause(Runnable call) {
-        context.later(PAUSE_MILLIS, call);
-    }
-
     private void callStop(LocalRun run) {
         if (run.isCalling() || run.getPhase() != LocalRun.Phase.STOPPING || isDropped(run)) {
             return;
         }
         Fence present = context.fence().get();
         if (!reachable.getAsBoolean() || present.equals(refusedFence)) {
-            afterPause(() -> callStop(run));
+            context.later(PAUSE_MILLIS, () -> callStop(run));
             return;
         }
         run.setCalling(true);
@@ -344,7 +337,7 @@
         switch (result.kind()) {
             case DONE -> run.stopped(context.clock().nowMillis());
             case OTHER_LIFE -> runs.remove(run.getRun());
-            default -> afterPause(() -> callStop(run));
+            default -> context.later(PAUSE_MILLIS, () -> callStop(run));
         }
     }
 
