--- a/src/main/java/org/standlink/cell/MoveDesk.java
+++ b/src/main/java/org/standlink/cell/MoveDesk.java
@@ -134,7 +134,9 @@
                     .with("run", task.getRun())
                     .with("worker", worker.getLife())
                     .with("aim", target.getLife())
-                    .with("remaining-millis", Math.round(task.getPace().getRemainingMillis(now)))
+                    .with(
+                            "remaining-millis",
+                            Math.round(task.getProgress().getRemainingMillis(now)))
                     .with("cost-millis", Math.round(cost.getMillis(now)))
                     .with("worst-tail", Math.round(worker.getFigures().getWorstTail() * 100))
                     .write();
@@ -150,7 +152,7 @@
     /** A move must gain as much again as it costs, since the next place may be held back too. */
     private boolean isWorthIt(TaskEntry task, WorkerEntry worker, long now) {
         double share = worker.getFigures().getShare(task.getStep().image());
-        double gain = task.getPace().getRemainingMillis(now) * (1 - share);
+        double gain = task.getProgress().getRemainingMillis(now) * (1 - share);
         return gain > LEAST_GAIN * cost.getMillis(now);
     }
 
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -254,8 +254,9 @@
         TaskEntry task = board.findTask(progress.run().task());
         if (task != null && task.getRun().equals(progress.run())) {
             task.save(progress.checkpoint());
-            task.getPace().progress(progress.percent(), clock.nowMillis());
-            long took = task.isStopping() ? -1 : task.getPace().takeMoveMillis(clock.nowMillis());
+            task.getProgress().progress(progress.percent(), clock.nowMillis());
+            long took =
+                    task.isStopping() ? -1 : task.getProgress().takeMoveMillis(clock.nowMillis());
             if (took >= 0) {
                 moveCost.learn(took, clock.nowMillis());
             }
--- a/src/main/java/org/standlink/cell/TaskEntry.java
+++ b/src/main/java/org/standlink/cell/TaskEntry.java
@@ -60,7 +60,7 @@
     private WorkerLife failedOn;
 
     /** How far the last run is, and what moves have cost the task. */
-    private final RunPace pace = new RunPace();
+    private final TaskProgress progress = new TaskProgress();
 
     /** Whether the task may crash its workers. */
     private final TaskTrial trial = new TaskTrial();
@@ -124,7 +124,7 @@
     void assign(WorkerLife place) {
         lastRun++;
         worker = place;
-        pace.begin();
+        progress.begin();
         trial.begin();
         stopping = false;
     }
@@ -207,7 +207,7 @@
      */
     boolean isStalled(long heardAt, long millis) {
         boolean judged = worker != null && isListed() && !step.longRunning() && !step.gang();
-        if (!judged || stopping || heardAt - pace.getChangedAt() < millis) {
+        if (!judged || stopping || heardAt - progress.getChangedAt() < millis) {
             return false;
         }
         stopping = true;
@@ -236,7 +236,7 @@
         boolean begins = beginMove();
         if (begins) {
             failedOn = worker;
-            pace.move(now);
+            progress.move(now);
         }
         return begins;
     }
@@ -256,7 +256,7 @@
      * @return true if so
      */
     boolean isListed() {
-        return pace.isKnown();
+        return progress.isKnown();
     }
 
     /**
@@ -317,10 +317,10 @@
     /**
      * Gets how far the last run is.
      *
-     * @return the pace, which changes
+     * @return the progress, which changes
      */
-    RunPace getPace() {
-        return pace;
+    TaskProgress getProgress() {
+        return progress;
     }
 
     /**
--- a/src/main/java/org/standlink/cell/RunPace.java
+++ b/src/main/java/org/standlink/cell/TaskProgress.java
@@ -19,9 +19,9 @@
  * How far the last run of a task is, how long it still takes, and how long a move has held the task
  * up.
  *
- * <p>{@code RunPace} is mutable and not thread-safe; the leader's loop owns it.
+ * <p>{@code TaskProgress} is mutable and not thread-safe; the leader's loop owns it.
  */
-final class RunPace {
+final class TaskProgress {
 
     /** The share of the work that is done at the end, in percent. */
     private static final int DONE_PERCENT = 100;
@@ -99,7 +99,7 @@
     }
 
     /**
-     * Predicts how long the run still takes at the pace that it has had.
+     * Predicts how long the run still takes at the rate that it has had.
      *
      * @param now the time on the leader's clock
      * @return the time, in milliseconds; 0 if the run is not listed
--- a/src/test/java/org/standlink/cell/TestMoveDesk.java
+++ b/src/test/java/org/standlink/cell/TestMoveDesk.java
@@ -77,7 +77,7 @@
         List<TaskEntry> placed =
                 scheduler.schedule(CellFixtures.CONFIGURATION, clock.nowMillis(), 0);
         task = placed.stream().filter(one -> one.getStep().bestEffort()).findFirst().orElseThrow();
-        task.getPace().progress(10, clock.nowMillis());
+        task.getProgress().progress(10, clock.nowMillis());
         serving.getFigures().setWorstTail(1.2);
         tellShare(5);
     }
@@ -137,7 +137,7 @@
         worker("i-2", 4);
         clock.advance(1000);
         worker("i-2", 4);
-        task.getPace().progress(70, clock.nowMillis());
+        task.getProgress().progress(70, clock.nowMillis());
         moves.move(clock.nowMillis());
         assertTrue(task.isAtWork());
     }
@@ -147,7 +147,7 @@
         worker("i-2", 4);
         clock.advance(1000);
         worker("i-2", 4);
-        task.getPace().progress(20, clock.nowMillis());
+        task.getProgress().progress(20, clock.nowMillis());
         for (int i = 0; i < 30; i++) {
             cost.learn(6000, clock.nowMillis());
         }
@@ -176,19 +176,19 @@
     public void aMoveCostsTheTimeUntilTheTaskIsFurtherThanItWas() {
         task.beginMoveAway(clock.nowMillis());
         clock.advance(300);
-        task.getPace().progress(11, clock.nowMillis());
+        task.getProgress().progress(11, clock.nowMillis());
         assertTrue(
-                task.getPace().takeMoveMillis(clock.nowMillis()) < 0,
+                task.getProgress().takeMoveMillis(clock.nowMillis()) < 0,
                 "the last run goes on until it stops");
         task.release();
         task.assign(serving.getLife());
         clock.advance(500);
-        task.getPace().progress(10, clock.nowMillis());
-        assertTrue(task.getPace().takeMoveMillis(clock.nowMillis()) < 0, "work is done again");
+        task.getProgress().progress(10, clock.nowMillis());
+        assertTrue(task.getProgress().takeMoveMillis(clock.nowMillis()) < 0, "work is done again");
         clock.advance(200);
-        task.getPace().progress(12, clock.nowMillis());
-        assertEquals(1000, task.getPace().takeMoveMillis(clock.nowMillis()));
-        assertTrue(task.getPace().takeMoveMillis(clock.nowMillis()) < 0, "once only");
+        task.getProgress().progress(12, clock.nowMillis());
+        assertEquals(1000, task.getProgress().takeMoveMillis(clock.nowMillis()));
+        assertTrue(task.getProgress().takeMoveMillis(clock.nowMillis()) < 0, "once only");
     }
 
     @Test
