--- a/src/main/java/org/standlink/agent/AgentProcess.java
+++ b/src/main/java/org/standlink/agent/AgentProcess.java
@@ -20,7 +20,6 @@
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.ScheduledExecutorService;
-import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
 import org.standlink.Incarnation;
 import org.standlink.Resources;
@@ -35,6 +34,7 @@
 import org.standlink.port.PlatformHttp;
 import org.standlink.port.VmListPort;
 import org.standlink.process.Guarded;
+import org.standlink.process.Polling;
 import org.standlink.process.Timers;
 import org.standlink.process.WorkFailures;
 import org.standlink.wire.BundleAnswer;
@@ -58,9 +58,6 @@
  */
 public final class AgentProcess implements AutoCloseable {
 
-    /** The time between two looks at whether a leaving agent may end, in milliseconds. */
-    private static final long LOOK_MILLIS = 50;
-
     /** How long the others may take to read the last answers, in milliseconds. */
     private static final long READ_MILLIS = 2000;
 
@@ -222,23 +219,17 @@
         server.awaitAccepted(READ_MILLIS);
         server.leave();
         long until = clock.nowMillis() + settings.drainMillis();
-        await(drained, until);
+        Polling.await(drained, clock, until);
         server.awaitAccepted(READ_MILLIS);
-        await(drained, until);
+        Polling.await(drained, clock, until);
         // Whoever connects from now on is refused and knows that nothing was sent.
         server.stopListening();
-        await(drained, until);
+        Polling.await(drained, clock, until);
         server.finish();
-        await(server::isEmpty, Math.min(until, clock.nowMillis() + READ_MILLIS));
+        Polling.await(server::isEmpty, clock, Math.min(until, clock.nowMillis() + READ_MILLIS));
         close();
     }
 
-    private void await(BooleanSupplier condition, long untilMillis) throws InterruptedException {
-        while (clock.nowMillis() < untilMillis && !condition.getAsBoolean()) {
-            TimeUnit.MILLISECONDS.sleep(LOOK_MILLIS);
-        }
-    }
-
     @Override
     public void close() {
         timers.close();
