--- a/src/main/java/org/standlink/cell/MoveDesk.java
+++ b/src/main/java/org/standlink/cell/MoveDesk.java
@@ -149,7 +149,7 @@
                 .toList();
     }
 
-    /** A move must gain as much again as it costs, since the next place may be held back too. */
+    /** A move must save twice its cost, since the next place may be held back as well. */
     private boolean isWorthIt(TaskEntry task, WorkerEntry worker, long now) {
         double share = worker.getFigures().getShare(task.getStep().image());
         double gain = task.getProgress().getRemainingMillis(now) * (1 - share);
--- a/src/main/java/org/standlink/process/Polling.java
+++ b/src/main/java/org/standlink/process/Polling.java
@@ -20,7 +20,7 @@
 import org.standlink.lease.MonotonicClock;
 
 /**
- * Waits for what nobody tells of.
+ * Waits for conditions that give no notification.
  *
  * <p>{@code Polling} is thread-safe and immutable.
  */
