Count the room of runs that are at work where they are not placed

A start to its former incarnation had been carried out late and was listed; the leader ordered its stop and, in the same decision, 3 further starts there. Cause: only what is placed on a worker counted as taken. A listed run that is placed nowhere takes room until it has stopped. Why this works: the room of each listed run that is not placed there is subtracted until a list shows it gone; of a job that is not known any more it may be all room.

--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -19,7 +19,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.ToIntFunction;
-import org.standlink.LeaseGeneration;
 import org.standlink.Resources;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
@@ -82,6 +81,9 @@
     /** Decides what becomes of the runs of workers that have started again. */
     private final SuccessionDesk succession;
 
+    /** Compares what runs with what should. */
+    private final RunComparison comparison;
+
     /**
      * Constructor.
      *
@@ -113,6 +115,7 @@
         this.crashes = new CrashDesk(clock);
         this.releases = new ReleaseDesk(board, workers, mostAttempts);
         this.succession = new SuccessionDesk(workers, agents, crashes, releases, clock);
+        this.comparison = new RunComparison(board, agents, orders);
     }
 
     /**
@@ -242,7 +245,7 @@
             releaseRun(worker, run, "stopped-before-start");
         }
         if (part.known()) {
-            compare(worker, part, report);
+            comparison.compare(worker, part, report.incarnation());
         }
         if (part.worker().draining()) {
             evacuate(worker);
@@ -369,23 +372,4 @@
             orders.stopAfterCommit(back);
         }
     }
-
-    /** Compares what runs with what should: tells a new agent all, and stops what is stray. */
-    private void compare(WorkerEntry worker, WorkerReport part, AgentReport report) {
-        List<RunId> present = new ArrayList<>();
-        List<RunId> stray = new ArrayList<>();
-        for (RunProgress progress : part.running()) {
-            TaskEntry task = worker.findTask(progress.run().task());
-            // A run that is to end stays placed here until it has; an order to stop it may be lost.
-            boolean expected =
-                    task != null && task.getRun().equals(progress.run()) && orders.isWanted(task);
-            (expected ? present : stray).add(progress.run());
-        }
-        orders.stopStray(worker.getLife(), stray);
-        LeaseGeneration generation = agents.getGeneration(report.incarnation());
-        if (!generation.equals(worker.getToldGeneration())) {
-            worker.setToldGeneration(generation);
-            orders.syncAfterCommit(worker, present);
-        }
-    }
 }
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -163,7 +163,7 @@
      * @return the free room; may be negative in parts on a worker that does not guard its room
      */
     Resources free() {
-        return description.capacity().minus(load.getTaken());
+        return description.capacity().minus(load.getOccupied());
     }
 
     /**
--- a/src/main/java/org/standlink/cell/WorkerLoad.java
+++ b/src/main/java/org/standlink/cell/WorkerLoad.java
@@ -28,6 +28,9 @@
     /** The room that tasks take. */
     private Resources taken = Resources.NONE;
 
+    /** The room that runs take which are at work there and not placed there. */
+    private Resources strayRoom = Resources.NONE;
+
     /** The processors that tasks ask for which run until their job is cancelled. */
     private long servingMilliCores;
 
@@ -50,6 +53,15 @@
         }
     }
 
+    /**
+     * Sets the room of runs that are at work there and not placed there.
+     *
+     * @param room the room, which is theirs until they have been stopped
+     */
+    void setStrayRoom(Resources room) {
+        strayRoom = room;
+    }
+
     /**
      * Gets the room that tasks take.
      *
@@ -59,6 +71,15 @@
         return taken;
     }
 
+    /**
+     * Gets the room that is not free.
+     *
+     * @return the sum for tasks and for runs that are not placed there
+     */
+    Resources getOccupied() {
+        return taken.plus(strayRoom);
+    }
+
     /**
      * Gets how many processors tasks ask for that run until their job is cancelled.
      *
--- a/src/test/java/org/standlink/cell/TestReportDesk.java
+++ b/src/test/java/org/standlink/cell/TestReportDesk.java
@@ -19,6 +19,7 @@
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
+import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -32,7 +33,9 @@
 import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
+import org.standlink.job.TaskName;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerLife;
 import org.standlink.policy.HarmTable;
@@ -161,6 +164,32 @@
         assertTrue(workers.find(WORKER.life()).listTasks().isEmpty());
     }
 
+    /** Seen: a worker that does not guard its room was given its whole room beside such a run. */
+    @Test
+    public void aRunThatIsNotPlacedHereTakesRoomUntilItIsGone() {
+        TaskEntry elsewhere = board.add(CellFixtures.job("b", 1)).readyTasks(0).get(0);
+        elsewhere.assign(WorkerLife.parse("i-9@1000"));
+        report(false, progress());
+        WorkerEntry worker = workers.find(WORKER.life());
+        Resources free = worker.free();
+        List<RunProgress> running = new ArrayList<>(progress());
+        running.add(new RunProgress(elsewhere.getRun(), "", 10, 0));
+        report(false, running);
+        assertEquals(free.minus(elsewhere.getStep().room()), worker.free());
+        report(false, progress());
+        assertEquals(free, worker.free());
+    }
+
+    @Test
+    public void aRunOfAJobThatIsNotKnownMayTakeAllRoom() {
+        report(false, progress());
+        WorkerEntry worker = workers.find(WORKER.life());
+        List<RunProgress> running = new ArrayList<>(progress());
+        running.add(new RunProgress(new RunId(TaskName.parse("z.0.0.0"), 1), "", 10, 0));
+        report(false, running);
+        assertTrue(worker.free().milliCores() <= 0);
+    }
+
     @Test
     public void aRunThatStandsStillIsStoppedOnce() {
         RunProgress still = new RunProgress(tasks.get(0).getRun(), "", 30, 0);
