--- a/src/test/java/org/standlink/simulation/TestCellSimulation.java
+++ b/src/test/java/org/standlink/simulation/TestCellSimulation.java
@@ -42,6 +42,8 @@
 
     private static final int USUAL_SEEDS = 120;
     private static final long REPEATED_SEED = 7;
+
+    private static final long WAITING_SEED = 2107;
     private static final int FEWEST_STARTS = 5;
 
     @Test
@@ -97,6 +99,15 @@
         playSeeds(seed -> new SimulatedDay(seed).withKeptIds());
     }
 
+    /**
+     * Seen: three jobs were taken for stuck that waited for room at the first look and had ended by
+     * the second, since no task of theirs was at work at either.
+     */
+    @Test
+    public void jobsThatWaitForRoomAndThenEndAreNotStuck() {
+        assertEquals(List.of(), new SimulatedDay(WAITING_SEED).withKeptIds().play());
+    }
+
     /**
      * Seen: 842 tasks were started in two halls that the operator had evacuated, since nothing read
      * the request. Starts under way, repeated ones and those that a new leader orders count too.
