Tell a worker to forget recorded ends only while it lists them

Cause: each renewal named the last recorded end. One made before a crash was carried out late by the next incarnation under the same id, whose ends have the same numbers; it forgot an end that nobody had heard of, so that the run was given elsewhere. Known by reading before, now seen: r#1 ended at 11.145 on the next incarnation, not in its list at 14.69. Why this works: the number is sent from the list that shows a recorded end up to the first one that does not; a call that comes late rarely names one. Ruled out: the succession, whose lists were whole and under the raised generation. Left: a renewal made in that short span may still come late.

--- a/src/main/java/org/standlink/runner/RenewalCalls.java
+++ b/src/main/java/org/standlink/runner/RenewalCalls.java
@@ -91,7 +91,7 @@
 
     private CompletableFuture<RenewalResult> call(
             long until, Fence fence, boolean reachable, long waitMillis) {
-        long recordedEnd = reachable ? lists.getRecordedEnd() : 0;
+        long recordedEnd = reachable ? lists.getEndToForget() : 0;
         return context.calls().renew(context.worker().get(), until, fence, recordedEnd, waitMillis);
     }
 }
--- a/src/main/java/org/standlink/runner/RunLists.java
+++ b/src/main/java/org/standlink/runner/RunLists.java
@@ -48,6 +48,9 @@
     /** The last end that was recorded. */
     private long recordedEnd;
 
+    /** The number of the first end that the worker listed last; {@link Long#MAX_VALUE} if none. */
+    private long firstListedEnd = Long.MAX_VALUE;
+
     /**
      * Takes what the worker said.
      *
@@ -60,6 +63,8 @@
             return false;
         }
         running = result.running();
+        firstListedEnd =
+                result.ended().stream().mapToLong(RunEnd::number).min().orElse(Long.MAX_VALUE);
         ended = unrecorded(result.ended());
         whole = result.ended().size() < MOST_ENDS;
         askedUnder = sentFence;
@@ -146,4 +151,15 @@
     long getRecordedEnd() {
         return recordedEnd;
     }
+
+    /**
+     * Gets up to which end the worker is to forget its ends. It is told only while it lists such
+     * ends: a call that comes late may reach the worker's next incarnation under the same id, whose
+     * ends have the same numbers.
+     *
+     * @return the number of the last recorded end, 0 if the worker lists none that is recorded
+     */
+    long getEndToForget() {
+        return firstListedEnd <= recordedEnd ? recordedEnd : 0;
+    }
 }
--- /dev/null
+++ b/src/test/java/org/standlink/runner/TestRunLists.java
@@ -0,0 +1,74 @@
+/*
+ *  Copyright 2026 the standlink authors
+ *
+ *  Licensed under the Apache License, Version 2.0 (the "License");
+ *  you may not use this file except in compliance with the License.
+ *  You may obtain a copy of the License at
+ *
+ *      http://www.apache.org/licenses/LICENSE-2.0
+ *
+ *  Unless required by applicable law or agreed to in writing, software
+ *  distributed under the License is distributed on an "AS IS" BASIS,
+ *  WITHOUT WARRANTIES OR CONDITIONS OF ANY KIND, either express or implied.
+ *  See the License for the specific language governing permissions and
+ *  limitations under the License.
+ */
+package org.standlink.runner;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+
+import java.util.Arrays;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.standlink.Fence;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
+import org.standlink.job.TaskName;
+
+/**
+ * Tests which ends a worker is told to forget.
+ *
+ * <p>Seen: a task began once more after it had ended (simulated day with kept ids, seed 877). How
+ * it came about: a renewal was not answered, the worker crashed, and its next incarnation took the
+ * renewal late; it forgot an end of its own that nobody had heard of, since that had a number up to
+ * the one recorded before. Cause: each renewal named the last recorded end, though the worker had
+ * forgotten it long before.
+ */
+public class TestRunLists {
+
+    private final RunLists lists = new RunLists();
+
+    private void list(int... ends) {
+        List<RunEnd> ended = Arrays.stream(ends).mapToObj(TestRunLists::end).toList();
+        CallResult done = new CallResult(CallResult.Kind.DONE, 1, "");
+        lists.take(new RenewalResult(done, RunnerFixtures.ID, List.of(), ended), Fence.NONE);
+    }
+
+    private static RunEnd end(int number) {
+        RunId run = new RunId(TaskName.parse("j.0.0." + number), 1);
+        return new RunEnd(number, run, RunEndKind.DONE, "");
+    }
+
+    @Test
+    public void aWorkerIsToldToForgetRecordedEndsWhileItListsThem() {
+        list(1, 2);
+        assertEquals(0, lists.getEndToForget());
+        lists.record(2);
+        assertEquals(2, lists.getEndToForget());
+        list(1, 2, 3);
+        assertEquals(2, lists.getEndToForget());
+    }
+
+    @Test
+    public void aWorkerThatHasForgottenRecordedEndsIsNotToldSoAgain() {
+        list(1, 2);
+        lists.record(2);
+        list();
+        assertEquals(0, lists.getEndToForget());
+        list(3);
+        assertEquals(0, lists.getEndToForget());
+        lists.record(3);
+        assertEquals(3, lists.getEndToForget());
+    }
+}
