--- a/src/main/java/org/standlink/wire/AgentReport.java
+++ b/src/main/java/org/standlink/wire/AgentReport.java
@@ -32,7 +32,8 @@
  * @param sequence rises with each report of the agent, so that a late one can be told
  * @param epoch the newest epoch that the agent knows
  * @param generation the generation of its lease, as it was told last under that epoch
- * @param refused whether a worker refused that generation, having seen a higher one
+ * @param refused whether a higher generation is needed, as a worker has seen one, or as a call
+ *     under this one is to be barred
  * @param workers the workers beside it
  * @param dead lives of workers that are surely over; where a worker started again under its id, the
  *     life that followed is among the workers
