--- a/src/main/java/org/standlink/cell/CellLeader.java
+++ b/src/main/java/org/standlink/cell/CellLeader.java
@@ -307,14 +307,9 @@
     private void expire() {
         long now = clock.nowMillis();
         for (WorkerEntry worker : List.copyOf(workers.getWorkers())) {
-            long expired = now - worker.getMayRunUntil() - CellTimes.MARGIN_MILLIS;
-            if (expired > 0) {
-                boolean late = expired > CellTimes.OPEN_START_MILLIS;
-                OpenRunPolicy policy = late ? OpenRunPolicy.NONE : OpenRunPolicy.UNREPORTED;
-                reports.giveUp(worker, "lease-expired", policy);
-                if (worker.listTasks().isEmpty()) {
-                    workers.remove(worker);
-                }
+            if (now > worker.getMayRunUntil() + CellTimes.MARGIN_MILLIS) {
+                reports.giveUp(worker, "lease-expired");
+                workers.remove(worker);
             }
         }
         agents.forgetSilent(now);
--- a/src/main/java/org/standlink/cell/CellTimes.java
+++ b/src/main/java/org/standlink/cell/CellTimes.java
@@ -45,20 +45,6 @@
      */
     public static final long MARGIN_MILLIS = 400;
 
-    /**
-     * For how long after it was made a call to a worker that was not answered may still be carried
-     * out, in milliseconds. Assumed: two of the longest leases.
-     */
-    private static final long LATE_CALL_MILLIS = 2 * LONGEST_LEASE_MILLIS;
-
-    /**
-     * For how long after it was made an unanswered call to start a run on a worker that has started
-     * again may leave the run at work there, in milliseconds: until it is carried out, and as long
-     * as the worker then keeps a run that nobody renews.
-     */
-    public static final long OPEN_START_MILLIS =
-            LATE_CALL_MILLIS + LONGEST_LEASE_MILLIS + MARGIN_MILLIS;
-
     /**
      * Gets for how long runs may go on that were ordered by a leader that is gone, on workers that
      * nobody hears.
--- a/src/main/java/org/standlink/cell/CrashDesk.java
+++ b/src/main/java/org/standlink/cell/CrashDesk.java
@@ -17,7 +17,6 @@
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Collection;
 import java.util.Deque;
 import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
@@ -94,14 +93,6 @@
         boolean isAt(String place) {
             return !address.isEmpty() && address.equals(place);
         }
-
-        Silence plus(Silence later) {
-            List<TaskEntry> allBegun = new ArrayList<>(begun);
-            allBegun.addAll(later.begun);
-            List<TaskEntry> allProven = new ArrayList<>(proven);
-            allProven.addAll(later.proven);
-            return new Silence(address, since, allBegun, allProven);
-        }
     }
 
     /**
@@ -125,20 +116,24 @@
         if (leaves) {
             return List.of();
         }
-        Silence last = silence(worker, worker.listTasks(), clock.nowMillis());
-        return count(worker.getLife(), earlier == null ? last : earlier.plus(last));
+        Silence all = silence(worker, clock.nowMillis());
+        if (earlier != null) {
+            all.begun().addAll(earlier.begun());
+            all.proven().addAll(earlier.proven());
+        }
+        return count(worker.getLife(), all);
     }
 
     /**
      * Takes note that a worker's lease ran out, before its runs are released.
      *
      * @param worker the worker
-     * @param released the runs that are about to be released
      */
-    void silent(WorkerEntry worker, Collection<TaskEntry> released) {
-        Silence begins = silence(worker, released, clock.nowMillis());
-        begins.begun().forEach(task -> task.getTrial().countUnclear(1));
-        silent.merge(worker.getLife(), begins, Silence::plus);
+    void silent(WorkerEntry worker) {
+        Silence begins = silence(worker, clock.nowMillis());
+        if (silent.putIfAbsent(worker.getLife(), begins) == null) {
+            begins.begun().forEach(task -> task.getTrial().countUnclear(1));
+        }
     }
 
     /** Forgets silent workers that have not come back. */
@@ -201,10 +196,10 @@
         return known;
     }
 
-    private static Silence silence(WorkerEntry worker, Collection<TaskEntry> lost, long now) {
+    private static Silence silence(WorkerEntry worker, long now) {
         List<TaskEntry> begun = new ArrayList<>();
         List<TaskEntry> proven = new ArrayList<>();
-        for (TaskEntry task : lost) {
+        for (TaskEntry task : worker.listTasks()) {
             (task.getTrial().isProven() ? proven : begun).add(task);
         }
         return new Silence(worker.getAddress(), now, begun, proven);
--- a/src/main/java/org/standlink/cell/ReportDesk.java
+++ b/src/main/java/org/standlink/cell/ReportDesk.java
@@ -19,7 +19,6 @@
 import java.util.List;
 import java.util.Set;
 import java.util.function.ToIntFunction;
-import org.standlink.LeaseGeneration;
 import org.standlink.Resources;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
@@ -142,7 +141,7 @@
             }
             boolean first = worker.getDescription() == null;
             worker.heard(part.worker(), connection, part.reachable(), clock.nowMillis());
-            worker.setAgent(report.incarnation(), clock.nowMillis());
+            worker.setAgent(report.incarnation());
             if (first) {
                 workers.keepAddress(worker);
                 workers.replacedBy(worker).forEach(this::replaced);
@@ -160,9 +159,9 @@
                 // Its runs stay placed until the life that follows has listed its own.
                 continue;
             }
-            if (worker != null && !succession.keepOpen(worker, report)) {
+            if (worker != null) {
                 replaced(worker);
-            } else if (worker == null) {
+            } else {
                 crashes.over(dead).forEach(releases::touch);
             }
         }
@@ -185,41 +184,18 @@
     }
 
     /**
-     * Gives up runs of a worker, since its lease is over; orders for them are void from now on.
-     * Runs that its next incarnation may still start stay placed there, so that they begin nowhere
-     * else.
+     * Gives up all runs of a worker, since its lease is over; orders for them are void from now on.
      *
      * @param worker the worker
      * @param reason why, for the log
-     * @param policy tells which runs these are
      */
-    void giveUp(WorkerEntry worker, String reason, OpenRunPolicy policy) {
-        List<TaskEntry> over = new ArrayList<>();
-        for (TaskEntry task : worker.listTasks()) {
-            if (policy.isOpen(task, worker)) {
-                keep(worker, task.getRun(), reason);
-            } else {
-                over.add(task);
-            }
-        }
-        if (!over.isEmpty()) {
+    void giveUp(WorkerEntry worker, String reason) {
+        if (!worker.listTasks().isEmpty()) {
             if (!worker.isOver()) {
-                crashes.silent(worker, over);
+                crashes.silent(worker);
             }
             agents.raiseGeneration(worker.getAgent(), reason);
-            over.forEach(task -> releases.release(task, worker.getLife(), reason));
-        }
-    }
-
-    /** The agent has no orders any more, so it is told the order anew once the worker answers. */
-    private void keep(WorkerEntry worker, RunId run, String reason) {
-        worker.setToldGeneration(LeaseGeneration.NONE);
-        if (worker.getOpenRuns().keep(run)) {
-            LOG.info("kept-as-open")
-                    .with("run", run)
-                    .with("worker", worker.getLife())
-                    .with("reason", reason)
-                    .write();
+            releases.releaseAll(worker, reason);
         }
     }
 
@@ -255,9 +231,8 @@
 
     // -----------------------------------------------------------------------
     private void handleWorker(WorkerEntry worker, WorkerReport part, AgentReport report) {
-        worker.getOpenRuns().reported(report.incarnation(), part.open(), clock.nowMillis());
         if (part.lapsed()) {
-            giveUp(worker, "lease-lapsed", OpenRunPolicy.REPORTED);
+            giveUp(worker, "lease-lapsed");
         }
         part.running().forEach(progress -> saveProgress(progress, part.reachable()));
         worker.getFigures().throttled(part.throttled(), clock.nowMillis());
--- a/src/main/java/org/standlink/cell/SuccessionDesk.java
+++ b/src/main/java/org/standlink/cell/SuccessionDesk.java
@@ -120,41 +120,6 @@
         return open;
     }
 
-    /**
-     * Handles a life that is over, of which the next one under the same id may still start runs:
-     * these stay placed until that one has listed its own.
-     *
-     * @param worker the life
-     * @param report the report that names it
-     * @return false if there are no such runs, so that nothing was done
-     */
-    boolean keepOpen(WorkerEntry worker, AgentReport report) {
-        // A leader that has taken over knows only what is reported now.
-        OpenRunPolicy policy =
-                (task, life) ->
-                        report.open().contains(task.getRun())
-                                || OpenRunPolicy.REPORTED.isOpen(task, life);
-        List<TaskEntry> tasks = List.copyOf(worker.listTasks());
-        if (tasks.stream().noneMatch(task -> policy.isOpen(task, worker))) {
-            return false;
-        }
-        crashes.crashed(worker).forEach(releases::touch);
-        agents.raiseGeneration(report.incarnation(), "worker-over");
-        worker.endBy(agents.getGeneration(report.incarnation()));
-        for (TaskEntry task : tasks) {
-            if (policy.isOpen(task, worker)) {
-                LOG.info("kept-as-open")
-                        .with("run", task.getRun())
-                        .with("worker", worker.getLife())
-                        .with("reason", "worker-over")
-                        .write();
-            } else {
-                releases.release(task, worker.getLife(), "worker-over");
-            }
-        }
-        return true;
-    }
-
     // -----------------------------------------------------------------------
     /**
      * Tells whether a life follows another one. Both may be told of by different agents, if the
--- a/src/main/java/org/standlink/cell/WorkerEntry.java
+++ b/src/main/java/org/standlink/cell/WorkerEntry.java
@@ -66,9 +66,6 @@
     /** Whether the worker answered its agent's last call. */
     private boolean reachable;
 
-    /** The runs that the worker's next incarnation may still start. */
-    private final OpenRuns open = new OpenRuns();
-
     /** How far its ends have been handled and recorded. */
     private final WorkerEnds ends = new WorkerEnds();
 
@@ -169,15 +166,6 @@
         return description.capacity().minus(load.getOccupied());
     }
 
-    /**
-     * Gets the runs that the worker's next incarnation under the same id may still start.
-     *
-     * @return the runs, which change
-     */
-    OpenRuns getOpenRuns() {
-        return open;
-    }
-
     /**
      * Gets what its tasks ask for.
      *
@@ -284,12 +272,8 @@
      * Sets the run of its agent.
      *
      * @param present the run
-     * @param now the time on the leader's clock
      */
-    void setAgent(Incarnation present, long now) {
-        if (agent != null && !agent.equals(present) && life.isKnown()) {
-            open.agentGone(agent, tasks.values(), now);
-        }
+    void setAgent(Incarnation present) {
         agent = present;
     }
 
--- a/src/main/java/org/standlink/runner/AgentNode.java
+++ b/src/main/java/org/standlink/runner/AgentNode.java
@@ -260,10 +260,9 @@
                         ++lastReport,
                         fence.getEpoch(),
                         fence.getGeneration(),
-                        workers.list().stream().anyMatch(WorkerSupervisor::isHigherFenceNeeded),
+                        workers.list().stream().anyMatch(WorkerSupervisor::isFenceRefused),
                         List.copyOf(sent.values()),
-                        workers.listEnded(),
-                        workers.listOpen());
+                        workers.listEnded());
         Guarded.thenOn(
                 "report-answer",
                 leader.call(report, ANSWER_MILLIS),
--- a/src/main/java/org/standlink/runner/AgentWorkers.java
+++ b/src/main/java/org/standlink/runner/AgentWorkers.java
@@ -20,7 +20,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.ScheduledExecutorService;
-import org.standlink.job.RunId;
 import org.standlink.job.WorkerDescription;
 import org.standlink.job.WorkerId;
 import org.standlink.job.WorkerLife;
@@ -68,9 +67,6 @@
     /** The lives that are over. */
     private final EndedLives ended = new EndedLives();
 
-    /** The starts that were open when their lives ended. */
-    private final OpenStarts leftOpen = new OpenStarts();
-
     /**
      * Constructor.
      *
@@ -124,15 +120,6 @@
         return ended.list();
     }
 
-    /**
-     * Lists the runs that the lives to follow those that are over may still start.
-     *
-     * @return the runs
-     */
-    List<RunId> listOpen() {
-        return leftOpen.list(clock.nowMillis());
-    }
-
     // -----------------------------------------------------------------------
     /**
      * Takes note of a heartbeat.
@@ -236,8 +223,6 @@
     private void over(WorkerLife worker, String reason) {
         WorkerSupervisor supervisor = workers.remove(worker);
         if (supervisor != null) {
-            long now = clock.nowMillis();
-            supervisor.report().open().forEach(run -> leftOpen.leftOpen(run, now));
             supervisor.close();
             lease.forget(worker);
         }
--- a/src/main/java/org/standlink/runner/LocalRun.java
+++ b/src/main/java/org/standlink/runner/LocalRun.java
@@ -55,9 +55,6 @@
     /** Whether a call to start it was left without an answer, so that it may be done late. */
     private boolean uncertain;
 
-    /** From when on a list tells whether the call was carried out; negative if none is awaited. */
-    private long listAwaitedSince = -1;
-
     /** Whether its start has waited for the worker or for a lease. */
     private boolean waited;
 
@@ -161,29 +158,6 @@
         uncertain = true;
     }
 
-    /**
-     * Lets the next call to start it wait for a list.
-     *
-     * @param now the time on the agent's clock
-     */
-    void awaitList(long now) {
-        listAwaitedSince = now;
-    }
-
-    /**
-     * Ends the wait for a list.
-     *
-     * @param askedAt when the worker was asked for a list that has come, on the agent's clock
-     * @return true if its start waited for that list
-     */
-    boolean takeAwaited(long askedAt) {
-        boolean awaited = listAwaitedSince >= 0 && askedAt >= listAwaitedSince;
-        if (awaited) {
-            listAwaitedSince = -1;
-        }
-        return awaited;
-    }
-
     /**
      * Takes note that its start waits.
      *
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -21,7 +21,10 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.BooleanSupplier;
+import java.util.function.Supplier;
 import java.util.function.ToIntFunction;
+import org.standlink.Fence;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
@@ -42,21 +45,27 @@
     /** The pause before a failed call is repeated, in milliseconds. */
     private static final long PAUSE_MILLIS = 150;
 
+    /** For how long a stopped run without an end may still be listed, in milliseconds. */
+    private static final long STOP_MILLIS = 1000;
+
     /** The log. */
     private static final EventLog LOG = EventLog.of(RunTable.class);
 
     /** What calls of the worker need. */
     private final WorkerContext context;
 
-    /** What must hold for runs to be started. */
-    private final StartConditions conditions;
+    /** Tells whether the worker answered the last look at it. */
+    private final BooleanSupplier reachable;
+
+    /** What the worker's clock says. */
+    private final WorkerLeaseClock leaseClock;
+
+    /** Tells until when runs may go on, on the agent's clock. */
+    private final Supplier<Long> leaseEnd;
 
     /** Is told when there is something to report. */
     private final Runnable whenChanged;
 
-    /** Asks for the worker's lists. */
-    private final Runnable askForLists;
-
     /** The runs. */
     private final Map<RunId, LocalRun> runs = new LinkedHashMap<>();
 
@@ -66,9 +75,6 @@
     /** The runs whose starts under an older fence may still be carried out. */
     private final Set<RunId> unsure = new HashSet<>();
 
-    /** The start calls that may still be carried out. */
-    private final OpenStarts openStarts = new OpenStarts();
-
     /** What the leader is to be told of as released. */
     private final ReleasedRuns released = new ReleasedRuns();
 
@@ -78,28 +84,30 @@
     /** Tells the worker the shares of best-effort runs. */
     private final RunShares shares;
 
-    /** Tells the worker which runs to stop. */
-    private final StopCalls stops;
+    /** The fence under which a stop was refused, as the worker has seen a higher one; or null. */
+    private Fence refusedFence;
 
     /**
      * Constructor.
      *
      * @param context what calls of the worker need
-     * @param conditions what must hold for runs to be started
+     * @param reachable tells whether the worker answered the last look at it
+     * @param leaseClock what the worker's clock says
+     * @param leaseEnd tells until when runs may go on, on the agent's clock
      * @param whenChanged is told when there is something to report
-     * @param askForLists asks for the worker's lists, which {@link #settle} takes
      */
     RunTable(
             WorkerContext context,
-            StartConditions conditions,
-            Runnable whenChanged,
-            Runnable askForLists) {
+            BooleanSupplier reachable,
+            WorkerLeaseClock leaseClock,
+            Supplier<Long> leaseEnd,
+            Runnable whenChanged) {
         this.context = context;
-        this.conditions = conditions;
+        this.reachable = reachable;
+        this.leaseClock = leaseClock;
+        this.leaseEnd = leaseEnd;
         this.whenChanged = whenChanged;
-        this.askForLists = askForLists;
         this.shares = new RunShares(context);
-        this.stops = new StopCalls(context, conditions.reachable(), runs);
     }
 
     /** Forgets all runs; calls under way have no effect here any more. */
@@ -130,24 +138,6 @@
         return released;
     }
 
-    /**
-     * Lists the runs that the next incarnation of the worker under the same id may still start.
-     *
-     * @return the runs
-     */
-    List<RunId> listOpen() {
-        return openStarts.list(context.clock().nowMillis());
-    }
-
-    /**
-     * Checks whether an open call is to be barred by a higher fence than the one in force.
-     *
-     * @return true if the leader has to raise the generation
-     */
-    boolean isHigherFenceNeeded() {
-        return context.fence().get().equals(openStarts.getExceeded());
-    }
-
     /**
      * Finds the order by which a run was started.
      *
@@ -171,28 +161,18 @@
             return;
         }
         LocalRun run = new LocalRun(order.run(), order, LocalRun.Phase.STARTING);
-        long now = context.clock().nowMillis();
-        boolean listed = lists.isRunning(order.run());
-        boolean open = openStarts.contains(order.run(), now);
-        if (open || unsure.contains(order.run())) {
+        if (unsure.contains(order.run())) {
             run.setUncertain();
         }
         runs.put(order.run(), run);
         if (toldAnew) {
-            run.setMaybeAtWork(now);
+            run.setMaybeAtWork(context.clock().nowMillis());
         }
-        if (listed) {
+        if (lists.isRunning(order.run())) {
             // It was started by an earlier process of this agent, which may have throttled it.
             run.setShare(LocalRun.UNKNOWN_SHARE);
         }
-        if (listed && keepsId()) {
-            run.setPhase(LocalRun.Phase.RUNNING);
-            applyShare(run);
-        } else if (open) {
-            callAfterList(run);
-        } else {
-            callStart(run);
-        }
+        callStart(run);
     }
 
     /**
@@ -210,7 +190,7 @@
             return;
         }
         run.setPhase(LocalRun.Phase.STOPPING);
-        stops.call(run);
+        callStop(run);
     }
 
     // -----------------------------------------------------------------------
@@ -218,7 +198,7 @@
         if (run.isCalling() || run.getPhase() != LocalRun.Phase.STARTING || isDropped(run)) {
             return;
         }
-        String obstacle = conditions.findObstacle();
+        String obstacle = findObstacle();
         if (!obstacle.isEmpty()) {
             if (run.beginWaiting()) {
                 LOG.info("start-waits")
@@ -231,10 +211,7 @@
             return;
         }
         run.setCalling(true);
-        if (keepsId()) {
-            openStarts.called(run.getRun(), context.fence().get(), context.clock().nowMillis());
-        }
-        long until = conditions.leaseClock().renew(conditions.leaseEnd().getAsLong());
+        long until = leaseClock.renew(leaseEnd.get());
         CompletableFuture<CallResult> answer =
                 context.calls()
                         .start(
@@ -245,17 +222,20 @@
         context.whenAnswered("start", answer, result -> started(run, result));
     }
 
-    /**
-     * Checks whether the next incarnation of the worker has the same id, so that it takes calls.
-     */
-    private boolean keepsId() {
-        return context.worker().get().life().isKnown();
+    /** Tells what keeps runs from being started now; empty if nothing does. */
+    private String findObstacle() {
+        if (!leaseClock.isKnown()) {
+            return "the worker's clock";
+        }
+        if (!reachable.getAsBoolean()) {
+            return "an answer of the worker";
+        }
+        return leaseEnd.get() <= context.clock().nowMillis() ? "a lease" : "";
     }
 
     private void started(LocalRun run, CallResult result) {
         run.setCalling(false);
-        openStarts.returned(run.getRun(), result.kind() != CallResult.Kind.UNKNOWN);
-        conditions.leaseClock().answered(result.clockMillis(), context.clock().nowMillis());
+        leaseClock.answered(result.clockMillis(), context.clock().nowMillis());
         if (result.kind() != CallResult.Kind.DONE) {
             context.log("start", run.getRun(), result);
         }
@@ -263,7 +243,7 @@
             return;
         }
         if (run.getPhase() == LocalRun.Phase.STOPPING) {
-            stops.call(run);
+            callStop(run);
             return;
         }
         switch (result.kind()) {
@@ -271,7 +251,10 @@
                 run.setPhase(LocalRun.Phase.RUNNING);
                 applyShare(run);
             }
-            case UNKNOWN -> unanswered(run);
+            case UNKNOWN -> {
+                run.setUncertain();
+                context.later(PAUSE_MILLIS, () -> callStart(run));
+            }
             case LEASE_PAST -> context.later(PAUSE_MILLIS, () -> callStart(run));
             case NO_ROOM, UNWELL, INVALID -> refused(run, result);
             case EVACUATED -> evacuated(run, result);
@@ -280,30 +263,6 @@
         }
     }
 
-    /**
-     * A call was not answered. Where it may reach the worker's next incarnation, it is only
-     * repeated once a list has shown that it has not been carried out: each further call is one
-     * more that may come late.
-     */
-    private void unanswered(LocalRun run) {
-        run.setUncertain();
-        Runnable repeat = keepsId() ? () -> callAfterList(run) : () -> callStart(run);
-        context.later(PAUSE_MILLIS, repeat);
-    }
-
-    /** The call before may still be carried out; a higher fence bars it. */
-    private void callOnceMore(LocalRun run) {
-        if (run.getPhase() == LocalRun.Phase.STARTING && openStarts.exceed(run.getRun())) {
-            whenChanged.run();
-        }
-        callStart(run);
-    }
-
-    private void callAfterList(LocalRun run) {
-        run.awaitList(context.clock().nowMillis());
-        askForLists.run();
-    }
-
     /**
      * The worker refuses a run. If an earlier call for it was left without an answer, that call may
      * still be carried out, so the run is only over once it is stopped.
@@ -350,6 +309,38 @@
         return runs.get(run.getRun()) != run;
     }
 
+    private void callStop(LocalRun run) {
+        if (run.isCalling() || run.getPhase() != LocalRun.Phase.STOPPING || isDropped(run)) {
+            return;
+        }
+        Fence present = context.fence().get();
+        if (!reachable.getAsBoolean() || present.equals(refusedFence)) {
+            context.later(PAUSE_MILLIS, () -> callStop(run));
+            return;
+        }
+        run.setCalling(true);
+        CompletableFuture<CallResult> answer =
+                context.calls().stop(context.worker().get(), run.getRun(), present);
+        context.whenAnswered("stop", answer, result -> stopped(run, result, present));
+    }
+
+    private void stopped(LocalRun run, CallResult result, Fence sentFence) {
+        run.setCalling(false);
+        context.log("stop", run.getRun(), result);
+        if (isDropped(run)) {
+            return;
+        }
+        if (result.kind() == CallResult.Kind.FENCED) {
+            // The newer leader's order for the same stop may have been passed over meanwhile.
+            refusedFence = sentFence;
+        }
+        switch (result.kind()) {
+            case DONE -> run.stopped(context.clock().nowMillis());
+            case OTHER_LIFE -> runs.remove(run.getRun());
+            default -> context.later(PAUSE_MILLIS, () -> callStop(run));
+        }
+    }
+
     /**
      * Brings what is known of each run in line with the worker's lists.
      *
@@ -365,7 +356,6 @@
         runs.values().stream()
                 .filter(run -> !lists.isRunning(run.getRun()))
                 .forEach(run -> run.notListed(sentAt));
-        openStarts.settle(lists);
         for (RunProgress progress : nowRunning) {
             LocalRun run = runs.get(progress.run());
             if (run != null && run.getPhase() == LocalRun.Phase.STARTING) {
@@ -375,11 +365,20 @@
         if (nowEnded.size() >= RunLists.MOST_ENDS) {
             return;
         }
-        List.copyOf(runs.values()).stream()
-                .filter(run -> run.takeAwaited(sentAt))
-                .forEach(this::callOnceMore);
         superseded.takeGone(lists, sentAt).forEach(this::lose);
-        stops.settle(lists, sentAt).forEach(this::lose);
+        for (LocalRun run : List.copyOf(runs.values())) {
+            boolean over =
+                    run.getPhase() == LocalRun.Phase.STOPPED
+                            && sentAt - run.getStoppedAt() > STOP_MILLIS;
+            if (over && lists.isRunning(run.getRun())) {
+                // Further orders to stop it are passed over here, so nobody else would repeat it.
+                run.setPhase(LocalRun.Phase.STOPPING);
+                callStop(run);
+            } else if (over) {
+                runs.remove(run.getRun());
+                lose(run.getRun());
+            }
+        }
     }
 
     // -----------------------------------------------------------------------
@@ -394,6 +393,6 @@
     }
 
     private void applyShare(LocalRun run) {
-        shares.apply(run, () -> stops.call(run));
+        shares.apply(run, () -> callStop(run));
     }
 }
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -93,8 +93,11 @@
     /** Whether orders to start have come under the fence in force. */
     private boolean startsTold;
 
-    /** Whether the worker's lease has run out. */
-    private final LapseNotice lapse = new LapseNotice();
+    /** Whether orders were voided for the lapse that goes on; until the worker answers again. */
+    private boolean lapseNoted;
+
+    /** Whether the leader has yet to answer the report of a lapse; nothing is started meanwhile. */
+    private boolean lapseUntold;
 
     /** Whether the worker answered the last call. */
     private boolean reachable;
@@ -145,11 +148,7 @@
         WorkerContext context = new WorkerContext(heard::getDescription, calls, clock, loop, fence);
         this.renewalCalls = new RenewalCalls(context, leaseClock, lists, this::getLeaseEnd);
         this.runs =
-                new RunTable(
-                        context,
-                        new StartConditions(() -> reachable, leaseClock, this::getLeaseEnd, clock),
-                        whenChanged,
-                        this::askNow);
+                new RunTable(context, () -> reachable, leaseClock, this::getLeaseEnd, whenChanged);
     }
 
     /** Begins to look after the worker. */
@@ -182,7 +181,7 @@
      */
     void order(RunOrders orders) {
         orders.stops().forEach(runs::stop);
-        if (lapse.isUntold()) {
+        if (lapseUntold) {
             orders.starts().forEach(order -> runs.getReleased().lose(order.run()));
         } else {
             // The first that are told under a fence are all that should run, also since before.
@@ -226,7 +225,9 @@
      * give the runs to others, so that none may be started any more, even if its answer is lost.
      */
     void voidIfLapsed() {
-        if (isLapsed() && lapse.note()) {
+        if (isLapsed() && !lapseNoted) {
+            lapseNoted = true;
+            lapseUntold = true;
             runs.dropAllButRunning();
             LOG.info("orders-void")
                     .with("worker", heard.getLife())
@@ -237,12 +238,12 @@
 
     /**
      * Checks whether the worker has seen a higher fence than the one in force, as another agent or
-     * an earlier process of this one may have called it, or an open call is to be barred.
+     * an earlier process of this one may have called it.
      *
      * @return true if the leader has to raise the generation
      */
-    boolean isHigherFenceNeeded() {
-        return fence.get().equals(refusedFence) || runs.isHigherFenceNeeded();
+    boolean isFenceRefused() {
+        return fence.get().equals(refusedFence);
     }
 
     /**
@@ -254,15 +255,14 @@
         return new WorkerReport(
                 heard.getDescription(),
                 reachable,
-                lapse.isUntold() || isLapsed(),
+                lapseUntold || isLapsed(),
                 lists.isKnown(),
                 lists.getRunning(),
                 lists.getEnded(),
                 runs.getReleased().getRefused(),
                 runs.getReleased().getGone(),
                 throttle.listThrottled(),
-                lists.isListedUnder(fence.get()),
-                runs.listOpen());
+                lists.isListedUnder(fence.get()));
     }
 
     /**
@@ -273,7 +273,7 @@
     void reported(WorkerReport sent) {
         runs.getReleased().told(sent.refused(), sent.gone());
         if (sent.lapsed()) {
-            lapse.told();
+            lapseUntold = false;
             runs.clear();
             lists.forgetUnless(reachable);
         }
@@ -304,14 +304,14 @@
 
     /** Tells until when runs may go on; a lapse that the leader does not know of ends a lease. */
     private long getLeaseEnd() {
-        return lapse.isUntold() ? 0 : leaseEnd.get();
+        return lapseUntold ? 0 : leaseEnd.get();
     }
 
     private void renew(long waitMillis) {
         if (closed) {
             return;
         }
-        if (fence.get().equals(refusedFence)) {
+        if (isFenceRefused()) {
             // Whoever has been replaced stays silent until it knows the higher fence.
             renewals.later(PAUSE_MILLIS);
             return;
@@ -371,7 +371,7 @@
             renewals.later(PAUSE_MILLIS);
             return;
         }
-        lapse.workerAnswered();
+        lapseNoted = false;
         watch.answered(sentAt);
         takeLists(result, sentFence, sentAt);
         if (lists.getEnded().isEmpty()) {
--- a/src/main/java/org/standlink/wire/AgentReport.java
+++ b/src/main/java/org/standlink/wire/AgentReport.java
@@ -15,12 +15,10 @@
  */
 package org.standlink.wire;
 
-import com.fasterxml.jackson.annotation.JsonInclude;
 import java.util.List;
 import org.standlink.Epoch;
 import org.standlink.Incarnation;
 import org.standlink.LeaseGeneration;
-import org.standlink.job.RunId;
 import org.standlink.job.WorkerLife;
 
 /**
@@ -34,13 +32,10 @@
  * @param sequence rises with each report of the agent, so that a late one can be told
  * @param epoch the newest epoch that the agent knows
  * @param generation the generation of its lease, as it was told last under that epoch
- * @param refused whether a higher generation is needed, as a worker has seen one, or as a call
- *     under this one is to be barred
+ * @param refused whether a worker refused that generation, having seen a higher one
  * @param workers the workers beside it
  * @param dead lives of workers that are surely over; where a worker started again under its id, the
  *     life that followed is among the workers
- * @param open runs that the lives to follow these may still start, as calls for them were not
- *     answered
  */
 public record AgentReport(
         String node,
@@ -51,16 +46,5 @@
         LeaseGeneration generation,
         boolean refused,
         List<WorkerReport> workers,
-        List<WorkerLife> dead,
-        @JsonInclude(JsonInclude.Include.NON_EMPTY) List<RunId> open)
-        implements Message {
-
-    /**
-     * Constructor.
-     *
-     * @param open null in reports that name none
-     */
-    public AgentReport {
-        open = open == null ? List.of() : open;
-    }
-}
+        List<WorkerLife> dead)
+        implements Message {}
--- a/src/main/java/org/standlink/wire/WorkerReport.java
+++ b/src/main/java/org/standlink/wire/WorkerReport.java
@@ -40,8 +40,6 @@
  * @param throttled the best-effort images whose runs may not work all the time
  * @param listed whether the lists are whole and were given under the fence that the report names,
  *     so that the worker refuses all that was ordered before
- * @param open runs that the next incarnation of the worker under the same id may still start, as a
- *     call for them was not answered; none if its incarnations have different ids
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 public record WorkerReport(
@@ -54,15 +52,4 @@
         List<StartRefusal> refused,
         List<RunId> gone,
         List<ImageShare> throttled,
-        boolean listed,
-        List<RunId> open) {
-
-    /**
-     * Constructor.
-     *
-     * @param open null in reports of older programs
-     */
-    public WorkerReport {
-        open = open == null ? List.of() : open;
-    }
-}
+        boolean listed) {}
--- a/src/test/java/org/standlink/standin/TestUpstreamServer.java
+++ b/src/test/java/org/standlink/standin/TestUpstreamServer.java
@@ -34,6 +34,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.Future;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
 import org.junit.jupiter.api.Test;
 
 /**
@@ -82,10 +83,13 @@
         CountDownLatch arrived = new CountDownLatch(1);
         CountDownLatch released = new CountDownLatch(1);
         // The server's own thread, which accepts and reads, is held up by the first request.
+        AtomicBoolean holds = new AtomicBoolean(true);
         Executor held =
                 task -> {
-                    arrived.countDown();
-                    await(released);
+                    if (holds.getAndSet(false)) {
+                        arrived.countDown();
+                        await(released);
+                    }
                     threads.execute(task);
                 };
         UpstreamServer server =
