Crashes of workers on which nothing ran count as crashes for other reasons

CrashDetector remembered a crash only if a task was counted with it, so its estimate of how often workers crash of themselves left out the very crashes that no task can have caused.

They count for 30 s as the others do, and are kept apart, so that they displace no crash that tells a cause from the tasks beside it. Workers that said that they leave, and those that this leader knows from records only, do not count. No constant has changed. worker-crashed is logged for these crashes too.

--- a/src/main/java/org/standlink/cell/CrashDetector.java
+++ b/src/main/java/org/standlink/cell/CrashDetector.java
@@ -75,6 +75,12 @@
     /** The crashes that no task explains yet, the oldest first. */
     private final Deque<Crash> unexplained = new ArrayDeque<>();
 
+    /**
+     * When workers crashed that had no run which may have caused it, the oldest first. They are
+     * kept apart, so that they displace none of the crashes above.
+     */
+    private final Deque<Long> crashesWithoutRuns = new ArrayDeque<>();
+
     private final MonotonicClock clock;
 
     /** A crash, and the tasks that ran on the worker. */
@@ -93,6 +99,10 @@
     private record WorkerRuns(
             String address, long since, List<TaskEntry> begun, List<TaskEntry> proven) {
 
+        boolean isEmpty() {
+            return begun.isEmpty() && proven.isEmpty();
+        }
+
         boolean isAt(String otherAddress) {
             return !address.isEmpty() && address.equals(otherAddress);
         }
@@ -119,6 +129,10 @@
             lost.begun().addAll(earlier.begun());
             lost.proven().addAll(earlier.proven());
         }
+        if (worker.getDescription() == null && lost.isEmpty()) {
+            // It is known from an earlier leader only, and may have crashed long ago.
+            return List.of();
+        }
         return countCrash(worker.getIncarnation(), lost);
     }
 
@@ -183,8 +197,10 @@
                         .filter(crash -> !crash.tasks().contains(task))
                         .filter(Crash::hasNoLikelyCause)
                         .count();
+        long withoutRuns =
+                crashesWithoutRuns.stream().filter(at -> now - at < RECENT_MILLIS).count();
         return SPONTANEOUS_CRASH_LIKELIHOOD
-                * (1 + others)
+                * (1 + others + withoutRuns)
                 * (task.getTrial().wasReportedRunning() ? REPORTED_RUNNING_FACTOR : 1);
     }
 
@@ -227,9 +243,11 @@
             task.getTrial().setCrashHistory(history.withStartupCrash(likelihood));
             counted.add(task);
         }
-        if (!counted.isEmpty()) {
-            logCrash(worker, started.size(), counted);
-            addUnexplained(counted);
+        logCrash(worker, started.size(), counted);
+        if (counted.isEmpty()) {
+            addLimited(crashesWithoutRuns, clock.nowMillis());
+        } else {
+            addLimited(unexplained, new Crash(clock.nowMillis(), List.copyOf(counted)));
         }
         Set<TaskEntry> changed = new LinkedHashSet<>(counted);
         counted.stream()
@@ -238,10 +256,10 @@
         return List.copyOf(changed);
     }
 
-    private void addUnexplained(List<TaskEntry> counted) {
-        unexplained.addLast(new Crash(clock.nowMillis(), List.copyOf(counted)));
-        if (unexplained.size() > MAX_UNEXPLAINED) {
-            unexplained.removeFirst();
+    private static <T> void addLimited(Deque<T> crashes, T crash) {
+        crashes.addLast(crash);
+        if (crashes.size() > MAX_UNEXPLAINED) {
+            crashes.removeFirst();
         }
     }
 
--- a/src/test/java/org/standlink/cell/TestCrashDetector.java
+++ b/src/test/java/org/standlink/cell/TestCrashDetector.java
@@ -26,7 +26,14 @@
 import org.standlink.job.WorkerIncarnation;
 import org.standlink.policy.InterferenceTable;
 
-/** Tests which tasks a worker crash counts against, and where suspected tasks are started. */
+/**
+ * Tests which tasks a worker crash counts against, and where suspected tasks are started.
+ *
+ * <p>Guards also against jobs that fail though none of their tasks crashes its worker: the crashes
+ * of workers on which nothing ran were left out of the estimate of how often workers crash for
+ * other reasons. A task that met with three crashes by chance was then found to cause them, beside
+ * other crashes that it cannot have caused.
+ */
 public class TestCrashDetector {
 
     private static final long PROVEN_MILLIS = 1500;
@@ -119,6 +126,63 @@
         assertEquals(1, startupCrashes(last));
     }
 
+    /** Lets a task crash three workers, one after the other, on each of which it is alone. */
+    private TaskEntry newTaskWithThreeCrashes() {
+        TaskEntry task = newTask();
+        for (int i = 0; i < 3; i++) {
+            WorkerEntry worker = newIncarnation(false);
+            start(task, worker);
+            crash(worker);
+        }
+        return task;
+    }
+
+    @Test
+    public void crashesOfWorkersWithoutRunsShowThatWorkersCrashOfThemselves() {
+        crash(newIncarnation(false));
+        crash(newIncarnation(false));
+        TaskEntry task = newTaskWithThreeCrashes();
+        assertEquals(3, startupCrashes(task));
+        assertFalse(task.hasFailedPermanently(2));
+    }
+
+    @Test
+    public void crashesOfWorkersWithoutRunsAreDisregardedLater() {
+        crash(newIncarnation(false));
+        crash(newIncarnation(false));
+        clock.advance(30_000);
+        assertTrue(newTaskWithThreeCrashes().hasFailedPermanently(2));
+    }
+
+    @Test
+    public void workersThatLeftOrWereNeverReportedHaveNotCrashedWithoutRuns() {
+        for (int i = 0; i < 2; i++) {
+            crash(newIncarnation(true));
+            crash(new WorkerEntry(WorkerIncarnation.parse("i-" + ++workerCount), 0));
+        }
+        assertTrue(newTaskWithThreeCrashes().hasFailedPermanently(2));
+    }
+
+    @Test
+    public void crashesOfWorkersWithoutRunsDisplaceNoOthers() {
+        WorkerEntry shared = newIncarnation(false);
+        TaskEntry cause = newTask();
+        TaskEntry other = newTask();
+        start(cause, shared);
+        start(other, shared);
+        crash(shared);
+        for (int i = 0; i < 50; i++) {
+            crash(newIncarnation(false));
+        }
+        for (int i = 0; i < 4; i++) {
+            WorkerEntry worker = newIncarnation(false);
+            start(cause, worker);
+            crash(worker);
+        }
+        assertTrue(cause.hasFailedPermanently(2));
+        assertEquals(0, suspicionPerMille(other));
+    }
+
     @Test
     public void drainingWorkerHasNotCrashed() {
         WorkerEntry worker = newIncarnation(true);
