A run whose end is listed is not started again

Cause: the agent asked whether a run was known or released, not whether its end was listed. Change: such an order is ignored; the end is reported until it is recorded. Test red before: TestInDoubtStarts.aRunWhoseEndIsListedIsNotStarted (1 of 6 failed, expected 0 start calls).

--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -143,14 +143,17 @@
     }
 
     /**
-     * Starts a run. A run that is already known is ignored, and so is one whose release has yet to
-     * be reported to the leader: it would run beside the run that replaces it.
+     * Starts a run. A run that is already known is ignored, and so is one whose end is listed, and
+     * one whose release has yet to be reported to the leader: it would run beside the run that
+     * replaces it.
      *
      * @param order the order
      * @param resent whether an earlier process of the agent may have received the order
      */
     void start(StartOrder order, boolean resent) {
-        if (runs.containsKey(order.run()) || released.contains(order.run())) {
+        if (runs.containsKey(order.run())
+                || reportedRuns.hasEnded(order.run())
+                || released.contains(order.run())) {
             return;
         }
         LocalRun run = new LocalRun(order.run(), order, LocalRun.Phase.STARTING);
--- a/src/test/java/org/standlink/runner/TestInDoubtStarts.java
+++ b/src/test/java/org/standlink/runner/TestInDoubtStarts.java
@@ -31,6 +31,7 @@
 import org.standlink.LeaseGeneration;
 import org.standlink.cell.CellTimes;
 import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
 import org.standlink.job.WorkerDescription;
@@ -212,6 +213,20 @@
         assertFalse(supervisor.createReport().running().isEmpty());
     }
 
+    /**
+     * Guards against a needless call that the next incarnation carries out after the end of the run
+     * has been recorded: a new leader orders the run again before it has received the end.
+     */
+    @Test
+    public void aRunWhoseEndIsListedIsNotStarted() {
+        worker.ended = List.of(new RunEnd(1, RUN, RunEndKind.DONE, ""));
+        supervisor = startSupervisor();
+        orderStart();
+        loop.advance(1000);
+        assertEquals(0, worker.startCalls);
+        assertEquals(worker.ended, supervisor.createReport().ended());
+    }
+
     @Test
     public void callsInProgressForOneRunAreTrackedSeparately() {
         InDoubtStarts starts = new InDoubtStarts();
