An end that a worker has discarded unrecorded is still reported

What callers saw: a completed task could be started again after a worker had restarted under its id. Cause: a renewal that was meant for the former incarnation is carried out late and acknowledges the numbers of that one's ends. The present incarnation discards its own ends up to that number, and the agent replaced its list by the shorter one, so that an end that it had seen, but that had not reached the leader, was gone. Change: an end that was listed is reported until the leader has recorded it. Tests red before: TestRunListTracker.endsThatTheWorkerForgotUnrecordedAreStillReported (only the end 3 of 3), and by forced order of events TestIncarnationsUnderOneId.anEndThatTheWorkerDiscardedUnrecordedIsStillReported (2 starts, 1 expected).

--- a/src/main/java/org/standlink/runner/RunListTracker.java
+++ b/src/main/java/org/standlink/runner/RunListTracker.java
@@ -16,6 +16,8 @@
 package org.standlink.runner;
 
 import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
 import org.standlink.Fence;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunProgress;
@@ -37,7 +39,7 @@
     /** The runs that the worker listed last as running. */
     private List<RunProgress> running = List.of();
 
-    /** The unrecorded ends that the worker listed last. */
+    /** The unrecorded ends that the worker has listed. */
     private List<RunEnd> ended = List.of();
 
     /** Whether the lists were sent by the worker and may still be valid. */
@@ -69,7 +71,7 @@
         running = result.running();
         firstListedEnd =
                 result.ended().stream().mapToLong(RunEnd::number).min().orElse(Long.MAX_VALUE);
-        ended = filterUnrecorded(result.ended());
+        ended = filterUnrecorded(mergeEnds(ended, result.ended()));
         complete = result.ended().size() < MAX_LISTED_ENDS;
         requestedUnder = sentFence;
         known = true;
@@ -105,6 +107,17 @@
         return advanced;
     }
 
+    /**
+     * Adds the ends that are listed now to those that were listed before. A renewal that was meant
+     * for a former incarnation of the worker may make it discard ends that are not recorded yet.
+     */
+    private static List<RunEnd> mergeEnds(List<RunEnd> before, List<RunEnd> listed) {
+        Map<Long, RunEnd> ends = new TreeMap<>();
+        before.forEach(end -> ends.put(end.number(), end));
+        listed.forEach(end -> ends.put(end.number(), end));
+        return List.copyOf(ends.values());
+    }
+
     private List<RunEnd> filterUnrecorded(List<RunEnd> listed) {
         return listed.stream().filter(end -> end.number() > recordedEnd).toList();
     }
@@ -140,7 +153,7 @@
     }
 
     /**
-     * Gets the unrecorded ends that the worker listed last.
+     * Gets the unrecorded ends that the worker has listed.
      *
      * @return the ends
      */
--- a/src/test/java/org/standlink/runner/TestRunListTracker.java
+++ b/src/test/java/org/standlink/runner/TestRunListTracker.java
@@ -27,7 +27,7 @@
 import org.standlink.job.TaskName;
 
 /**
- * Tests which ends are acknowledged to a worker.
+ * Tests which ends are acknowledged to a worker, and which are reported.
  *
  * <p>Guards against a task that runs again after it has ended (seen in a simulated day in which
  * workers keep their ids, seed 877). A renewal was not answered, the worker crashed, and its next
@@ -72,4 +72,16 @@
         lists.advanceRecordedEnd(3);
         assertEquals(3, lists.getEndToAcknowledge());
     }
+
+    /**
+     * Another agent process, or a renewal for a former incarnation, may have made it forget them.
+     */
+    @Test
+    public void endsThatTheWorkerForgotUnrecordedAreStillReported() {
+        reportEnds(1, 2);
+        reportEnds(3);
+        assertEquals(List.of(end(1), end(2), end(3)), lists.getEnded());
+        lists.advanceRecordedEnd(2);
+        assertEquals(List.of(end(3)), lists.getEnded());
+    }
 }
--- a/src/test/java/org/standlink/simulation/SimulatedWorker.java
+++ b/src/test/java/org/standlink/simulation/SimulatedWorker.java
@@ -126,6 +126,11 @@
         activeRuns.clear();
     }
 
+    /** Executes a late renewal that acknowledges ends of a former incarnation. */
+    void executeLateRenewal(long recordedEnd) {
+        renew(-1, fence, recordedEnd, 0);
+    }
+
     /** Ends all runs as failed. */
     void failRuns() {
         List.copyOf(activeRuns.keySet()).forEach(run -> endRun(run, RunEndKind.FAILED));
--- a/src/test/java/org/standlink/simulation/TestIncarnationsUnderOneId.java
+++ b/src/test/java/org/standlink/simulation/TestIncarnationsUnderOneId.java
@@ -48,6 +48,7 @@
     private static final long MAX_RESTART_MILLIS = 2000;
     private static final long STEP_MILLIS = 150;
     private static final long MAX_RECOVERY_MILLIS = 6000;
+    private static final long LOST_REPORTS_MILLIS = 1500;
     private static final int JOBS_BEFORE_CRASH = 5;
     private static final int JOBS_AFTER_CRASH = 4;
 
@@ -125,6 +126,29 @@
         assertEquals(List.of(), violations);
     }
 
+    /**
+     * Guards against a completed task that is started again: a renewal that was meant for the
+     * former incarnation came late and made the present one discard an end that had not reached the
+     * leader.
+     */
+    @Test
+    public void anEndThatTheWorkerDiscardedUnrecordedIsStillReported() {
+        SimulatedCell cell = startCell();
+        JobDefinition job = submit(cell, 1, 1, 300);
+        cell.getEnvironment().runUntil(1700);
+        for (SimulatedMachine machine : cell.getMachines()) {
+            machine.getUplink().loseMessages(LOST_REPORTS_MILLIS);
+        }
+        cell.getEnvironment().runUntil(2300);
+        for (SimulatedMachine machine : cell.getMachines()) {
+            machine.getWorkerClient().getWorker().executeLateRenewal(1);
+        }
+        cell.getEnvironment().runUntil(10_000);
+        assertTrue(cell.getInvariantChecker().hasSucceeded(SimulatedCallers.listTasks(job).get(0)));
+        assertEquals(1, cell.getInvariantChecker().countStarts());
+        assertEquals(List.of(), cell.getInvariantChecker().finish());
+    }
+
     @Test
     public void longRunningTasksRunAgainAfterAWorkerRestart() {
         for (long restartMillis = MIN_RESTART_MILLIS;
