A new leader knows which tasks wait for a start in doubt

What callers saw: two runs of a task at once, by forced order of events: a start is called for twice, the run fails while its worker leaves, another leader takes over and hears nothing of that worker's agent, the task is started elsewhere, and the worker's next incarnation carries out the first call. Cause: a task without a worker had no record of the doubt; only agents report it. Change: the record of a task says whether an earlier start was in doubt when its last run ended or was assigned (one component appended, which earlier leaders ignore). Ruled out: to let all tasks that have run before wait after a change of leader. Test red before: TestLateStartsOfEarlierRuns.aStartThatWasRepeatedIsNotExecutedUnderALeaderThatKnowsNoCalls (TWICE).

--- a/src/main/java/org/standlink/cell/InDoubtRuns.java
+++ b/src/main/java/org/standlink/cell/InDoubtRuns.java
@@ -95,6 +95,17 @@
         }
     }
 
+    /**
+     * Restores a run that was in doubt under an earlier leader, and was so until now at most.
+     *
+     * @param run the run
+     * @param now the time on the leader's clock, in milliseconds
+     */
+    void restore(RunId run, long now) {
+        unreported.put(run, now);
+        indexTasks();
+    }
+
     /**
      * Removes the runs that cannot be started any more.
      *
--- a/src/main/java/org/standlink/cell/JobCellLeader.java
+++ b/src/main/java/org/standlink/cell/JobCellLeader.java
@@ -259,6 +259,9 @@
                 recordIfFinal(job);
             }
             workers.addTasks(job, now + times.waitAfterFenceMillis());
+            job.allTasks()
+                    .filter(task -> task.getEarlierStarts().isInDoubt() && !task.isDone())
+                    .forEach(task -> workers.getInDoubtRuns().restore(task.getRun(), now));
         }
         loaded = true;
         LOG.info("leading")
--- a/src/main/java/org/standlink/cell/JobRecordFormat.java
+++ b/src/main/java/org/standlink/cell/JobRecordFormat.java
@@ -96,7 +96,7 @@
 
         @Override
         public void write(PackOutput output, SubmittedTaskRecord value) {
-            output.array(9)
+            output.array(10)
                     .number(value.lastRun())
                     .number(value.failures())
                     .number(value.lastFailedRun())
@@ -105,7 +105,8 @@
                     .text(value.checkpoint())
                     .number(value.crashes())
                     .number(value.lateCrashes())
-                    .number(value.suspicion());
+                    .number(value.suspicion())
+                    .flag(value.startInDoubt());
         }
 
         @Override
@@ -124,7 +125,8 @@
                             parts.text(),
                             parts.integer(),
                             parts.integer(),
-                            parts.integer());
+                            parts.integer(),
+                            parts.flag());
             parts.end();
             return value;
         }
--- a/src/main/java/org/standlink/cell/RunReleaser.java
+++ b/src/main/java/org/standlink/cell/RunReleaser.java
@@ -86,7 +86,8 @@
     void releaseTo(
             TaskEntry task, WorkerIncarnation former, WorkerIncarnation barring, String reason) {
         logRelease(task, former, reason);
-        task.releaseTo(barring);
+        task.release();
+        task.getEarlierStarts().setBarringWorker(barring);
         workers.removeTask(task, former);
         markTaskChanged(task);
     }
@@ -111,6 +112,7 @@
             // A crash that is reported late may concern a job that has been removed.
             return;
         }
+        task.getEarlierStarts().setInDoubt(workers.getInDoubtRuns().containsTask(task.getName()));
         job.updateState(maxAttempts.applyAsInt(job));
         jobs.markChanged(job);
         changedJobs.add(job);
--- a/src/main/java/org/standlink/cell/Scheduler.java
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -27,6 +27,7 @@
 import org.standlink.job.JobState;
 import org.standlink.job.QueueDefinition;
 import org.standlink.job.TaskName;
+import org.standlink.job.WorkerIncarnation;
 import org.standlink.ordering.JobOrder;
 import org.standlink.ordering.JobProfile;
 import org.standlink.ordering.OrderChange;
@@ -204,6 +205,7 @@
             }
             job.clearStarvation();
             task.assign(worker.getIncarnation());
+            task.getEarlierStarts().setInDoubt(inDoubt);
             workers.addTask(task, worker.getLeaseExpiryMillis());
             choice.reset();
             if (!workers.recordAssignment(worker, now)) {
@@ -225,8 +227,9 @@
      * might be at work at once.
      */
     private WorkerEntry chooseWhileInDoubt(TaskEntry task, List<WorkerEntry> eligibleWorkers) {
+        WorkerIncarnation barring = task.getEarlierStarts().getBarringWorker();
         return eligibleWorkers.stream()
-                .filter(worker -> worker.getIncarnation().equals(task.getBarringWorker()))
+                .filter(worker -> worker.getIncarnation().equals(barring))
                 .filter(worker -> choice.isSuitable(task, worker))
                 .findFirst()
                 .orElse(null);
--- a/src/main/java/org/standlink/cell/SubmittedTaskRecord.java
+++ b/src/main/java/org/standlink/cell/SubmittedTaskRecord.java
@@ -33,6 +33,8 @@
  * @param crashes how many workers crashed shortly after a run had started
  * @param lateCrashes how many workers crashed later during a run
  * @param suspicion how likely it is that the task crashes its workers, in thousandths
+ * @param startInDoubt whether a later incarnation of a former worker may still have started a run
+ *     when the last one ended
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 record SubmittedTaskRecord(
@@ -44,4 +46,5 @@
         String checkpoint,
         int crashes,
         int lateCrashes,
-        int suspicion) {}
+        int suspicion,
+        boolean startInDoubt) {}
--- a/src/main/java/org/standlink/cell/TaskEntry.java
+++ b/src/main/java/org/standlink/cell/TaskEntry.java
@@ -57,11 +57,7 @@
      */
     private WorkerIncarnation failedOn;
 
-    /**
-     * The only worker that may run the task while an earlier start call for it is in doubt, null if
-     * none; not persisted.
-     */
-    private WorkerIncarnation barringWorker;
+    private final EarlierStarts earlierStarts = new EarlierStarts();
 
     private final TaskProgress progress = new TaskProgress();
 
@@ -91,6 +87,7 @@
         done = record.done();
         worker = record.worker().isEmpty() ? null : WorkerIncarnation.parse(record.worker());
         checkpoint = record.checkpoint();
+        earlierStarts.setInDoubt(record.startInDoubt());
         trial.restore(record);
     }
 
@@ -111,7 +108,8 @@
                 checkpoint,
                 crashes.getStartupCrashes(),
                 crashes.getLateCrashes(),
-                crashes.getSuspicionPerMille());
+                crashes.getSuspicionPerMille(),
+                earlierStarts.isInDoubt());
     }
 
     // -----------------------------------------------------------------------
@@ -123,7 +121,7 @@
     void assign(WorkerIncarnation incarnation) {
         lastRun++;
         worker = incarnation;
-        barringWorker = null;
+        earlierStarts.setBarringWorker(null);
         progress.begin();
         trial.begin();
         stopping = false;
@@ -145,17 +143,6 @@
         worker = null;
     }
 
-    /**
-     * Records that the last run was never started, or ended with its worker, and that a later
-     * incarnation of that worker certainly refuses all calls to start it.
-     *
-     * @param barring the later incarnation
-     */
-    void releaseTo(WorkerIncarnation barring) {
-        worker = null;
-        barringWorker = barring;
-    }
-
     /**
      * Records the end of a run.
      *
@@ -184,7 +171,7 @@
         }
         if (current) {
             worker = null;
-            barringWorker = from;
+            earlierStarts.setBarringWorker(from);
             saveCheckpoint(end.checkpoint());
         }
         return counted || current;
@@ -369,13 +356,12 @@
     }
 
     /**
-     * Gets the only worker that may run the task while an earlier start call for it is in doubt: it
-     * refuses that call. If it is lost, the next run is lost as well.
+     * Gets what is known of start calls for earlier runs.
      *
-     * @return the worker, null if none refuses the call
+     * @return the earlier starts
      */
-    WorkerIncarnation getBarringWorker() {
-        return barringWorker;
+    EarlierStarts getEarlierStarts() {
+        return earlierStarts;
     }
 
     /**
--- a/src/test/java/org/standlink/cell/TestJobRecordFormat.java
+++ b/src/test/java/org/standlink/cell/TestJobRecordFormat.java
@@ -77,7 +77,8 @@
                 values.text(),
                 values.integer(),
                 values.integer(),
-                values.integer());
+                values.integer(),
+                values.flag());
     }
 
     @Property
--- a/src/test/java/org/standlink/cell/TestSubmittedTaskRecord.java
+++ b/src/test/java/org/standlink/cell/TestSubmittedTaskRecord.java
@@ -38,7 +38,7 @@
     public void recordOfAnEarlierVersionCountsNoCrash() {
         byte[] bytes = MessagePackCodec.encode(new EarlierRecord(3, 1, 2, false, "i-1", "c"));
         assertEquals(
-                new SubmittedTaskRecord(3, 1, 2, false, "i-1", "c", 0, 0, 0),
+                new SubmittedTaskRecord(3, 1, 2, false, "i-1", "c", 0, 0, 0, false),
                 MessagePackCodec.decode(bytes, SubmittedTaskRecord.class));
     }
 
@@ -46,7 +46,7 @@
     public void earlierVersionIgnoresAddedParts() {
         byte[] bytes =
                 MessagePackCodec.encode(
-                        new SubmittedTaskRecord(3, 1, 2, false, "i-1", "c", 2, 1, 500));
+                        new SubmittedTaskRecord(3, 1, 2, false, "i-1", "c", 2, 1, 500, true));
         assertEquals(
                 new EarlierRecord(3, 1, 2, false, "i-1", "c"),
                 MessagePackCodec.decode(bytes, EarlierRecord.class));
--- a/src/test/java/org/standlink/simulation/TestLateStartsOfEarlierRuns.java
+++ b/src/test/java/org/standlink/simulation/TestLateStartsOfEarlierRuns.java
@@ -32,6 +32,12 @@
     /** When the run that the second call started fails. */
     private static final long FAILURE_MILLIS = 1100;
 
+    /** When the worker says that it leaves, and a time after it has left. */
+    private static final long DRAINING_MILLIS = 1000;
+
+    private static final long LEFT_MILLIS = 2600;
+
+    private static final long LOST_REPORTS_MILLIS = 12_000;
     private static final long UNTIL_STOPPED = 0;
 
     // -----------------------------------------------------------------------
@@ -98,4 +104,33 @@
         }
         sweep.assertNoViolations();
     }
+
+    /**
+     * Another leader takes over while the task waits, and hears nothing of the agent that knows of
+     * the first call.
+     */
+    @Test
+    public void aStartThatWasRepeatedIsNotExecutedUnderALeaderThatKnowsNoCalls() {
+        LateStartSweep sweep = new LateStartSweep("leader replaced, agent not heard");
+        for (long takeOverMillis : List.of(1300L, 2000L)) {
+            for (LateStartScene.Timing timing : LateStartSweep.listTimings(LEFT_MILLIS)) {
+                sweep.play(
+                        ", leader replaced after " + takeOverMillis,
+                        new LateStartScene(UNTIL_STOPPED, 1),
+                        timing,
+                        scene -> {
+                            scene.runUntil(DRAINING_MILLIS);
+                            scene.getMachine().drainWorker();
+                            scene.runUntil(FAILURE_MILLIS);
+                            scene.getClient().getWorker().failRuns();
+                            scene.runUntil(takeOverMillis - 50);
+                            scene.getMachine().getUplink().loseMessages(LOST_REPORTS_MILLIS);
+                            scene.runUntil(takeOverMillis);
+                            scene.replaceLeader();
+                            scene.runUntil(LEFT_MILLIS);
+                        });
+            }
+        }
+        sweep.assertNoViolations();
+    }
 }
