--- a/src/main/java/org/standlink/cell/Scheduler.java
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -195,9 +195,10 @@
                 worker = choice.choose(job, task, service, eligibleWorkers, now);
             }
             if (worker == null) {
-                boolean isolated = inDoubt || task.getTrial().getCrashHistory().requiresIsolation();
-                withoutWorker = isolated ? withoutWorker : task.getName();
-                if (!isolated && task.getStep().bestEffort()) {
+                boolean hasOwnConditions =
+                        inDoubt || task.getTrial().getCrashHistory().requiresIsolation();
+                withoutWorker = hasOwnConditions ? withoutWorker : task.getName();
+                if (!hasOwnConditions && task.getStep().bestEffort()) {
                     orders.recordWaiting(service, JobProfiles.estimateWork(task.getStep()));
                 }
                 waiting.merge(job.getId().toString(), 1, Integer::sum);
