--- a/src/test/java/org/standlink/simulation/TestLateStartsOfEarlierRuns.java
+++ b/src/test/java/org/standlink/simulation/TestLateStartsOfEarlierRuns.java
@@ -106,12 +106,12 @@
     }
 
     /**
-     * Another leader takes over while the task waits, and hears nothing of the agent that knows of
+     * Another leader takes over while the task waits, and receives no report of the agent that made
      * the first call.
      */
     @Test
     public void aStartThatWasRepeatedIsNotExecutedUnderALeaderThatKnowsNoCalls() {
-        LateStartSweep sweep = new LateStartSweep("leader replaced, agent not heard");
+        LateStartSweep sweep = new LateStartSweep("leader replaced, no reports");
         for (long takeOverMillis : List.of(1300L, 2000L)) {
             for (LateStartScene.Timing timing : LateStartSweep.listTimings(LEFT_MILLIS)) {
                 sweep.play(
