No start leaves under the fence of an acknowledgement without an answer

A renewal that acknowledged ends was not answered, then a start under the same fence was not answered either. The worker was lost. Its next incarnation carried the start out, completed the run, and then carried out the renewal: it discarded the end of that run, which no agent had seen, as ends are numbered anew by each incarnation. Cause: both calls carried the same fence, so the start made the incarnation accept the acknowledgement. Change: starts wait while an acknowledgement is in progress, and its answer resumes them; the worker answers such a renewal at once instead of waiting for an end. If it is not answered, the generation is raised before the next start, for 12 s at most. The next incarnation then either carries the start out and refuses the acknowledgement, or has no run yet whose end it could discard. Lists that are requested beside the renewals acknowledge nothing. Only workers with start times are concerned; the others are called as before.

TestUnenforcedCapacity simulated a leader that never raises the generation, and a worker without fences, so that starts waited for up to 12 s there ("started only 5"). Its leader now raises it when an acknowledgement was lost, and its worker refuses earlier fences.

The order in which an acknowledgement follows a start without an answer is another fault, and still open.

--- a/src/main/java/org/standlink/runner/LeaseRenewer.java
+++ b/src/main/java/org/standlink/runner/LeaseRenewer.java
@@ -37,7 +37,7 @@
 
     private final WorkerLeaseClock leaseClock;
 
-    private final RunListTracker runLists;
+    private final EndAcknowledgements acknowledgements;
 
     /** Supplies the end of the lease, on the agent's clock, in milliseconds. */
     private final Supplier<Long> leaseEnd;
@@ -45,28 +45,35 @@
     LeaseRenewer(
             WorkerContext context,
             WorkerLeaseClock leaseClock,
-            RunListTracker runLists,
+            EndAcknowledgements acknowledgements,
             Supplier<Long> leaseEnd) {
         this.context = context;
         this.leaseClock = leaseClock;
-        this.runLists = runLists;
+        this.acknowledgements = acknowledgements;
         this.leaseEnd = leaseEnd;
     }
 
     /**
-     * Renews the lease, if the worker answered the last call, and requests the lists.
+     * Renews the lease, if the worker answered the last call, acknowledges ends and requests the
+     * lists.
      *
      * @param fence the fence of the orders in force
      * @param reachable whether the worker answered the last call
      * @param waitMillis how long the worker may wait for a run to end before it answers, in
-     *     milliseconds
+     *     milliseconds; if starts wait for the acknowledgement, it answers at once
      * @return the answer
      */
     CompletableFuture<RenewalResult> renew(Fence fence, boolean reachable, long waitMillis) {
         long end = leaseEnd.get();
         boolean extend = leaseClock.isKnown() && reachable && end > context.clock().nowMillis();
         long leaseUntil = extend ? leaseClock.grantUntil(end) : NO_EXTENSION;
-        return call(leaseUntil, fence, reachable, waitMillis);
+        long recordedEnd = reachable ? acknowledgements.getNextNumber() : 0;
+        if (recordedEnd == 0 || !acknowledgements.areSeparate()) {
+            return call(leaseUntil, fence, recordedEnd, waitMillis);
+        }
+        CompletableFuture<RenewalResult> answer = call(leaseUntil, fence, recordedEnd, 0);
+        acknowledgements.track(answer, fence);
+        return answer;
     }
 
     /**
@@ -77,12 +84,12 @@
      * @return the answer
      */
     CompletableFuture<RenewalResult> requestLists(Fence fence, boolean reachable) {
-        return call(NO_EXTENSION, fence, reachable, 0);
+        boolean acknowledge = reachable && !acknowledgements.areSeparate();
+        return call(NO_EXTENSION, fence, acknowledge ? acknowledgements.getNextNumber() : 0, 0);
     }
 
     private CompletableFuture<RenewalResult> call(
-            long leaseUntil, Fence fence, boolean reachable, long waitMillis) {
-        long recordedEnd = reachable ? runLists.getEndToAcknowledge() : 0;
+            long leaseUntil, Fence fence, long recordedEnd, long waitMillis) {
         return context.client()
                 .renew(context.worker().get(), leaseUntil, fence, recordedEnd, waitMillis);
     }
--- a/src/main/java/org/standlink/runner/RunTable.java
+++ b/src/main/java/org/standlink/runner/RunTable.java
@@ -171,7 +171,7 @@
             // It was started by an earlier process of this agent, which may have throttled it.
             run.setShare(LocalRun.UNKNOWN_SHARE);
         }
-        if (listed && mayKeepId()) {
+        if (listed && context.mayKeepId()) {
             run.setPhase(LocalRun.Phase.RUNNING);
             applyShare(run);
         } else if (inDoubt) {
@@ -216,9 +216,12 @@
             context.schedule(RETRY_DELAY_MILLIS, () -> callStart(run));
             return;
         }
+        if (conditions.acknowledgements().deferStart(() -> callStart(run))) {
+            return;
+        }
         run.setCallInProgress(true);
         long inDoubtUntil =
-                mayKeepId()
+                context.mayKeepId()
                         ? inDoubtStarts.beginCall(
                                 run.getRun(), context.fence().get(), context.clock().nowMillis())
                         : 0;
@@ -234,11 +237,6 @@
                 "start", answer, result -> handleStartAnswer(run, result, inDoubtUntil));
     }
 
-    /** Checks whether the next incarnation of the worker may have the same id. */
-    private boolean mayKeepId() {
-        return context.worker().get().incarnation().hasStartTime();
-    }
-
     private void handleStartAnswer(LocalRun run, CallResult result, long inDoubtUntil) {
         run.setCallInProgress(false);
         inDoubtStarts.endCall(run.getRun(), inDoubtUntil, result.kind());
@@ -274,7 +272,7 @@
      */
     private void handleMissingAnswer(LocalRun run) {
         run.setStartOutcomeUnknown();
-        Runnable retry = mayKeepId() ? () -> callStartAfterList(run) : () -> callStart(run);
+        Runnable retry = context.mayKeepId() ? () -> callStartAfterList(run) : () -> callStart(run);
         context.schedule(RETRY_DELAY_MILLIS, retry);
     }
 
--- a/src/main/java/org/standlink/runner/StartConditions.java
+++ b/src/main/java/org/standlink/runner/StartConditions.java
@@ -28,12 +28,14 @@
  * @param leaseClock the worker's clock as far as it is known
  * @param leaseEnd supplies the end of the lease, on the agent's clock, in milliseconds
  * @param clock the agent's clock
+ * @param acknowledgements the acknowledgements of ends, from which starts are separate
  */
 record StartConditions(
         BooleanSupplier reachable,
         WorkerLeaseClock leaseClock,
         LongSupplier leaseEnd,
-        MonotonicClock clock) {
+        MonotonicClock clock,
+        EndAcknowledgements acknowledgements) {
 
     /**
      * Finds what prevents runs from being started now.
@@ -47,6 +49,9 @@
         if (!reachable.getAsBoolean()) {
             return "an answer of the worker";
         }
+        if (acknowledgements.isHigherFenceRequired()) {
+            return "a higher fence";
+        }
         return leaseEnd.getAsLong() <= clock.nowMillis() ? "a lease" : "";
     }
 }
--- a/src/main/java/org/standlink/runner/WorkerContext.java
+++ b/src/main/java/org/standlink/runner/WorkerContext.java
@@ -47,6 +47,16 @@
 
     private static final EventLog LOG = EventLog.of(WorkerContext.class);
 
+    /**
+     * Checks whether the next incarnation of the worker may have the same id, so that it may carry
+     * out calls that were meant for this one.
+     *
+     * @return true if the worker reports start times
+     */
+    boolean mayKeepId() {
+        return worker.get().incarnation().hasStartTime();
+    }
+
     /**
      * Handles the answer to a call on the agent's event loop.
      *
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -88,8 +88,7 @@
     /** Whether the worker answered the last call. */
     private boolean reachable;
 
-    /** The fence that the worker refused, since it has seen a higher one; null if none. */
-    private Fence refusedFence;
+    private final FenceRequirement fenceRequirement;
 
     private boolean closed;
 
@@ -119,13 +118,14 @@
                         millis -> listener.clockFellBehind(worker.incarnation(), millis));
         WorkerContext context =
                 new WorkerContext(workerState::getDescription, client, clock, loop, fence);
-        this.renewer = new LeaseRenewer(context, leaseClock, runLists, this::getLeaseEnd);
-        this.runs =
-                new RunTable(
-                        context,
-                        new StartConditions(() -> reachable, leaseClock, this::getLeaseEnd, clock),
-                        onChange,
-                        this::requestListsNow);
+        EndAcknowledgements acknowledgements = new EndAcknowledgements(context, runLists, onChange);
+        this.renewer = new LeaseRenewer(context, leaseClock, acknowledgements, this::getLeaseEnd);
+        StartConditions conditions =
+                new StartConditions(
+                        () -> reachable, leaseClock, this::getLeaseEnd, clock, acknowledgements);
+        this.runs = new RunTable(context, conditions, onChange, this::requestListsNow);
+        this.fenceRequirement =
+                new FenceRequirement(context, runs.getInDoubtStarts(), acknowledgements);
     }
 
     /** Starts supervising the worker. */
@@ -216,16 +216,12 @@
     }
 
     /**
-     * Checks whether a higher fence than the one in force is required: the worker has seen a higher
-     * one, in a call of another agent or of an earlier process of this one, or a start call under
-     * it was repeated before its outcome was known.
+     * Checks whether a higher fence than the one in force is required.
      *
      * @return true if the leader has to raise the generation
      */
     boolean isHigherFenceRequired() {
-        Fence current = fence.get();
-        return current.equals(refusedFence)
-                || current.equals(runs.getInDoubtStarts().getRepeatedFence());
+        return fenceRequirement.isHigherFenceRequired();
     }
 
     /**
@@ -304,7 +300,7 @@
         if (closed) {
             return;
         }
-        if (fence.get().equals(refusedFence)) {
+        if (fenceRequirement.isRefused()) {
             // A replaced agent sends nothing until it knows the higher fence.
             renewalLoop.schedule(RETRY_DELAY_MILLIS);
             return;
@@ -347,12 +343,8 @@
             renew(0);
             return;
         }
-        if (fenced && !sentFence.equals(refusedFence)) {
-            refusedFence = sentFence;
-            LOG.info("fence-refused")
-                    .with("worker", workerState.getIncarnation())
-                    .with("fence", sentFence)
-                    .write();
+        if (fenced) {
+            fenceRequirement.recordRefusal(sentFence);
         }
         leaseClock.answerReceived(result.result().clockMillis(), clock.nowMillis());
         boolean answered = result.isDone();
--- a/src/test/java/org/standlink/runner/TestUnenforcedCapacity.java
+++ b/src/test/java/org/standlink/runner/TestUnenforcedCapacity.java
@@ -59,7 +59,7 @@
     private static final long DURATION_MILLIS = 25_000;
     private static final long LEADER_INTERVAL_MILLIS = 50;
     private static final long LEASE_MILLIS = 6000;
-    private static final Fence FENCE = Fence.of(Epoch.of(1), LeaseGeneration.of(1));
+    private static final Epoch EPOCH = Epoch.of(1);
     private static final WorkerIncarnation INCARNATION = WorkerIncarnation.parse("i-1@1000");
     private static final WorkerDescription WORKER =
             new WorkerDescription(
@@ -85,6 +85,9 @@
         private final List<String> violations = new ArrayList<>();
         private long lastHandledEnd;
         private int startCount;
+        private LeaseGeneration generation = LeaseGeneration.of(1);
+        private boolean synced = true;
+        private boolean acknowledgementLost;
 
         Scenario(long seed) {
             random = new Random(seed);
@@ -95,12 +98,16 @@
                             clock,
                             loop,
                             () -> clock.nowMillis() + LEASE_MILLIS,
-                            () -> FENCE,
+                            this::getFence,
                             () -> {},
                             RunnerFixtures.NO_OP_LISTENER,
                             new InterferenceTable());
         }
 
+        private Fence getFence() {
+            return Fence.of(EPOCH, generation);
+        }
+
         void run() {
             supervisor.start();
             loop.scheduleWithFixedDelay(
@@ -116,6 +123,13 @@
          * tasks.
          */
         private void runLeader() {
+            // Not for repeated starts: a higher fence would bar all of the late ones.
+            if (acknowledgementLost && supervisor.isHigherFenceRequired()) {
+                acknowledgementLost = false;
+                generation = generation.next();
+                synced = false;
+                supervisor.fenceRaised();
+            }
             WorkerReport report = supervisor.createReport();
             for (RunEnd end : report.ended()) {
                 if (end.number() > lastHandledEnd) {
@@ -130,7 +144,11 @@
             }
             supervisor.reportAcknowledged(report);
             List<StartOrder> starts = new ArrayList<>();
-            while (report.reachable() && assigned.size() < CAPACITY) {
+            if (!synced && report.listsComplete()) {
+                synced = true;
+                assigned.values().forEach(run -> starts.add(toOrder(run)));
+            }
+            while (synced && report.reachable() && assigned.size() < CAPACITY) {
                 starts.add(nextOrder());
             }
             List<RunId> stops = new ArrayList<>();
@@ -138,13 +156,7 @@
                 stops.add(assigned.values().iterator().next());
             }
             supervisor.applyOrders(
-                    new RunOrders(
-                            Epoch.of(1),
-                            FENCE.getGeneration(),
-                            INCARNATION,
-                            starts,
-                            stops,
-                            lastHandledEnd));
+                    new RunOrders(EPOCH, generation, INCARNATION, starts, stops, lastHandledEnd));
         }
 
         private void release(RunId run) {
@@ -158,6 +170,10 @@
             } while (assigned.containsKey(task));
             RunId run = new RunId(task, lastRun.merge(task, 1, Integer::sum));
             assigned.put(task, run);
+            return toOrder(run);
+        }
+
+        private static StartOrder toOrder(RunId run) {
             return new StartOrder(run, "text", "", false, 0, "");
         }
 
@@ -168,14 +184,31 @@
             private final Map<TaskName, Integer> barredUpTo = new HashMap<>();
             private final List<RunEnd> ended = new ArrayList<>();
             private long currentLeaseUntil;
+            private Fence highestFence = Fence.NONE;
 
             private CallResult result(CallResult.Kind kind) {
                 long clockMillis = kind == CallResult.Kind.UNKNOWN ? -1 : clock.nowMillis();
                 return new CallResult(kind, clockMillis, "scripted");
             }
 
-            /** Carries out a call soon, late or not at all, with or without an answer. */
-            private CompletableFuture<CallResult> deliver(Runnable effect) {
+            private boolean admit(Fence fence) {
+                if (fence.isAfter(highestFence)) {
+                    highestFence = fence;
+                }
+                return fence.equals(highestFence);
+            }
+
+            /**
+             * Carries out a call soon, late or not at all, with or without an answer. Nothing is
+             * done under an earlier fence than that of another call.
+             */
+            private CompletableFuture<CallResult> deliver(Fence fence, Runnable operation) {
+                Runnable effect =
+                        () -> {
+                            if (admit(fence)) {
+                                operation.run();
+                            }
+                        };
                 CompletableFuture<CallResult> answer = new CompletableFuture<>();
                 int outcome = random.nextInt(10);
                 CallResult.Kind kind = CallResult.Kind.DONE;
@@ -191,9 +224,13 @@
                     loop.schedule(effect, 5, TimeUnit.MILLISECONDS);
                 }
                 CallResult result = result(kind);
+                boolean done = kind == CallResult.Kind.DONE;
                 loop.schedule(
                         () -> {
-                            answer.complete(result);
+                            answer.complete(
+                                    done && !admit(fence)
+                                            ? result(CallResult.Kind.FENCED)
+                                            : result);
                         },
                         answerAfter,
                         TimeUnit.MILLISECONDS);
@@ -230,13 +267,14 @@
             @Override
             public CompletableFuture<CallResult> start(
                     WorkerDescription to, StartOrder order, long leaseUntil, Fence fence) {
-                return deliver(() -> startRun(order.run(), leaseUntil));
+                return deliver(fence, () -> startRun(order.run(), leaseUntil));
             }
 
             @Override
             public CompletableFuture<CallResult> stop(
                     WorkerDescription to, RunId run, Fence fence) {
                 return deliver(
+                        fence,
                         () -> {
                             barredUpTo.merge(run.task(), run.number(), Math::max);
                             loop.schedule(
@@ -253,11 +291,16 @@
                     Fence fence,
                     long recordedEnd,
                     long waitMillis) {
+                if (!admit(fence)) {
+                    return RunnerFixtures.completeLater(
+                            loop, 10, RenewalResult.notDone(result(CallResult.Kind.FENCED)));
+                }
                 if (clock.nowMillis() > currentLeaseUntil) {
                     List.copyOf(running.keySet()).forEach(run -> endRun(run, RunEndKind.LAPSED));
                 }
                 currentLeaseUntil = Math.max(currentLeaseUntil, leaseUntil);
                 boolean answers = random.nextInt(20) > 0;
+                acknowledgementLost |= !answers && recordedEnd > 0;
                 CompletableFuture<RenewalResult> answer = new CompletableFuture<>();
                 loop.schedule(
                         () -> {
--- a/src/test/java/org/standlink/simulation/UnreliableWorkerClient.java
+++ b/src/test/java/org/standlink/simulation/UnreliableWorkerClient.java
@@ -44,6 +44,8 @@
     private long executionDelayMillis = -1;
     private int startsToHold;
     private final Queue<Supplier<CallResult>> heldStarts = new ArrayDeque<>();
+    private boolean holdsNextAcknowledgement;
+    private Runnable heldAcknowledgement;
 
     UnreliableWorkerClient(SimulationEnvironment environment) {
         this.environment = environment;
@@ -83,6 +85,25 @@
         return heldStarts.remove().get();
     }
 
+    /** Leaves the next renewal that acknowledges ends unanswered and holds it. */
+    void holdNextAcknowledgement() {
+        holdsNextAcknowledgement = true;
+    }
+
+    /** Checks whether a renewal that acknowledges ends is held. */
+    boolean hasHeldAcknowledgement() {
+        return heldAcknowledgement != null;
+    }
+
+    /**
+     * Executes the held renewal on the incarnation that is running now, under the fence under which
+     * it was sent.
+     */
+    void executeHeldAcknowledgement() {
+        heldAcknowledgement.run();
+        heldAcknowledgement = null;
+    }
+
     /**
      * Leaves some calls unanswered for a time, which are executed at once, late or not at all;
      * other calls are refused by the worker as unhealthy and not executed.
@@ -129,6 +150,10 @@
     @Override
     public CompletableFuture<RenewalResult> renew(
             WorkerDescription to, long until, Fence fence, long recordedEnd, long waitMillis) {
+        if (holdsNextAcknowledgement && recordedEnd > 0) {
+            holdsNextAcknowledgement = false;
+            return holdAcknowledgement(until, fence, recordedEnd);
+        }
         return call(
                 "",
                 delayed ->
@@ -153,6 +178,20 @@
         return answer;
     }
 
+    private CompletableFuture<RenewalResult> holdAcknowledgement(
+            long until, Fence fence, long recordedEnd) {
+        String name = "acknowledgement of ends up to " + recordedEnd + " fence " + fence;
+        environment.trace("call held: " + name);
+        heldAcknowledgement =
+                () -> {
+                    environment.trace("held call executed: " + name);
+                    worker.renew(until, fence.toToken(), recordedEnd, 0);
+                };
+        CompletableFuture<RenewalResult> answer = new CompletableFuture<>();
+        environment.schedule(CALL_TIMEOUT_MILLIS, () -> answer.complete(notDone(unknownResult())));
+        return answer;
+    }
+
     private CompletableFuture<CallResult> callWithResult(
             WorkerDescription to, String name, Function<Boolean, CallResult> operation) {
         return call(
