Ends are not acknowledged while a start call to their worker is in doubt

A start was not answered, then a renewal acknowledged ends of other tasks of that worker. The worker was lost, and its next incarnation, or the one after that, carried out the start and then the renewal, which made it discard the end of that run unseen. Cause: the leader withholds only the ends of the task that is in doubt, but an acknowledgement names a number, and discards the ends of any run up to it on an incarnation that numbers its ends anew. A fence does not help, as the start was sent first. Change: the agent does not acknowledge ends while one of its start calls to the worker, or to an earlier incarnation under its id, is in doubt. Only workers with start times are concerned.

--- a/src/main/java/org/standlink/runner/EndAcknowledgements.java
+++ b/src/main/java/org/standlink/runner/EndAcknowledgements.java
@@ -22,6 +22,7 @@
 import org.standlink.cell.CellTimes;
 import org.standlink.process.EventLog;
 import org.standlink.process.Guarded;
+import org.standlink.wire.RunOrders;
 
 /**
  * The acknowledgements of recorded ends that are sent to an incarnation of a worker.
@@ -30,7 +31,8 @@
  * the same id. If that one has started a run late before, the acknowledgement makes it discard the
  * end of that run, as ends are numbered anew by each incarnation. It refuses the acknowledgement if
  * the start had a higher fence. No start is therefore sent while an acknowledgement is in progress,
- * nor later under the fence of one without an answer.
+ * nor later under the fence of one without an answer. If the start was sent first, no fence helps;
+ * ends are not acknowledged while any start call to the worker is in doubt.
  *
  * <p>Workers without start times get another id with each incarnation, so nothing waits there.
  *
@@ -38,12 +40,21 @@
  */
 final class EndAcknowledgements {
 
-    private static final EventLog LOG = EventLog.of(EndAcknowledgements.class);
+    /**
+     * The number of listed, recorded ends from which on they are acknowledged in any case: half of
+     * those that a worker lists at once. With a full list, nothing could be started there.
+     */
+    static final int MAX_WITHHELD = RunListTracker.MAX_LISTED_ENDS / 2;
+
+    private static final EventLog LOG = EventLog.of(WorkerSupervisor.class);
 
     private final WorkerContext context;
 
     private final RunListTracker runLists;
 
+    /** The start calls to this incarnation and to ended ones. */
+    private final List<InDoubtStarts> inDoubtStarts = new ArrayList<>();
+
     /** Called when a higher fence is required. */
     private final Runnable onChange;
 
@@ -64,6 +75,15 @@
         this.onChange = onChange;
     }
 
+    /**
+     * Adds start calls that a later incarnation may carry out before an acknowledgement.
+     *
+     * @param starts the calls, which may be modified
+     */
+    void addInDoubtStarts(InDoubtStarts starts) {
+        inDoubtStarts.add(starts);
+    }
+
     /**
      * Checks whether acknowledgements may be carried out by the next incarnation of the worker, so
      * that they are sent separately from starts.
@@ -74,13 +94,48 @@
         return context.mayKeepId();
     }
 
+    /**
+     * Records up to which end the leader has recorded the ends.
+     *
+     * @param orders orders of the leader
+     */
+    void recordEnds(RunOrders orders) {
+        long before = runLists.getRecordedEnd();
+        if (runLists.advanceRecordedEnd(orders.recordedEnd())) {
+            LOG.info("ends-recorded")
+                    .with("worker", context.worker().get().incarnation())
+                    .with("before", before)
+                    .with("number", orders.recordedEnd())
+                    .with("epoch", orders.epoch())
+                    .write();
+        }
+    }
+
     /**
      * Gets the number up to which the next renewal acknowledges ends.
      *
      * @return the number, 0 for none
      */
     long getNextNumber() {
-        return runLists.getEndToAcknowledge();
+        return isWithheld() ? 0 : runLists.getEndToAcknowledge();
+    }
+
+    /**
+     * Checks whether recorded ends are not acknowledged yet, so that the worker lists them in each
+     * answer.
+     *
+     * @return true if a start call is in doubt
+     */
+    boolean isWithheld() {
+        int count = runLists.countEndsToAcknowledge();
+        return count > 0
+                && count < MAX_WITHHELD
+                && areSeparate()
+                && inDoubtStarts.stream().anyMatch(this::containsAny);
+    }
+
+    private boolean containsAny(InDoubtStarts starts) {
+        return !starts.list(context.clock().nowMillis()).isEmpty();
     }
 
     /**
--- a/src/main/java/org/standlink/runner/RunListTracker.java
+++ b/src/main/java/org/standlink/runner/RunListTracker.java
@@ -180,4 +180,13 @@
     long getEndToAcknowledge() {
         return firstListedEnd <= recordedEnd ? recordedEnd : 0;
     }
+
+    /**
+     * Counts the ends that the worker lists although they are recorded.
+     *
+     * @return the number of ends
+     */
+    int countEndsToAcknowledge() {
+        return (int) Math.max(0, recordedEnd - firstListedEnd + 1);
+    }
 }
--- a/src/main/java/org/standlink/runner/WorkerIncarnations.java
+++ b/src/main/java/org/standlink/runner/WorkerIncarnations.java
@@ -155,7 +155,7 @@
                         interference);
         supervisors.put(worker.incarnation(), supervisor);
         supervisor.heartbeatReceived(worker, sequence);
-        supervisor.start();
+        supervisor.start(inDoubtStarts);
     }
 
     /**
--- a/src/main/java/org/standlink/runner/WorkerSupervisor.java
+++ b/src/main/java/org/standlink/runner/WorkerSupervisor.java
@@ -90,6 +90,8 @@
 
     private final FenceRequirement fenceRequirement;
 
+    private final EndAcknowledgements acknowledgements;
+
     private boolean closed;
 
     WorkerSupervisor(
@@ -118,17 +120,28 @@
                         millis -> listener.clockFellBehind(worker.incarnation(), millis));
         WorkerContext context =
                 new WorkerContext(workerState::getDescription, client, clock, loop, fence);
-        EndAcknowledgements acknowledgements = new EndAcknowledgements(context, runLists, onChange);
+        this.acknowledgements = new EndAcknowledgements(context, runLists, onChange);
         this.renewer = new LeaseRenewer(context, leaseClock, acknowledgements, this::getLeaseEnd);
         StartConditions conditions =
                 new StartConditions(
                         () -> reachable, leaseClock, this::getLeaseEnd, clock, acknowledgements);
         this.runs = new RunTable(context, conditions, onChange, this::requestListsNow);
+        acknowledgements.addInDoubtStarts(runs.getInDoubtStarts());
         this.fenceRequirement =
                 new FenceRequirement(context, runs.getInDoubtStarts(), acknowledgements);
     }
 
-    /** Starts supervising the worker. */
+    /**
+     * Starts supervising the worker.
+     *
+     * @param startsOfEnded the start calls to ended incarnations, which may be modified
+     */
+    void start(InDoubtStarts startsOfEnded) {
+        acknowledgements.addInDoubtStarts(startsOfEnded);
+        start();
+    }
+
+    /** Starts supervising the worker, which had no earlier incarnation. */
     void start() {
         renew(0);
     }
@@ -167,15 +180,7 @@
             startsReceived |= !orders.starts().isEmpty();
             orders.starts().forEach(order -> runs.start(order, resent));
         }
-        long before = runLists.getRecordedEnd();
-        if (runLists.advanceRecordedEnd(orders.recordedEnd())) {
-            LOG.info("ends-recorded")
-                    .with("worker", workerState.getIncarnation())
-                    .with("before", before)
-                    .with("number", orders.recordedEnd())
-                    .with("epoch", orders.epoch())
-                    .write();
-        }
+        acknowledgements.recordEnds(orders);
     }
 
     /**
@@ -365,7 +370,7 @@
         lapse.reset();
         tracker.answerReceived(sentAt);
         applyLists(result, sentFence, sentAt);
-        if (runLists.getEnded().isEmpty()) {
+        if (runLists.getEnded().isEmpty() && !acknowledgements.isWithheld()) {
             renew(RENEWAL_WAIT_MILLIS);
         } else {
             renewalLoop.schedule(RECORDING_DELAY_MILLIS);
--- a/src/test/java/org/standlink/simulation/TestLateAcknowledgements.java
+++ b/src/test/java/org/standlink/simulation/TestLateAcknowledgements.java
@@ -34,6 +34,12 @@
  */
 public class TestLateAcknowledgements {
 
+    /** The time in which a replaced process resumes its work. */
+    private static final long TAKEOVER_MILLIS = 600;
+
+    /** The time in which an acknowledgement may follow the ends of a job. */
+    private static final long ACKNOWLEDGEMENT_MILLIS = 450;
+
     private final List<String> violations = new ArrayList<>();
 
     private void play(String variant, Consumer<LateAcknowledgementScene> events) {
@@ -93,4 +99,37 @@
                 });
         assertNoViolations();
     }
+
+    /** Ends are recorded while the start is in progress, without an answer, or repeated. */
+    @Test
+    public void anAcknowledgementAfterAStartWithoutAnAnswer() {
+        for (long workMillis : List.of(50L, 200L, 400L, 700L, 850L)) {
+            play(
+                    "tasks of " + workMillis,
+                    scene -> {
+                        scene.submit(workMillis);
+                        scene.advance(10);
+                        scene.holdStart();
+                        scene.getClient().holdNextAcknowledgement();
+                        scene.advance(workMillis);
+                        scene.advance(ACKNOWLEDGEMENT_MILLIS);
+                    });
+        }
+        assertNoViolations();
+    }
+
+    /** The next incarnation acknowledges ends of its own, and the third one executes both calls. */
+    @Test
+    public void anAcknowledgementOfTheNextIncarnationAfterAStartWithoutAnAnswer() {
+        play(
+                "third incarnation",
+                scene -> {
+                    scene.holdStart();
+                    scene.getMachine().crashWorker();
+                    scene.getMachine().startWorker();
+                    scene.getClient().holdNextAcknowledgement();
+                    scene.advance(TAKEOVER_MILLIS);
+                });
+        assertNoViolations();
+    }
 }
