Ends are not acknowledged while a start call of an earlier agent process is in doubt

An agent was restarted after a start call without an answer; its next process acknowledged ends of other tasks of the worker. The worker was lost while the run that had been ordered again was at work; its next incarnation carried out the first start and then the acknowledgement, and discarded that end unseen. Cause: an agent process knows its own calls only. The leader knows those that the earlier process has reported, and the runs that it had ordered there and that were never listed, but used them for the ends of these tasks alone. Nobody waits: the ends are recorded. Only workers with start times are concerned. A leader that takes over together with a new agent process still knows no such call, unless a task was recorded as in doubt.

--- a/src/main/java/org/standlink/cell/AgentReportHandler.java
+++ b/src/main/java/org/standlink/cell/AgentReportHandler.java
@@ -266,7 +266,7 @@
                 .forEach(progress -> saveProgress(progress, workerReport.reachable()));
         worker.getMetrics().updateThrottled(workerReport.throttled(), clock.nowMillis());
         interferenceLearner.learn(worker, workerReport.running());
-        endHandler.handle(worker, workerReport.ended());
+        endHandler.handle(worker, workerReport.ended(), report);
         for (StartRefusal refusal : workerReport.refused()) {
             handleRefusal(worker, refusal);
         }
--- a/src/main/java/org/standlink/cell/InDoubtRuns.java
+++ b/src/main/java/org/standlink/cell/InDoubtRuns.java
@@ -26,6 +26,7 @@
 import org.standlink.Incarnation;
 import org.standlink.job.RunId;
 import org.standlink.job.TaskName;
+import org.standlink.job.WorkerId;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.WorkerReport;
 
@@ -48,13 +49,21 @@
     private final Map<Incarnation, ReportedRuns> reports = new HashMap<>();
 
     /** When an agent process was replaced that may not have reported its calls for a run. */
-    private final Map<RunId, Long> unreported = new HashMap<>();
+    private final Map<RunId, UnreportedCalls> unreported = new HashMap<>();
 
     /** The tasks of all these runs. */
     private Set<TaskName> tasks = Set.of();
 
-    /** The runs that an agent process reported, and when, on the leader's clock. */
-    private record ReportedRuns(Set<RunId> runs, long at) {}
+    /** The runs that an agent process reported, its machine, and when, on the leader's clock. */
+    private record ReportedRuns(Set<RunId> runs, String node, long at) {}
+
+    /** The worker that was possibly called, null if not known, and since when it may have been. */
+    private record UnreportedCalls(WorkerId worker, long at) {
+
+        boolean isInDoubt() {
+            return at != EXPIRED;
+        }
+    }
 
     /**
      * Records the runs in a report.
@@ -69,7 +78,7 @@
         }
         boolean changed = reports.remove(report.incarnation()) != null || !reported.isEmpty();
         if (!reported.isEmpty()) {
-            reports.put(report.incarnation(), new ReportedRuns(reported, now));
+            reports.put(report.incarnation(), new ReportedRuns(reported, report.node(), now));
         }
         if (changed) {
             indexTasks();
@@ -90,7 +99,12 @@
         if (replaced && worker.getIncarnation().hasStartTime()) {
             worker.listTasks().stream()
                     .filter(task -> !task.isListed())
-                    .forEach(task -> unreported.putIfAbsent(task.getRun(), now));
+                    .forEach(
+                            task ->
+                                    unreported.putIfAbsent(
+                                            task.getRun(),
+                                            new UnreportedCalls(
+                                                    worker.getIncarnation().getId(), now)));
             indexTasks();
         }
     }
@@ -102,7 +116,7 @@
      * @param now the time on the leader's clock, in milliseconds
      */
     void restore(RunId run, long now) {
-        unreported.put(run, now);
+        unreported.put(run, new UnreportedCalls(null, now));
         indexTasks();
     }
 
@@ -115,11 +129,12 @@
      */
     void removeExpired(long now, Predicate<RunId> assigned) {
         boolean changed = reports.values().removeIf(report -> isExpired(report.at(), now));
-        for (Map.Entry<RunId, Long> entry : List.copyOf(unreported.entrySet())) {
-            boolean expired = entry.getValue() == EXPIRED || isExpired(entry.getValue(), now);
-            changed |= expired && entry.getValue() != EXPIRED;
+        for (Map.Entry<RunId, UnreportedCalls> entry : List.copyOf(unreported.entrySet())) {
+            UnreportedCalls calls = entry.getValue();
+            boolean expired = !calls.isInDoubt() || isExpired(calls.at(), now);
+            changed |= expired && calls.isInDoubt();
             if (expired && assigned.test(entry.getKey())) {
-                unreported.put(entry.getKey(), EXPIRED);
+                unreported.put(entry.getKey(), new UnreportedCalls(calls.worker(), EXPIRED));
             } else if (expired) {
                 unreported.remove(entry.getKey());
             }
@@ -142,8 +157,8 @@
         List<RunId> runs = new ArrayList<>();
         reports.values().forEach(report -> runs.addAll(report.runs()));
         unreported.forEach(
-                (run, at) -> {
-                    if (at != EXPIRED) {
+                (run, calls) -> {
+                    if (calls.isInDoubt()) {
                         runs.add(run);
                     }
                 });
@@ -158,7 +173,8 @@
      * @return true if the outcome of a start call is unknown
      */
     boolean contains(RunId run) {
-        return unreported.getOrDefault(run, EXPIRED) != EXPIRED
+        UnreportedCalls calls = unreported.get(run);
+        return calls != null && calls.isInDoubt()
                 || reports.values().stream().anyMatch(report -> report.runs().contains(run));
     }
 
@@ -171,4 +187,20 @@
     boolean containsTask(TaskName task) {
         return tasks.contains(task);
     }
+
+    /**
+     * Checks whether a later incarnation of a worker may still carry out a start call that an
+     * earlier process of the reporting agent has made. The present process does not know it.
+     *
+     * @param worker the worker
+     * @param report the report of the present process
+     * @return true if the outcome of such a call is unknown
+     */
+    boolean containsCallsOfEarlierProcess(WorkerId worker, AgentReport report) {
+        return unreported.values().stream()
+                        .anyMatch(calls -> calls.isInDoubt() && worker.equals(calls.worker()))
+                || reports.entrySet().stream()
+                        .filter(entry -> !entry.getKey().equals(report.incarnation()))
+                        .anyMatch(entry -> entry.getValue().node().equals(report.node()));
+    }
 }
--- a/src/main/java/org/standlink/cell/RunEndHandler.java
+++ b/src/main/java/org/standlink/cell/RunEndHandler.java
@@ -18,9 +18,11 @@
 import java.util.List;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
+import org.standlink.job.WorkerId;
 import org.standlink.job.WorkerIncarnation;
 import org.standlink.lease.MonotonicClock;
 import org.standlink.process.EventLog;
+import org.standlink.wire.AgentReport;
 
 /**
  * Handles the ends of runs that workers list.
@@ -59,14 +61,22 @@
 
     /**
      * Handles the ends that a worker lists, and acknowledges them once their records are durable.
-     * Those that are withheld are listed again.
+     * Those that are withheld are listed again. All are while a later incarnation of the worker may
+     * carry out a start call that the reporting agent process does not know: it would discard the
+     * end of that run because of the acknowledgement, if that is carried out late as well.
      *
      * @param worker the worker
      * @param ends the ends that have not been acknowledged
+     * @param report the report that names the ends
      */
-    void handle(WorkerEntry worker, List<RunEnd> ends) {
+    void handle(WorkerEntry worker, List<RunEnd> ends, AgentReport report) {
         long lastHandled = worker.getEnds().getLastHandled();
         worker.getEnds().releaseResolved(inDoubtRuns::containsTask);
+        WorkerId id = worker.getIncarnation().getId();
+        worker.getEnds()
+                .setSuspended(
+                        worker.getIncarnation().hasStartTime()
+                                && inDoubtRuns.containsCallsOfEarlierProcess(id, report));
         for (RunEnd end : ends) {
             if (end.number() > worker.getEnds().getLastHandled()) {
                 worker.getEnds().markHandled(end.number());
--- a/src/main/java/org/standlink/cell/RunEndTracker.java
+++ b/src/main/java/org/standlink/cell/RunEndTracker.java
@@ -47,6 +47,12 @@
     /** The tasks whose ends are not to be acknowledged yet, by the number of the end. */
     private final TreeMap<Long, TaskName> withheld = new TreeMap<>();
 
+    /** Whether no end may be acknowledged, of whichever task. */
+    private boolean suspended;
+
+    /** The number of the last end that could be acknowledged before the suspension. */
+    private long lastBeforeSuspension;
+
     /**
      * Gets the number of the last handled end.
      *
@@ -93,6 +99,19 @@
         withheld.values().removeIf(task -> !inDoubt.test(task));
     }
 
+    /**
+     * Suspends or resumes all acknowledgements. While they are suspended, an agent process that has
+     * received none is not told of earlier ends either.
+     *
+     * @param suspend true to suspend them
+     */
+    void setSuspended(boolean suspend) {
+        if (suspend && !suspended) {
+            lastBeforeSuspension = getLastAcknowledgeable();
+        }
+        suspended = suspend;
+    }
+
     /**
      * Gets the number of the last end that may be acknowledged to the worker: its record and those
      * of all earlier ones are durable, and none of them is withheld.
@@ -100,6 +119,9 @@
      * @return the number, 0 if none
      */
     long getLastAcknowledgeable() {
+        if (suspended && lastRecorded - lastBeforeSuspension <= MAX_WITHHELD) {
+            return 0;
+        }
         long before = withheld.isEmpty() ? lastRecorded : withheld.firstKey() - 1;
         boolean tooMany = lastRecorded - before > MAX_WITHHELD;
         return tooMany ? lastRecorded : Math.min(before, lastRecorded);
--- a/src/test/java/org/standlink/cell/TestRunsInDoubt.java
+++ b/src/test/java/org/standlink/cell/TestRunsInDoubt.java
@@ -204,6 +204,33 @@
         assertEquals(1, acknowledged());
     }
 
+    /**
+     * Guards against runs of completed tasks: the present agent process does not know the start
+     * call of the earlier one, so it would acknowledge ends of other tasks.
+     */
+    @Test
+    public void noEndIsAcknowledgedWhileACallOfAnEarlierAgentProcessIsInDoubt() {
+        report(1, false, List.of(), List.of(tasks.get(0).getRun()));
+        clock.advance(WorkerRegistry.REPORT_TIMEOUT_MILLIS);
+        report(2, false, List.of(), List.of(), done(2));
+        assertEquals(0, acknowledged());
+        clock.advance(CellTimes.START_IN_DOUBT_MILLIS);
+        report(2, false, List.of(), List.of(), done(2));
+        assertEquals(2, acknowledged());
+    }
+
+    @Test
+    public void onlySomeEndsAreSuspended() {
+        RunEndTracker ends = new RunEndTracker();
+        ends.markRecorded(1);
+        ends.setSuspended(true);
+        assertEquals(0, ends.getLastAcknowledgeable());
+        ends.markRecorded(RunEndTracker.MAX_WITHHELD + 1);
+        assertEquals(0, ends.getLastAcknowledgeable());
+        ends.markRecorded(RunEndTracker.MAX_WITHHELD + 2);
+        assertEquals(RunEndTracker.MAX_WITHHELD + 2, ends.getLastAcknowledgeable());
+    }
+
     @Test
     public void anEndThatIsWithheldWithholdsLaterOnesOnly() {
         RunId later = tasks.get(1).getRun();
--- a/src/test/java/org/standlink/simulation/TestLateAcknowledgements.java
+++ b/src/test/java/org/standlink/simulation/TestLateAcknowledgements.java
@@ -118,6 +118,22 @@
         assertNoViolations();
     }
 
+    /** Another agent process acknowledges ends, which has not made the start call. */
+    @Test
+    public void anAcknowledgementOfAnotherAgentProcessAfterAStartWithoutAnAnswer() {
+        play(
+                "agent replaced",
+                scene -> {
+                    scene.submit(900);
+                    scene.advance(600);
+                    scene.holdStart();
+                    scene.replaceAgent();
+                    scene.getClient().holdNextAcknowledgement();
+                    scene.advance(ACKNOWLEDGEMENT_MILLIS);
+                });
+        assertNoViolations();
+    }
+
     /** The next incarnation acknowledges ends of its own, and the third one executes both calls. */
     @Test
     public void anAcknowledgementOfTheNextIncarnationAfterAStartWithoutAnAnswer() {
