--- a/src/main/java/org/standlink/runner/EndAcknowledgements.java
+++ b/src/main/java/org/standlink/runner/EndAcknowledgements.java
@@ -90,7 +90,7 @@
      *
      * @return true if the incarnations of the worker may have the same id
      */
-    boolean areSeparate() {
+    boolean areSeparatedFromStarts() {
         return context.mayKeepId();
     }
 
@@ -130,7 +130,7 @@
         int count = runLists.countEndsToAcknowledge();
         return count > 0
                 && count < MAX_WITHHELD
-                && areSeparate()
+                && areSeparatedFromStarts()
                 && inDoubtStarts.stream().anyMatch(this::containsAny);
     }
 
--- a/src/main/java/org/standlink/runner/LeaseRenewer.java
+++ b/src/main/java/org/standlink/runner/LeaseRenewer.java
@@ -68,7 +68,7 @@
         boolean extend = leaseClock.isKnown() && reachable && end > context.clock().nowMillis();
         long leaseUntil = extend ? leaseClock.grantUntil(end) : NO_EXTENSION;
         long recordedEnd = reachable ? acknowledgements.getNextNumber() : 0;
-        if (recordedEnd == 0 || !acknowledgements.areSeparate()) {
+        if (recordedEnd == 0 || !acknowledgements.areSeparatedFromStarts()) {
             return call(leaseUntil, fence, recordedEnd, waitMillis);
         }
         CompletableFuture<RenewalResult> answer = call(leaseUntil, fence, recordedEnd, 0);
@@ -84,7 +84,7 @@
      * @return the answer
      */
     CompletableFuture<RenewalResult> requestLists(Fence fence, boolean reachable) {
-        boolean acknowledge = reachable && !acknowledgements.areSeparate();
+        boolean acknowledge = reachable && !acknowledgements.areSeparatedFromStarts();
         return call(NO_EXTENSION, fence, acknowledge ? acknowledgements.getNextNumber() : 0, 0);
     }
 
