Forced order for a stopped run whose late start would follow the end of the next run

The order is forced now: the first start call is held, the second one refused, the run stopped before it has started, and the worker lost; its next incarnation carries the first call out.

--- a/src/test/java/org/standlink/simulation/TestLateStartsOfEarlierRuns.java
+++ b/src/test/java/org/standlink/simulation/TestLateStartsOfEarlierRuns.java
@@ -37,6 +37,11 @@
 
     private static final long LEFT_MILLIS = 2600;
 
+    /** When the run that replaces a stopped one would have completed, if it were not delayed. */
+    private static final long COMPLETED_MILLIS = 2500;
+
+    private static final long SHORT_WORK_MILLIS = 500;
+
     private static final long LOST_REPORTS_MILLIS = 12_000;
     private static final long UNTIL_STOPPED = 0;
 
@@ -62,6 +67,29 @@
         sweep.assertNoViolations();
     }
 
+    /**
+     * The second call is refused, and the run is stopped before it has started. Its task must not
+     * complete before the first call has certainly been executed or refused.
+     */
+    @Test
+    public void aStartOfAStoppedRunIsNotExecutedAfterTheNextRunCompleted() {
+        LateStartSweep sweep = new LateStartSweep("second call refused, run stopped");
+        for (long afterMillis : List.of(0L, 1500L)) {
+            for (LateStartScene.Timing timing :
+                    LateStartSweep.listTimings(COMPLETED_MILLIS + afterMillis)) {
+                sweep.play(
+                        ", crash after " + (COMPLETED_MILLIS + afterMillis),
+                        new LateStartScene(SHORT_WORK_MILLIS, 1),
+                        timing,
+                        scene -> {
+                            scene.getClient().refuseNextStarts(1);
+                            scene.crashWorkerAt(COMPLETED_MILLIS + afterMillis);
+                        });
+            }
+        }
+        sweep.assertNoViolations();
+    }
+
     /** The next incarnation refuses the start and is lost as well; the third one executes it. */
     @Test
     public void aStartThatWasRepeatedIsNotExecutedByTheThirdIncarnation() {
--- a/src/test/java/org/standlink/simulation/UnreliableWorkerClient.java
+++ b/src/test/java/org/standlink/simulation/UnreliableWorkerClient.java
@@ -43,6 +43,7 @@
     private int unreliablePercent;
     private long executionDelayMillis = -1;
     private int startsToHold;
+    private int startsToRefuse;
     private final Queue<Supplier<CallResult>> heldStarts = new ArrayDeque<>();
     private boolean holdsNextAcknowledgement;
     private Runnable heldAcknowledgement;
@@ -75,6 +76,11 @@
         startsToHold = count;
     }
 
+    /** Lets the worker refuse the next start calls as unhealthy, after those that are held. */
+    void refuseNextStarts(int count) {
+        startsToRefuse = count;
+    }
+
     /** Counts the start calls that are held. */
     int countHeldStarts() {
         return heldStarts.size();
@@ -128,6 +134,12 @@
             startsToHold--;
             return holdStart(name, () -> worker.start(order, until, fence.toToken(), true));
         }
+        if (startsToRefuse > 0) {
+            startsToRefuse--;
+            environment.trace("call refused: " + name);
+            return CompletableFuture.completedFuture(
+                    new CallResult(CallResult.Kind.UNWELL, -1, "simulated"));
+        }
         return callWithResult(
                 to, name, delayed -> worker.start(order, until, fence.toToken(), delayed));
     }
