--- a/review/standins/Caller.java
+++ b/review/standins/Caller.java
@@ -4,7 +4,11 @@
 import java.net.http.HttpRequest;
 import java.net.http.HttpResponse;
 import java.time.Duration;
+import java.util.Collection;
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.function.Supplier;
 
 /** A client of one entry. */
 final class Caller {
@@ -56,10 +60,33 @@
         return reply;
     }
 
+    /**
+     * Asks for the state of jobs, all at the same time, and for those without an answer again.
+     *
+     * @return the jobs that were not once answered 200, with their last reply
+     */
+    Map<String, Reply> findUnanswered(Collection<String> jobs, int rounds) throws Exception {
+        Map<String, Reply> unanswered = new LinkedHashMap<>();
+        jobs.forEach(job -> unanswered.put(job, null));
+        for (int round = 0; round < rounds; round++) {
+            Map<String, CompletableFuture<Reply>> replies = new LinkedHashMap<>();
+            unanswered.keySet().forEach(job -> replies.put(job, inBackground(() -> query(job))));
+            for (Map.Entry<String, CompletableFuture<Reply>> reply : replies.entrySet()) {
+                unanswered.put(reply.getKey(), reply.getValue().get());
+            }
+            unanswered.values().removeIf(reply -> reply.status() == 200);
+        }
+        return unanswered;
+    }
+
     /** Submits in the background. */
     CompletableFuture<Reply> submitAsync(String job, String body) {
+        return inBackground(() -> submit(job, body));
+    }
+
+    private static CompletableFuture<Reply> inBackground(Supplier<Reply> call) {
         CompletableFuture<Reply> result = new CompletableFuture<>();
-        Thread thread = new Thread(() -> result.complete(submit(job, body)));
+        Thread thread = new Thread(() -> result.complete(call.get()));
         thread.setDaemon(true);
         thread.start();
         return result;
--- a/review/standins/Deployment.java
+++ b/review/standins/Deployment.java
@@ -18,12 +18,19 @@
     private static final Map<String, String> BOUNDS =
             Map.of("bounds.max_hold_ms", "6000", "bounds.status_s", "120", "bounds.grace_s", "6");
 
+    /** The delay after which the platform starts a process that has ended again, in milliseconds. */
+    private static final long RESTART_DELAY_MILLIS = 1000;
+
+    private static final long CHECK_INTERVAL_MILLIS = 100;
+
     /** A machine with one process of the system. */
     final class Node {
         private final String name;
         private final List<String> command;
         private final String address;
         private Process process;
+        private boolean signalled;
+        private int ownEnds;
 
         private Node(String name, List<String> command, String address) {
             this.name = name;
@@ -40,17 +47,29 @@
             return address;
         }
 
+        private synchronized void end() {
+            signalled = true;
+            if (process != null) {
+                process.destroyForcibly();
+            }
+        }
+
         synchronized void start() throws IOException {
+            if (closed) {
+                return;
+            }
             Path log = folder.resolve(name + ".log");
             ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
             builder.directory(root.toFile());
             builder.redirectOutput(ProcessBuilder.Redirect.appendTo(log.toFile()));
             process = builder.start();
+            signalled = false;
             recorder.record("process " + name + " starts");
         }
 
         synchronized void signal(String signal) throws IOException, InterruptedException {
             recorder.record("process " + name + " gets SIG" + signal);
+            signalled = true;
             if (signal.equals("KILL")) {
                 process.destroyForcibly();
             } else if (signal.equals("TERM")) {
@@ -63,6 +82,23 @@
             }
         }
 
+        /** Returns how often its process has ended without a signal of the test. */
+        synchronized int getOwnEnds() {
+            return ownEnds;
+        }
+
+        /** Starts the process again if it has ended by itself. */
+        private synchronized void restartIfEnded() throws IOException, InterruptedException {
+            if (process == null || signalled || process.isAlive()) {
+                return;
+            }
+            ownEnds++;
+            recorder.record(
+                    "process " + name + " has ended by itself with " + process.exitValue());
+            wait(RESTART_DELAY_MILLIS);
+            start();
+        }
+
         boolean awaitEnd(long millis) throws InterruptedException {
             boolean ended = process.waitFor(millis, TimeUnit.MILLISECONDS);
             if (ended) {
@@ -80,12 +116,34 @@
 
     private final List<Node> nodes = new ArrayList<>();
 
+    private volatile boolean closed;
+
     Deployment(Path folder, Recorder recorder) {
         this.folder = folder;
         this.recorder = recorder;
         Runtime.getRuntime().addShutdownHook(new Thread(this::close));
     }
 
+    /** Starts processes that end by themselves again, as the platform does. */
+    void restartEndedProcesses() {
+        for (Node node : nodes) {
+            Thread platform =
+                    new Thread(
+                            () -> {
+                                try {
+                                    while (!closed) {
+                                        node.restartIfEnded();
+                                        Thread.sleep(CHECK_INTERVAL_MILLIS);
+                                    }
+                                } catch (IOException | InterruptedException failure) {
+                                    recorder.record("the platform has failed: " + failure);
+                                }
+                            });
+            platform.setDaemon(true);
+            platform.start();
+        }
+    }
+
     Node newAgent(String name, String store, String control) throws IOException {
         String listen = "127.0.0.1:" + StandInServer.findFreePort();
         return newNode("agent", name, listen, Map.of("bind_addresses.control", control), store);
@@ -145,10 +203,9 @@
     /** Ends all processes and waits for that. */
     @Override
     public void close() {
+        closed = true;
         for (Node node : nodes) {
-            if (node.process != null) {
-                node.process.destroyForcibly();
-            }
+            node.end();
         }
         for (Node node : nodes) {
             try {
--- a/review/standins/Minion.java
+++ b/review/standins/Minion.java
@@ -34,6 +34,9 @@
     /** How long a task that lasts takes before it works, in milliseconds. */
     private static final long WARM_UP_MILLIS = 400;
 
+    /** How long a run of a task that lasts works before it ends "done", if it does. */
+    private static final long DONE_MILLIS = 4000;
+
     private static final AtomicInteger LIVES = new AtomicInteger();
 
     /** Called for each start and each end of a run. */
@@ -48,9 +51,10 @@
      *
      * @param workMillis how long a run works; 0 if it lasts
      * @param failingRuns the runs up to this number end "failed"
+     * @param saveMillis a checkpoint is made after each such time of work; 0 if there is none
      * @param doneRuns the runs up to this number end "done" though the task lasts
      */
-    private record Behaviour(long workMillis, int failingRuns, int doneRuns) {
+    private record Behaviour(long workMillis, int failingRuns, int doneRuns, long saveMillis) {
 
         static Behaviour parse(String spec) {
             Map<String, Long> values = new HashMap<>();
@@ -61,7 +65,8 @@
             return new Behaviour(
                     values.getOrDefault("work", 0L),
                     values.getOrDefault("fail", 0L).intValue(),
-                    values.getOrDefault("done", 0L).intValue());
+                    values.getOrDefault("done", 0L).intValue(),
+                    values.getOrDefault("save", 0L));
         }
     }
 
@@ -81,6 +86,10 @@
 
     private String id;
 
+    private volatile boolean recordsRuns = true;
+
+    private volatile boolean shedsStarts;
+
     private boolean up;
 
     private long checkInNumber;
@@ -135,6 +144,21 @@
         return name;
     }
 
+    /** Sets whether each run is written to the record. */
+    void setRecordsRuns(boolean records) {
+        recordsRuns = records;
+    }
+
+    /** Sets whether it turns all starts away because it is unwell. */
+    void setShedsStarts(boolean sheds) {
+        shedsStarts = sheds;
+        recorder.record("minion " + name + (sheds ? " answers 503 to starts" : " takes starts again"));
+    }
+
+    synchronized int countRunning() {
+        return running.size();
+    }
+
     synchronized boolean runs(String task) {
         return running.containsKey(task);
     }
@@ -204,7 +228,7 @@
                 end(run, "lapsed");
             } else if (behaviour.workMillis() > 0 && worked >= behaviour.workMillis()) {
                 end(run, run.number() <= behaviour.failingRuns() ? "failed" : "done");
-            } else if (run.number() <= behaviour.doneRuns() && worked >= 2 * WARM_UP_MILLIS) {
+            } else if (run.number() <= behaviour.doneRuns() && worked >= DONE_MILLIS) {
                 end(run, "done");
             }
         }
@@ -214,7 +238,9 @@
         running.remove(run.task());
         lastEndedRuns.merge(run.task(), run.number(), Math::max);
         ended.add(new End(++lastEnd, run.task(), run.number(), how));
-        recorder.record("run " + run.task() + "#" + run.number() + " ends " + how + " on " + name);
+        if (recordsRuns) {
+            recorder.record("run " + run.task() + "#" + run.number() + " ends " + how + " on " + name);
+        }
         listener.ended(this, run.task(), run.number(), how);
         notifyAll();
     }
@@ -267,6 +293,10 @@
     private Answer start(JsonNode fields) {
         String task = fields.path("task").asText();
         int number = fields.path("run_id").asInt();
+        if (shedsStarts) {
+            recorder.record("run " + task + "#" + number + " is turned away with 503 by " + name);
+            return answer(503, "");
+        }
         if (!extendHold(fields)) {
             return answer(409, "late");
         }
@@ -279,7 +309,10 @@
         }
         String spec = fields.path("spec").asText();
         running.put(task, new Run(task, number, Behaviour.parse(spec), clockMillis()));
-        recorder.record("run " + task + "#" + number + " starts on " + name + ", " + id + ", spec " + spec);
+        if (recordsRuns) {
+            recorder.record(
+                    "run " + task + "#" + number + " starts on " + name + ", " + id + ", spec " + spec);
+        }
         listener.started(this, task, number);
         return answer(200, "");
     }
@@ -295,6 +328,12 @@
         return answer(200, "");
     }
 
+    private static String makeCheckpoint(Run run, long worked) {
+        long saveMillis = run.behaviour().saveMillis();
+        boolean saved = saveMillis > 0 && worked >= saveMillis;
+        return saved ? String.format("%08x%08x", worked / saveMillis, run.task().hashCode()) : "";
+    }
+
     private Answer hold(JsonNode fields) throws InterruptedException {
         if (fields.has("until_ms")) {
             extendHold(fields);
@@ -319,7 +358,7 @@
                     .addArray()
                     .add(run.task())
                     .add(run.number())
-                    .add("")
+                    .add(makeCheckpoint(run, worked))
                     .add(Math.min(whole > 0 ? 99 : 100, percent))
                     .add(whole > 0 ? 500 : 5);
         }
--- a/review/standins/Proxy.java
+++ b/review/standins/Proxy.java
@@ -6,7 +6,7 @@
 import java.net.Socket;
 
 /**
- * The path from one machine to the store. A cut holds up all bytes, both ways, and those of new
+ * The path from one machine to the store, over a link of a given rate. A cut holds up all bytes, both ways, and those of new
  * connections; they go on when it ends, as packets that are sent again do.
  */
 final class Proxy {
@@ -15,10 +15,39 @@
 
     private final String target;
 
+    private final Link received;
+
+    private final Link sent;
+
     private boolean cut;
 
-    Proxy(String target) throws IOException {
+    /** One direction of a link, which its connections share. */
+    private static final class Link {
+
+        private final long bytesPerSecond;
+
+        private long freeAtNanos = System.nanoTime();
+
+        Link(long bytesPerSecond) {
+            this.bytesPerSecond = bytesPerSecond;
+        }
+
+        void carry(int count) throws InterruptedException {
+            long waitNanos;
+            synchronized (this) {
+                long now = System.nanoTime();
+                long duration = (long) (1e9 * count / bytesPerSecond);
+                freeAtNanos = Math.max(now, freeAtNanos) + duration;
+                waitNanos = freeAtNanos - now;
+            }
+            Thread.sleep(waitNanos / 1_000_000, (int) (waitNanos % 1_000_000));
+        }
+    }
+
+    Proxy(String target, long megabitsPerSecond) throws IOException {
         this.target = target;
+        received = new Link(megabitsPerSecond * 125_000);
+        sent = new Link(megabitsPerSecond * 125_000);
         listener = new ServerSocket(0, 256, InetAddress.getByName("127.0.0.1"));
         startThread(this::accept);
     }
@@ -56,20 +85,21 @@
             Socket far = new Socket(parts[0], Integer.parseInt(parts[1]));
             near.setTcpNoDelay(true);
             far.setTcpNoDelay(true);
-            startThread(() -> copy(near, far));
-            copy(far, near);
+            startThread(() -> copy(near, far, sent));
+            copy(far, near, received);
         } catch (IOException | InterruptedException ended) {
             close(near);
         }
     }
 
-    private void copy(Socket from, Socket to) {
-        byte[] buffer = new byte[65_536];
+    private void copy(Socket from, Socket to, Link link) {
+        byte[] buffer = new byte[8192];
         try {
             InputStream input = from.getInputStream();
             OutputStream output = to.getOutputStream();
             for (int count = input.read(buffer); count >= 0; count = input.read(buffer)) {
                 awaitPath();
+                link.carry(count);
                 output.write(buffer, 0, count);
                 output.flush();
             }
--- a/review/standins/Setup.java
+++ b/review/standins/Setup.java
@@ -27,6 +27,9 @@
 
     private static final long START_TIMEOUT_MILLIS = 20_000;
 
+    /** The rate of an agent's link, and of an entry's where a case names no other. */
+    static final long LINK_MEGABITS = 1000;
+
     /** What a case does; it returns one of the codes above. */
     interface Case {
         int run(Setup setup) throws Exception;
@@ -47,34 +50,49 @@
 
     final List<Minion> minions = new ArrayList<>();
 
+    final Deployment.Node entry;
+
     final Caller caller;
 
     private final Path folder = Files.createTempDirectory("standlink-review");
 
     private final String ready = "127.0.0.1:" + StandInServer.findFreePort();
 
-    private Setup(Path caseFolder, int machines, Minion.RunListener listener) throws IOException {
+    private Setup(
+            Path caseFolder, int machines, long entryMegabits, Minion.RunListener listener)
+            throws IOException {
         recorder = new Recorder(caseFolder.resolve("record.txt"));
         recorder.record("trouble " + (trouble ? "on" : "off"));
         deployment = new Deployment(folder, recorder);
         store.open();
         for (int i = 1; i <= machines; i++) {
             String control = "127.0.0.1:" + StandInServer.findFreePort();
-            Proxy path = new Proxy(store.getAddress());
+            Proxy path = new Proxy(store.getAddress(), LINK_MEGABITS);
             paths.add(path);
             agents.add(deployment.newAgent("agent-" + i, path.getAddress(), control));
             minions.add(new Minion("minion-" + i, control, recorder, listener));
         }
         String front = "127.0.0.1:" + StandInServer.findFreePort();
-        Deployment.Node entry = deployment.newEntry("entry-1", store.getAddress(), front, ready);
+        Proxy entryPath = new Proxy(store.getAddress(), entryMegabits);
+        entry = deployment.newEntry("entry-1", entryPath.getAddress(), front, ready);
         caller = new Caller(front, recorder);
         entry.start();
     }
 
     /** Runs a case and ends with its code. */
     static void main(String[] arguments, int machines, Minion.RunListener listener, Case work) {
+        main(arguments, machines, LINK_MEGABITS, listener, work);
+    }
+
+    /** Runs a case with an entry whose link has another rate, and ends with its code. */
+    static void main(
+            String[] arguments,
+            int machines,
+            long entryMegabits,
+            Minion.RunListener listener,
+            Case work) {
         int code = NOT_RUN;
-        try (Setup setup = new Setup(Path.of(arguments[0]), machines, listener)) {
+        try (Setup setup = new Setup(Path.of(arguments[0]), machines, entryMegabits, listener)) {
             setup.begin();
             code = work.run(setup);
             setup.recorder.record("exit code " + code);
@@ -122,6 +140,20 @@
 
     /** Returns a manifest with a queue for all that callers send, or without any queue. */
     static String manifest(long version, boolean withQueue) {
+        return manifest(version, withQueue, 0);
+    }
+
+    /** Returns a manifest that also has queues that nobody uses. */
+    static String manifest(long version, boolean withQueue, int idleQueues) {
+        StringBuilder idle = new StringBuilder();
+        for (int number = 0; number < idleQueues; number++) {
+            String format =
+                    "%s{\"name\":\"r-%07d\",\"host\":\"idle%02d.example\",\"path_prefix\":\"/p%06d/\","
+                            + "\"type\":\"unsafe\",\"timeout_ms\":3000,\"target_latency_ms\":2500,"
+                            + "\"priority\":0,\"service\":\"work\",\"max_attempts\":4,\"stretch\":2.2}";
+            String separator = number > 0 || withQueue ? "," : "";
+            idle.append(String.format(format, separator, number, number % 100, number));
+        }
         String route =
                 "{\"name\":\"queue\",\"host\":\"127.0.0.1\",\"path_prefix\":\"/q/\","
                         + "\"service\":\"work\",\"priority\":0,\"max_attempts\":3,"
@@ -130,13 +162,18 @@
                 + version
                 + ",\"routes\":["
                 + (withQueue ? route : "")
+                + idle
                 + "],\"services\":[{\"name\":\"work\",\"enforces_capacity\":false}],"
                 + "\"limits\":{\"max_body_bytes\":262144}}";
     }
 
     void publishManifest(String manifest) {
         store.publishManifest(manifest);
-        recorder.record("operator writes manifest " + manifest);
+        recorder.record(
+                "operator writes manifest, "
+                        + manifest.length()
+                        + " bytes: "
+                        + manifest.substring(0, Math.min(300, manifest.length())));
     }
 
     // -----------------------------------------------------------------------
--- a/review/standins/Store.java
+++ b/review/standins/Store.java
@@ -29,6 +29,14 @@
     /** How many items a page of newest records has at most. */
     private static final int PAGE_ITEMS = 500;
 
+    /** How many bytes a record and an append have at most: `record_bytes` and `call_bytes`. */
+    private static final int RECORD_BYTES = 262_144;
+
+    private static final int CALL_BYTES = 2_097_152;
+
+    /** How long a channel on which an answer was lost says nothing, in milliseconds. */
+    private static final long SILENCE_MILLIS = 30_000;
+
     /** Called for appends, before they are answered. */
     interface AppendListener {
 
@@ -37,6 +45,14 @@
 
         /** The number was one of the last five: its first answer was given again, for any body. */
         default void answeredAgain(String topic, Map<String, String> query, List<Entry> records) {}
+
+        /** A record or the whole append was too large, so that nothing was appended. */
+        default void refused(String topic, int recordBytes, int callBytes) {}
+
+        /** Returns whether the answer to an append that was done is lost. */
+        default boolean losesAnswer(String topic, Map<String, String> query) {
+            return false;
+        }
     }
 
     /** A record of a topic with keys. */
@@ -50,6 +66,7 @@
 
     private static final class Partition {
         private final List<byte[]> raw = new ArrayList<>();
+        private int firstKept;
         private final Map<String, Producer> producers = new HashMap<>();
     }
 
@@ -82,13 +99,26 @@
             byte[] body)
             throws Exception {
         return switch (path) {
-            case "/v1/log-append" -> append(query, body);
+            case "/v1/log-append" -> {
+                Answer answer = append(query, body);
+                if (answer.status() == 200 && listener.losesAnswer(query.get("topic"), query)) {
+                    Thread.sleep(SILENCE_MILLIS);
+                    answer = null;
+                }
+                yield answer;
+            }
             case "/v1/log-read" -> read(query);
             case "/v1/log-newest" -> readNewest(query);
             default -> Answer.of(404, JSON.createObjectNode());
         };
     }
 
+    /** Forgets the records of a topic; the newest of each key stay. */
+    synchronized void dropHistory(String topic) {
+        Partition partition = getPartition(topic);
+        partition.firstKept = partition.raw.size();
+    }
+
     private Partition getPartition(String topic) {
         return topics.computeIfAbsent(topic, name -> new Partition());
     }
@@ -98,6 +128,11 @@
         Thread.sleep(APPEND_MILLIS);
         String topic = query.get("topic");
         Partition partition = getPartition(topic);
+        int largest = split(body).stream().mapToInt(record -> record.length).max().orElse(0);
+        if (largest > RECORD_BYTES || body.length > CALL_BYTES) {
+            listener.refused(topic, largest, body.length);
+            return Answer.of(413, JSON.createObjectNode());
+        }
         long end = partition.raw.size();
         if (query.containsKey("at") && Long.parseLong(query.get("at")) != end) {
             return Answer.of(412, JSON.createObjectNode().put("end", end));
@@ -158,8 +193,12 @@
             wait(remaining / 1_000_000 + 1);
             remaining = deadline - System.nanoTime();
         }
+        if (from < partition.firstKept) {
+            return Answer.of(410, JSON.createObjectNode().put("first", partition.firstKept));
+        }
         ByteArrayOutputStream bytes = new ByteArrayOutputStream();
-        bytes.writeBytes(ByteBuffer.allocate(16).putLong(partition.raw.size()).putLong(0).array());
+        long end = partition.raw.size();
+        bytes.writeBytes(ByteBuffer.allocate(16).putLong(end).putLong(partition.firstKept).array());
         for (long offset = from; offset < partition.raw.size(); offset++) {
             byte[] record = partition.raw.get((int) offset);
             bytes.writeBytes(ByteBuffer.allocate(4).putInt(record.length).array());
