--- a/review/3/Case3.java
+++ b/review/3/Case3.java
@@ -1,42 +1,41 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import org.standlink.election.Claim;
 
 /**
- * Callers submit jobs of one small task each that run every minute for three days, all from the same
- * minute on. Do their tasks run when they are due?
+ * A leader that was partitioned from the store is stopped in order while its successor has just
+ * begun to write. Are the jobs that were accepted afterwards known?
  */
 final class Case3 {
 
-    /** Every minute for three days. */
-    private static final int TIMES = 4320;
-
-    private static final long INTERVAL_MILLIS = 60_000;
+    private static final String JOB =
+            "{\"spec\":\"work=300\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":64,"
+                    + "\"estimated_ms\":300}]}";
 
-    private static final int SCHEDULES = 48;
+    private static final long SUBMISSION_INTERVAL_MILLIS = 40;
 
-    private static final int SCHEDULES_WITHOUT_TROUBLE = 24;
+    /** How long before the end of the cut the partitioned leader gets its SIGTERM. */
+    private static final long TERM_BEFORE_HEAL_MILLIS = 150;
 
-    /** How far ahead the first time is when the submissions begin, in milliseconds. */
-    private static final long FIRST_TIME_AHEAD_MILLIS = 15_000;
+    /** How long the process that was stopped in order stays away. */
+    private static final long RESTART_DELAY_MILLIS = 300;
 
-    /** How long after the first time the minions are looked at, in milliseconds: over 3 s. */
-    private static final long OBSERVED_MILLIS = 15_000;
+    /** How long the process that was killed stays away after the other one has claimed the lead. */
+    private static final long SUCCESSOR_AWAY_MILLIS = 2000;
 
-    private static final String SMALL_JOB =
-            "{\"spec\":\"work=300\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":8,"
-                    + "\"estimated_ms\":300}]}";
+    private static final long CLAIM_TIMEOUT_MILLIS = 6000;
 
-    /** The pause between two small jobs, in milliseconds. */
-    private static final long PAUSE_MILLIS = 1000;
+    /** From the end of the troubles to the last submission; the machines are in touch by then. */
+    private static final long TRAFFIC_AFTER_TROUBLE_MILLIS = 10_000;
 
-    /** `finish_s`, in milliseconds. */
-    private static final long FINISH_MILLIS = 14_000;
+    /** `visible_ms` and a margin. */
+    private static final long VISIBLE_MILLIS = 4000;
 
-    /** The jobs of which a run has begun. */
-    private static final Set<String> begun = ConcurrentHashMap.newKeySet();
+    private record Submission(String job, CompletableFuture<Caller.Reply> reply) {}
 
     private Case3() {}
 
@@ -44,85 +43,151 @@
         Minion.RunListener listener =
                 new Minion.RunListener() {
                     @Override
-                    public void started(Minion minion, String task, int run) {
-                        begun.add(task.substring(0, task.indexOf('.')));
-                    }
+                    public void started(Minion minion, String task, int run) {}
 
                     @Override
                     public void ended(Minion minion, String task, int run, String how) {}
                 };
-        Setup.main(arguments, 3, listener, Case3::run);
+        Setup.main(arguments, 2, listener, Case3::run);
     }
 
     private static int run(Setup setup) throws Exception {
-        setup.deployment.restartEndedProcesses();
-        setup.store.setListener(new RefusalLog(setup));
-        long due = System.currentTimeMillis() + FIRST_TIME_AHEAD_MILLIS;
-        List<String> accepted = new ArrayList<>();
-        int schedules = setup.trouble ? SCHEDULES : SCHEDULES_WITHOUT_TROUBLE;
-        for (int number = 1; number <= schedules; number++) {
-            submit(setup, String.format("0000cafe%08x", number), newSchedule(due), accepted);
-        }
-        if (System.currentTimeMillis() > due) {
-            throw new IllegalStateException("the first time came before the last submission");
+        List<Submission> submissions = new ArrayList<>();
+        Thread traffic = new Thread(() -> submit(setup, submissions));
+        traffic.setDaemon(true);
+        traffic.start();
+        Thread.sleep(3000);
+        if (setup.trouble) {
+            disrupt(setup);
         }
-        Thread.sleep(due - System.currentTimeMillis());
-        setup.recorder.record("the first time of all " + accepted.size() + " jobs is due");
-        int number = 0;
-        while (System.currentTimeMillis() < due + OBSERVED_MILLIS) {
-            submit(setup, String.format("00c0ffee%08x", ++number), SMALL_JOB, accepted);
-            Thread.sleep(PAUSE_MILLIS);
+        Thread.sleep(TRAFFIC_AFTER_TROUBLE_MILLIS);
+        traffic.interrupt();
+        traffic.join();
+        List<String> accepted = new ArrayList<>();
+        for (Submission submission : submissions) {
+            if (submission.reply().get().status() / 100 == 2) {
+                accepted.add(submission.job());
+            }
         }
-        Thread.sleep(FINISH_MILLIS);
+        Thread.sleep(VISIBLE_MILLIS);
         return check(setup, accepted);
     }
 
-    private static String newSchedule(long due) {
-        return String.format(
-                "{\"spec\":\"work=300\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":8,"
-                        + "\"estimated_ms\":300}],\"start_at_ms\":%d,\"interval_ms\":%d,"
-                        + "\"repeat_count\":%d}",
-                due, INTERVAL_MILLIS, TIMES);
+    private static void submit(Setup setup, List<Submission> submissions) {
+        try {
+            for (int number = 1; true; number++) {
+                String job = String.format("00c0ffee%08x", number);
+                submissions.add(new Submission(job, setup.caller.submitAsync(job, JOB)));
+                Thread.sleep(SUBMISSION_INTERVAL_MILLIS);
+            }
+        } catch (InterruptedException stopped) {
+            return;
+        }
     }
 
-    private static void submit(Setup setup, String job, String body, List<String> accepted) {
-        if (setup.caller.submit(job, body).status() / 100 == 2) {
-            accepted.add(job);
+    private static void disrupt(Setup setup) throws Exception {
+        int first = setup.findLeader();
+        long firstEpoch = setup.newestClaim().epoch().getValue();
+        Deployment.Node leader = setup.agents.get(first);
+        Deployment.Node successor = setup.agents.get(1 - first);
+        CountDownLatch written = new CountDownLatch(1);
+        setup.store.setListener(
+                (topic, query, records) -> {
+                    setup.observeClaims(topic, records);
+                    boolean successorWrites =
+                            topic.equals("keyed.cell")
+                                    && Long.parseLong(query.get("epoch")) == firstEpoch + 1
+                                    && query.containsKey("seq")
+                                    && written.getCount() > 0;
+                    if (successorWrites) {
+                        kill(successor);
+                        written.countDown();
+                    }
+                });
+        setup.recorder.record("the leader " + leader.getName() + " is cut off from the store");
+        setup.paths.get(first).setCut(true);
+        if (!written.await(20, TimeUnit.SECONDS)) {
+            throw new IllegalStateException("nobody has succeeded the leader");
         }
+        setup.store.setListener(new AppendLog(setup));
+        leader.signal("TERM");
+        Thread.sleep(TERM_BEFORE_HEAL_MILLIS);
+        setup.recorder.record("the cut ends");
+        setup.paths.get(first).setCut(false);
+        if (!leader.awaitEnd(5000)) {
+            throw new IllegalStateException("the stopped leader has not ended");
+        }
+        Thread.sleep(RESTART_DELAY_MILLIS);
+        leader.start();
+        awaitNextClaim(setup);
+        Thread.sleep(SUCCESSOR_AWAY_MILLIS);
+        successor.awaitEnd(1000);
+        successor.start();
     }
 
-    /** Each accepted job had a task whose turn came 14 s ago or earlier. */
-    private static int check(Setup setup, List<String> accepted) {
-        List<String> notBegun = new ArrayList<>(accepted);
-        notBegun.removeAll(begun);
-        int running = setup.minions.stream().mapToInt(Minion::countRunning).sum();
-        String result =
-                accepted.size() + " jobs accepted, " + notBegun.size()
-                        + " of them without any run yet, " + running + " runs on all minions";
-        setup.recorder.record(result + "; without any run: " + notBegun);
-        System.out.println(result);
-        return notBegun.isEmpty() ? Setup.HELD : Setup.BROKEN;
+    /** Waits until somebody claims the lead after the resignation, if there is one. */
+    private static void awaitNextClaim(Setup setup) throws InterruptedException {
+        long deadline = setup.recorder.nowMillis() + CLAIM_TIMEOUT_MILLIS;
+        Claim last = setup.newestClaim();
+        while (setup.newestClaim() == last && setup.recorder.nowMillis() < deadline) {
+            Thread.sleep(20);
+        }
     }
 
-    /** Writes to the record which appends the store refuses for their size. */
-    private static final class RefusalLog implements Store.AppendListener {
+    private static void kill(Deployment.Node node) {
+        try {
+            node.signal("KILL");
+        } catch (Exception failure) {
+            throw new IllegalStateException(failure);
+        }
+    }
+
+    /** Writes the claims and what is kept of new jobs to the record. */
+    private static final class AppendLog implements Store.AppendListener {
 
         private final Setup setup;
 
-        RefusalLog(Setup setup) {
+        AppendLog(Setup setup) {
             this.setup = setup;
         }
 
         @Override
         public void appended(String topic, Map<String, String> query, List<Store.Entry> records) {
             setup.observeClaims(topic, records);
+            write("appended", topic, query, records);
         }
 
         @Override
-        public void refused(String topic, int recordBytes, int callBytes) {
-            setup.recorder.record(
-                    "store: refuses an append to " + topic + " of " + callBytes
-                            + " bytes, its largest record has " + recordBytes);
+        public void answeredAgain(
+                String topic, Map<String, String> query, List<Store.Entry> records) {
+            write("not appended, first answer given again", topic, query, records);
+        }
+
+        private void write(
+                String result, String topic, Map<String, String> query, List<Store.Entry> records) {
+            List<String> jobs =
+                    records.stream()
+                            .map(Store.Entry::key)
+                            .filter(key -> key.startsWith("d/"))
+                            .toList();
+            if (topic.equals("keyed.cell") && query.containsKey("seq") && !jobs.isEmpty()) {
+                setup.recorder.record(
+                        "store: " + result + ", epoch " + query.get("epoch") + ", number "
+                                + query.get("seq") + ", definitions " + jobs);
+            }
+        }
+    }
+
+    private static int check(Setup setup, List<String> accepted) {
+        int lost = 0;
+        for (String job : accepted) {
+            Caller.Reply reply = setup.caller.query(job);
+            if (reply.status() == 410) {
+                lost++;
+                setup.recorder.record("LOST: job " + job + " was accepted, and is not known");
+            }
         }
+        setup.recorder.record(accepted.size() + " jobs accepted, " + lost + " of them not known");
+        return lost > 0 ? Setup.BROKEN : Setup.HELD;
     }
 }
--- a/review/earlier/3/run.sh
+++ /dev/null
@@ -1,5 +0,0 @@
-#!/usr/bin/env bash
-# Runs the case: exit 1 if the rule was broken, 0 if it held, 2 if the case couldn't run.
-cd "$(dirname "$0")/../.." || exit 2
-review/build.sh || exit 2
-exec java -cp target/review:target/standlink-0.1.0.jar Case3 review/3
--- a/review/earlier/3/Case3.java
+++ b/review/trials/dropped-queue/DroppedQueue.java
@@ -2,7 +2,7 @@
  * The manifest drops a queue for some seconds while a job of it is at work, and one of its runs
  * fails meanwhile. Does the job go on once the queue is back?
  */
-final class Case3 {
+final class DroppedQueue {
 
     private static final String JOB = "00c0ffee00000003";
 
@@ -20,7 +20,7 @@
     /** How long the job has after the queue is back: for two runs more. */
     private static final long BACK_MILLIS = 14_000;
 
-    private Case3() {}
+    private DroppedQueue() {}
 
     public static void main(String[] arguments) {
         Minion.RunListener listener =
@@ -31,7 +31,7 @@
                     @Override
                     public void ended(Minion minion, String task, int run, String how) {}
                 };
-        Setup.main(arguments, 3, listener, Case3::run);
+        Setup.main(arguments, 3, listener, DroppedQueue::run);
     }
 
     private static int run(Setup setup) throws Exception {
