--- a/review/2/Case2.java
+++ b/review/2/Case2.java
@@ -1,44 +1,38 @@
 import java.util.ArrayList;
 import java.util.List;
-import java.util.Map;
-import java.util.Set;
-import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CompletableFuture;
 
 /**
- * Callers submit jobs of one small task each that run every minute for two weeks. Are all accepted
- * jobs still known, and are small jobs beside them run?
+ * The manifest grows by many routes, and then all processes are killed and come back. Is anything
+ * served again where the entry's link is thin?
  */
 final class Case2 {
 
-    /** Every minute for two weeks. */
-    private static final int TIMES = 20_160;
-
-    private static final long INTERVAL_MILLIS = 60_000;
+    private static final String JOB =
+            "{\"spec\":\"work=300\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":64,"
+                    + "\"estimated_ms\":300}]}";
 
-    /** How far ahead the first time of a job is: none of them is due while the case runs. */
-    private static final long FIRST_TIME_AHEAD_MILLIS = 3_600_000;
+    /** The rate of the thinnest links of entries that the pages name, in megabits a second. */
+    private static final long ENTRY_MEGABITS = 7;
 
-    private static final int SCHEDULES = 18;
+    /** Twice the routes that the site's days add. */
+    private static final int MANY_ROUTES = 3952;
 
-    private static final int SCHEDULES_WITHOUT_TROUBLE = 5;
+    private static final long SUBMISSION_INTERVAL_MILLIS = 250;
 
-    private static final String SMALL_JOB =
-            "{\"spec\":\"work=300\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":8,"
-                    + "\"estimated_ms\":300}]}";
+    private static final long BEFORE_MILLIS = 8000;
 
-    private static final int SMALL_JOBS_AFTERWARDS = 6;
+    /** From the manifest to the end of all processes: until the running entry has it as well. */
+    private static final long MANIFEST_MILLIS = 6000;
 
-    /** The pause between two submissions, in milliseconds. */
-    private static final long PAUSE_MILLIS = 500;
+    private static final long DOWN_MILLIS = 1500;
 
-    /** `finish_s`, in milliseconds. */
-    private static final long FINISH_MILLIS = 14_000;
+    /** The bound of the deployment. */
+    private static final long RECOVERY_MILLIS = 15_000;
 
-    /** How often a job is asked for that was not answered. */
-    private static final int ROUNDS = 3;
+    private static final long JUDGED_MILLIS = 20_000;
 
-    /** The jobs of which a run has begun. */
-    private static final Set<String> begun = ConcurrentHashMap.newKeySet();
+    private record Submission(long sentAt, CompletableFuture<Caller.Reply> reply) {}
 
     private Case2() {}
 
@@ -46,73 +40,87 @@
         Minion.RunListener listener =
                 new Minion.RunListener() {
                     @Override
-                    public void started(Minion minion, String task, int run) {
-                        begun.add(task.substring(0, task.indexOf('.')));
-                    }
+                    public void started(Minion minion, String task, int run) {}
 
                     @Override
                     public void ended(Minion minion, String task, int run, String how) {}
                 };
-        Setup.main(arguments, 3, listener, Case2::run);
+        Setup.main(arguments, 3, ENTRY_MEGABITS, listener, Case2::run);
     }
 
     private static int run(Setup setup) throws Exception {
-        setup.deployment.restartEndedProcesses();
-        List<String> accepted = new ArrayList<>();
-        List<String> smallAccepted = new ArrayList<>();
-        int schedules = setup.trouble ? SCHEDULES : SCHEDULES_WITHOUT_TROUBLE;
-        for (int number = 1; number <= schedules; number++) {
-            submit(setup, String.format("0000cafe%08x", number), newSchedule(), accepted);
-            submit(setup, String.format("00c0ffee%08x", number), SMALL_JOB, smallAccepted);
-            Thread.sleep(PAUSE_MILLIS);
+        List<Submission> submissions = new ArrayList<>();
+        Thread traffic = new Thread(() -> submit(setup, submissions));
+        traffic.setDaemon(true);
+        traffic.start();
+        Thread.sleep(BEFORE_MILLIS);
+        if (setup.trouble) {
+            String routes = System.getenv().getOrDefault("ROUTES", Integer.toString(MANY_ROUTES));
+            setup.publishManifest(Setup.manifest(5, true, Integer.parseInt(routes)));
+        }
+        Thread.sleep(MANIFEST_MILLIS);
+        long endedAt = setup.recorder.nowMillis();
+        if (setup.trouble) {
+            restartAll(setup);
         }
-        for (int number = 1; number <= SMALL_JOBS_AFTERWARDS; number++) {
-            int id = schedules + number;
-            submit(setup, String.format("00c0ffee%08x", id), SMALL_JOB, smallAccepted);
-            Thread.sleep(PAUSE_MILLIS);
+        long backAt = setup.recorder.nowMillis();
+        Thread.sleep(RECOVERY_MILLIS + JUDGED_MILLIS);
+        traffic.interrupt();
+        traffic.join();
+        double before = shareServed(setup, "before the end", submissions, 0, endedAt);
+        double after =
+                shareServed(
+                        setup,
+                        "over recovery_s after the return",
+                        submissions,
+                        backAt + RECOVERY_MILLIS,
+                        Long.MAX_VALUE);
+        if (before < 0.25) {
+            return Setup.NOT_RUN;
         }
-        Thread.sleep(FINISH_MILLIS);
-        return check(setup, accepted, smallAccepted);
+        return after < 0.25 ? Setup.BROKEN : Setup.HELD;
     }
 
-    private static String newSchedule() {
-        return String.format(
-                "{\"spec\":\"work=300\",\"steps\":[{\"count\":1,\"cpu\":100,\"mem_mb\":8,"
-                        + "\"estimated_ms\":300}],\"start_at_ms\":%d,\"interval_ms\":%d,"
-                        + "\"repeat_count\":%d}",
-                System.currentTimeMillis() + FIRST_TIME_AHEAD_MILLIS, INTERVAL_MILLIS, TIMES);
+    private static void restartAll(Setup setup) throws Exception {
+        List<Deployment.Node> all = new ArrayList<>(setup.agents);
+        all.add(setup.entry);
+        for (Deployment.Node node : all) {
+            node.signal("KILL");
+        }
+        for (Deployment.Node node : all) {
+            node.awaitEnd(2000);
+        }
+        Thread.sleep(DOWN_MILLIS);
+        for (Deployment.Node node : all) {
+            node.start();
+        }
     }
 
-    private static void submit(Setup setup, String job, String body, List<String> accepted) {
-        if (setup.caller.submit(job, body).status() / 100 == 2) {
-            accepted.add(job);
+    private static void submit(Setup setup, List<Submission> submissions) {
+        try {
+            for (int number = 1; true; number++) {
+                String job = String.format("00c0ffee%08x", number);
+                long sentAt = setup.recorder.nowMillis();
+                submissions.add(new Submission(sentAt, setup.caller.submitAsync(job, JOB)));
+                Thread.sleep(SUBMISSION_INTERVAL_MILLIS);
+            }
+        } catch (InterruptedException stopped) {
+            return;
         }
     }
 
-    private static int check(Setup setup, List<String> schedules, List<String> smallJobs)
+    private static double shareServed(
+            Setup setup, String when, List<Submission> submissions, long from, long to)
             throws Exception {
-        List<String> all = new ArrayList<>(schedules);
-        all.addAll(smallJobs);
-        Map<String, Caller.Reply> unanswered = setup.caller.findUnanswered(all, ROUNDS);
-        List<String> notBegun = new ArrayList<>(smallJobs);
-        notBegun.removeAll(begun);
-        int ends = setup.agents.stream().mapToInt(Deployment.Node::getOwnEnds).sum();
-        setup.recorder.record(
-                schedules.size()
-                        + " schedules and "
-                        + smallJobs.size()
-                        + " small jobs accepted; not answered "
-                        + ROUNDS
-                        + " times in a row: "
-                        + unanswered.keySet()
-                        + "; small jobs that never began: "
-                        + notBegun
-                        + "; processes that ended by themselves: "
-                        + ends);
-        System.out.println(
-                "accepted " + schedules.size() + " schedules, " + smallJobs.size() + " small jobs; "
-                        + unanswered.size() + " not answered, " + notBegun.size()
-                        + " small jobs not begun, " + ends + " processes ended by themselves");
-        return unanswered.isEmpty() && notBegun.isEmpty() ? Setup.HELD : Setup.BROKEN;
+        int sent = 0;
+        int served = 0;
+        for (Submission submission : submissions) {
+            if (submission.sentAt() >= from && submission.sentAt() < to) {
+                sent++;
+                served += submission.reply().get().status() == 200 ? 1 : 0;
+            }
+        }
+        setup.recorder.record("sent " + when + ": " + sent + ", served: " + served);
+        return sent == 0 ? 0 : (double) served / sent;
     }
 }
