Log how much of an answer had arrived when a call timed out

Its log said "the call was not answered in time", which fits a store that does not answer, a connection that has stalled and an answer that is still arriving alike.

The failure now says how many bytes of the answer had arrived, and how long ago the last one.

--- a/src/main/java/org/standlink/platform/HttpCall.java
+++ b/src/main/java/org/standlink/platform/HttpCall.java
@@ -26,6 +26,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.TimeUnit;
 
 /**
  * A call: sends a request over an idle or a new connection and reads the answer.
@@ -137,12 +138,24 @@
                 throw failure;
             }
             pool.discardAll(connection);
-            throw new SocketTimeoutException("the call was not answered in time");
+            throw new SocketTimeoutException(describeTimeout(connection));
         } finally {
             pool.release(connection, reusable);
         }
     }
 
+    private static String describeTimeout(HttpConnection connection) {
+        if (!connection.isAnswered()) {
+            return "the call was not answered in time, no byte of the answer has arrived";
+        }
+        long silentNanos = System.nanoTime() - connection.getLastReceiptNanos();
+        return "the call was not answered in time, "
+                + connection.getAnswerBytes()
+                + " bytes of the answer have arrived, the last "
+                + TimeUnit.NANOSECONDS.toMillis(silentNanos)
+                + " ms ago";
+    }
+
     private byte[] encode() {
         URI uri = request.uri();
         StringBuilder head = new StringBuilder(256);
--- a/src/main/java/org/standlink/platform/HttpConnection.java
+++ b/src/main/java/org/standlink/platform/HttpConnection.java
@@ -65,8 +65,11 @@
     /** Whether any byte of the current call may have been sent. */
     private boolean sent;
 
-    /** Whether any byte of the answer of the current call was received. */
-    private boolean answered;
+    /** The number of bytes of the answer of the current call that were received. */
+    private long answerBytes;
+
+    /** When the last of them was received, by {@link System#nanoTime}. */
+    private long lastReceiptNanos;
 
     /**
      * Creates a connection that is not open yet.
@@ -116,7 +119,15 @@
     }
 
     boolean isAnswered() {
-        return answered;
+        return answerBytes > 0;
+    }
+
+    long getAnswerBytes() {
+        return answerBytes;
+    }
+
+    long getLastReceiptNanos() {
+        return lastReceiptNanos;
     }
 
     boolean hasUnreadBytes() {
@@ -177,7 +188,7 @@
      */
     void write(byte[] request) throws IOException {
         sent = false;
-        answered = false;
+        answerBytes = 0;
         ByteBuffer bytes = ByteBuffer.wrap(request);
         try {
             while (bytes.position() < request.length) {
@@ -206,7 +217,7 @@
             if (count < 0) {
                 throw new EOFException("the peer has closed the connection");
             }
-            answered = true;
+            bytesReceived(count);
         }
         return received.get() & 0xff;
     }
@@ -226,7 +237,15 @@
             received.get(bytes, offset, count);
             return count;
         }
-        return channel.read(ByteBuffer.wrap(bytes, offset, Math.min(length, MAX_TRANSFER_BYTES)));
+        int count =
+                channel.read(ByteBuffer.wrap(bytes, offset, Math.min(length, MAX_TRANSFER_BYTES)));
+        bytesReceived(count);
+        return count;
+    }
+
+    private void bytesReceived(int count) {
+        answerBytes += Math.max(0, count);
+        lastReceiptNanos = System.nanoTime();
     }
 
     /** Closes the connection because the timeout of its call has passed. */
