The timeout of a call starts again with each block of its transfer

Cause: a call to the store had one timeout over its whole transfer, 1,000 ms for a page of newest records, and was begun anew from its start after it. Whatever does not pass the link within the timeout is never read, however often it is tried. A running entry had 2,100 ms and no base64 to carry, and so had taken the same configuration.

Now the timeout of a request bounds the time until its answer begins; it starts again with the first byte and with each further 16 kB of the request or of the answer, for at most 1,000 ms. A transfer may take as long as its length needs, whatever the link; a connection that falls silent is noticed 1,000 ms after its last block, as before, and one that sends single bytes ends as well. The send buffer is limited, so that what has been written has left. The same holds for reads of following records, for appends and for calls to workers, which share the client.

--- a/src/main/java/org/standlink/platform/HttpCall.java
+++ b/src/main/java/org/standlink/platform/HttpCall.java
@@ -46,8 +46,7 @@
 
     private final byte[] body;
 
-    /** When the timeout ends, by {@link System#nanoTime}. */
-    private final long timeoutNanos;
+    private final CallTimeout timeout;
 
     private final CompletableFuture<HttpResponse<byte[]>> result = new CompletableFuture<>();
 
@@ -64,7 +63,7 @@
         this.method = method;
         this.request = request;
         this.body = body;
-        this.timeoutNanos = System.nanoTime() + request.timeout().orElseThrow().toNanos();
+        this.timeout = CallTimeout.ofMillis(request.timeout().orElseThrow().toMillis());
     }
 
     /**
@@ -92,9 +91,9 @@
     private HttpAnswer execute() throws IOException {
         String address = request.uri().getRawAuthority();
         byte[] bytes = encode();
-        HttpConnection idle = pool.takeIdle(address, timeoutNanos);
+        HttpConnection idle = pool.takeIdle(address, timeout);
         if (idle == null) {
-            return exchange(pool.open(address, timeoutNanos), bytes);
+            return exchange(pool.open(address, timeout), bytes);
         }
         try {
             return exchange(idle, bytes);
@@ -109,7 +108,7 @@
     private HttpConnection openAfter(HttpConnection failed, IOException failure)
             throws IOException {
         try {
-            return pool.open(failed.getAddress(), timeoutNanos);
+            return pool.open(failed.getAddress(), timeout);
         } catch (ConnectException notOpened) {
             if (failed.isSent()) {
                 // The peer may have executed the request before it closed the idle connection.
@@ -138,20 +137,24 @@
                 throw failure;
             }
             pool.discardAll(connection);
-            throw new SocketTimeoutException(describeTimeout(connection));
+            throw new SocketTimeoutException(describeTimeout(connection, bytes.length));
         } finally {
             pool.release(connection, reusable);
         }
     }
 
-    private static String describeTimeout(HttpConnection connection) {
+    private static String describeTimeout(HttpConnection connection, int requestLength) {
         if (!connection.isAnswered()) {
-            return "the call was not answered in time, no byte of the answer has arrived";
+            return "the call was not answered in time; written "
+                    + connection.getRequestBytes()
+                    + " bytes of "
+                    + requestLength
+                    + ", received none";
         }
         long silentNanos = System.nanoTime() - connection.getLastReceiptNanos();
-        return "the call was not answered in time, "
+        return "the call was not answered in time; received "
                 + connection.getAnswerBytes()
-                + " bytes of the answer have arrived, the last "
+                + " bytes, the last of them "
                 + TimeUnit.NANOSECONDS.toMillis(silentNanos)
                 + " ms ago";
     }
--- a/src/main/java/org/standlink/platform/HttpConnection.java
+++ b/src/main/java/org/standlink/platform/HttpConnection.java
@@ -36,8 +36,6 @@
     /** The connect timeout, in milliseconds; connecting takes a few on the platform's links. */
     private static final long CONNECT_TIMEOUT_MILLIS = 1000;
 
-    private static final long NANOS_PER_MILLI = 1_000_000;
-
     /** The size of the read buffer, in bytes; holds most answers. */
     private static final int BUFFER_BYTES = 8192;
 
@@ -47,6 +45,18 @@
      */
     private static final int MAX_TRANSFER_BYTES = 65_536;
 
+    /**
+     * The size of the socket's send buffer, in bytes. In a larger one a whole request could wait
+     * for a thin link after it was written.
+     */
+    private static final int SEND_BUFFER_BYTES = 65_536;
+
+    /**
+     * The maximum number of written bytes that have not reached the peer, which the send buffer and
+     * the buffers on the way contain.
+     */
+    private static final int MAX_BUFFERED_BYTES = 4 * SEND_BUFFER_BYTES;
+
     private final String address;
 
     private final int generation;
@@ -56,7 +66,8 @@
     /** The bytes that were received and not yet read. */
     private final ByteBuffer received = ByteBuffer.allocate(BUFFER_BYTES).limit(0);
 
-    private volatile long timeoutNanos;
+    /** The timeout of the current call. */
+    private volatile CallTimeout timeout;
 
     private volatile boolean overdue;
 
@@ -65,6 +76,9 @@
     /** Whether any byte of the current call may have been sent. */
     private boolean sent;
 
+    /** The number of bytes of the current request that were written. */
+    private int requestBytes;
+
     /** The number of bytes of the answer of the current call that were received. */
     private long answerBytes;
 
@@ -76,13 +90,13 @@
      *
      * @param address the host and port
      * @param generation the generation of the pool
-     * @param timeoutNanos when the timeout of the first call ends, by {@link System#nanoTime}
+     * @param timeout the timeout of the first call
      * @throws IOException if no socket can be created
      */
-    HttpConnection(String address, int generation, long timeoutNanos) throws IOException {
+    HttpConnection(String address, int generation, CallTimeout timeout) throws IOException {
         this.address = address;
         this.generation = generation;
-        this.timeoutNanos = timeoutNanos;
+        this.timeout = timeout;
         this.channel = SocketChannel.open();
     }
 
@@ -95,11 +109,11 @@
     }
 
     long getTimeoutNanos() {
-        return timeoutNanos;
+        return timeout.getEndNanos();
     }
 
-    void setTimeoutNanos(long timeoutNanos) {
-        this.timeoutNanos = timeoutNanos;
+    void setTimeout(CallTimeout timeout) {
+        this.timeout = timeout;
     }
 
     long getIdleSinceNanos() {
@@ -122,6 +136,10 @@
         return answerBytes > 0;
     }
 
+    int getRequestBytes() {
+        return requestBytes;
+    }
+
     long getAnswerBytes() {
         return answerBytes;
     }
@@ -142,13 +160,14 @@
      *     connecting ends
      */
     void connect() throws ConnectException {
-        long callMillis = (timeoutNanos - System.nanoTime()) / NANOS_PER_MILLI;
+        long callMillis = timeout.getRemainingMillis();
         try {
             if (callMillis <= 0) {
                 throw new ConnectException("the call had no time left to connect");
             }
             URI uri = URI.create("http://" + address);
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
+            channel.setOption(StandardSocketOptions.SO_SNDBUF, SEND_BUFFER_BYTES);
             channel.socket()
                     .connect(
                             new InetSocketAddress(uri.getHost(), uri.getPort()),
@@ -188,14 +207,18 @@
      */
     void write(byte[] request) throws IOException {
         sent = false;
+        requestBytes = 0;
         answerBytes = 0;
         ByteBuffer bytes = ByteBuffer.wrap(request);
         try {
             while (bytes.position() < request.length) {
                 bytes.limit(Math.min(request.length, bytes.position() + MAX_TRANSFER_BYTES));
-                channel.write(bytes);
+                int count = channel.write(bytes);
                 sent = true;
+                requestBytes += count;
+                timeout.bytesSent(count);
             }
+            timeout.requestSent(Math.min(request.length, MAX_BUFFERED_BYTES));
         } catch (ClosedChannelException closedByThisProcess) {
             // The kernel may have taken a part of the bytes before the connection was closed.
             sent = true;
@@ -244,8 +267,11 @@
     }
 
     private void bytesReceived(int count) {
-        answerBytes += Math.max(0, count);
-        lastReceiptNanos = System.nanoTime();
+        if (count > 0) {
+            answerBytes += count;
+            lastReceiptNanos = System.nanoTime();
+            timeout.bytesReceived(count);
+        }
     }
 
     /** Closes the connection because the timeout of its call has passed. */
--- a/src/main/java/org/standlink/platform/HttpConnectionPool.java
+++ b/src/main/java/org/standlink/platform/HttpConnectionPool.java
@@ -57,13 +57,13 @@
      * Takes the last used idle connection to an address that the peer has not closed.
      *
      * @param address the host and port
-     * @param timeoutNanos when the timeout of the call ends, by {@link System#nanoTime}
+     * @param timeout the timeout of the call
      * @return the connection, null if there is none
      */
-    HttpConnection takeIdle(String address, long timeoutNanos) {
+    HttpConnection takeIdle(String address, CallTimeout timeout) {
         HttpConnection connection = findIdle(address);
         if (connection != null) {
-            connection.setTimeoutNanos(timeoutNanos);
+            connection.setTimeout(timeout);
             applyTimeout(connection);
         }
         return connection;
@@ -73,12 +73,12 @@
      * Opens a connection.
      *
      * @param address the host and port
-     * @param timeoutNanos when the timeout of the call ends, by {@link System#nanoTime}
+     * @param timeout the timeout of the call
      * @return the connection
      * @throws java.net.ConnectException if no connection could be opened in time
      */
-    HttpConnection open(String address, long timeoutNanos) throws IOException {
-        HttpConnection connection = new HttpConnection(address, getGeneration(), timeoutNanos);
+    HttpConnection open(String address, CallTimeout timeout) throws IOException {
+        HttpConnection connection = new HttpConnection(address, getGeneration(), timeout);
         connection.connect();
         applyTimeout(connection);
         return connection;
--- a/src/main/java/org/standlink/platform/HttpStore.java
+++ b/src/main/java/org/standlink/platform/HttpStore.java
@@ -41,14 +41,14 @@
 public final class HttpStore implements KeyedStore {
 
     /**
-     * The timeout of a call, in milliseconds: an answer takes 4 ms, and 240 ms when the store is
-     * slowed down sixtyfold.
+     * The timeout until an answer begins, in milliseconds: an answer takes 4 ms, and 240 ms when
+     * the store is slowed down sixtyfold.
      */
     private static final long CALL_TIMEOUT_MILLIS = 1000;
 
     /**
-     * How much longer than its requested wait a read may take, in milliseconds: twice what an
-     * answer takes from a store that is slowed down sixtyfold.
+     * How much longer than its requested wait a read may take to be answered, in milliseconds:
+     * twice what an answer takes from a store that is slowed down sixtyfold.
      */
     private static final long READ_MARGIN_MILLIS = 600;
 
--- a/src/main/java/org/standlink/platform/PlatformHttpClient.java
+++ b/src/main/java/org/standlink/platform/PlatformHttpClient.java
@@ -29,9 +29,10 @@
 /**
  * HTTP/1.1 client for calls to the platform and to workers, over plaintext persistent connections.
  *
- * <p>A call that is not answered within its timeout fails. Its connection is closed, and neither it
- * nor the connections that are idle at that time are used again: open connections may stall
- * together, and each of them would delay one more call by its whole timeout.
+ * <p>A call whose answer neither begins within its timeout nor goes on arriving fails. Its
+ * connection is closed, and neither it nor the connections that are idle at that time are used
+ * again: open connections may stall together, and each of them would delay one more call by its
+ * whole timeout.
  *
  * <p>A call occupies a thread of the executor until it ends. A single further thread enforces the
  * timeouts of all calls.
@@ -65,7 +66,8 @@
      *
      * @param address the host and port
      * @param target the path, with the query if there is one
-     * @param timeoutMillis the timeout of the whole call, in milliseconds
+     * @param timeoutMillis how long the answer may take to begin, in milliseconds; it may then take
+     *     as long as its bytes keep arriving
      * @return the request, to which the caller may add headers
      */
     HttpRequest.Builder newRequest(String address, String target, long timeoutMillis) {
