Copies of a large append wait until the one before can have left

An append without an answer was sent again every 100 ms, whatever its length, up to ten at once. Behind a thin link the copies share it: 500 kB at 7 Mbit/s take 0.6 s for one copy, and over 5 s for each of ten. None was answered within its timeout, and each was replaced by the next.

The interval now counts the length of the append at 2 Mbit/s; appends up to 25 kB are repeated as before. How long the last call took counts without the time for its bytes, so a large append does not delay the repetition of the small one after it. The rule moves into RepetitionInterval.

TestCommitQueue.largeAppendIsNotRepeatedWhileItMayBeOnItsWay failed with the length left out: 10 calls in 1,900 ms where 1 is expected.

--- a/src/main/java/org/standlink/cell/CommitQueue.java
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -57,20 +57,6 @@
     /** The pause before a rejected append or an empty read is repeated, in milliseconds. */
     private static final long RETRY_PAUSE_MILLIS = 100;
 
-    /**
-     * The time between two calls for an append without an answer, in milliseconds. An answer takes
-     * 10 ms, and a call whose answer is lost times out only after 1,000 ms. This is also how soon
-     * it is noticed that an unresponsive store answers again; leases that expire before that cost
-     * the work of their runs.
-     */
-    static final long RETRY_INTERVAL_MILLIS = 100;
-
-    /**
-     * The same interval as a multiple of the duration of the last append, in case the store is
-     * slow.
-     */
-    private static final long RETRY_FACTOR = 4;
-
     /**
      * The maximum number of calls in flight for one append: as many as fit at the retry interval
      * into the timeout of a call, so that a call is sent at each interval of a long outage.
@@ -110,8 +96,7 @@
     /** When the last call was sent, on the monotonic clock, in milliseconds. */
     private long lastCallMillis;
 
-    /** How long the last successful call took, in milliseconds. */
-    private long lastCallDurationMillis;
+    private final RepetitionInterval repetition = new RepetitionInterval();
 
     /** Whether a call has failed since the last append was accepted. */
     private boolean failing;
@@ -239,8 +224,7 @@
                         new AppendCondition(epoch, sequence, topicEnd)),
                 loop,
                 (newEnd, failure) -> closeOnFailure(() -> handleAnswer(append, sent, failure)));
-        scheduleRetry(
-                append, Math.max(RETRY_INTERVAL_MILLIS, RETRY_FACTOR * lastCallDurationMillis));
+        scheduleRetry(append, repetition.getMillis(append.getLength()));
     }
 
     /** Schedules one more call, unless another one has been sent by then. */
@@ -267,7 +251,8 @@
             return;
         }
         if (failure == null) {
-            lastCallDurationMillis = authority.now().monotonicMillis() - sent.monotonicMillis();
+            long durationMillis = authority.now().monotonicMillis() - sent.monotonicMillis();
+            repetition.callAnswered(durationMillis, append.getLength());
         }
         boolean repeated = append.getLastCallNumber() > 1;
         if (failure == null && !repeated) {
@@ -387,7 +372,7 @@
             // scheduled. The interval is kept because a store that rejects calls answers at once,
             // and each answer leads here again.
             long since = authority.now().monotonicMillis() - lastCallMillis;
-            scheduleRetry(append, Math.max(0, RETRY_INTERVAL_MILLIS - since));
+            scheduleRetry(append, Math.max(0, repetition.getMillis(append.getLength()) - since));
         }
     }
 }
--- a/src/main/java/org/standlink/cell/PendingAppend.java
+++ b/src/main/java/org/standlink/cell/PendingAppend.java
@@ -77,6 +77,17 @@
         return records;
     }
 
+    /**
+     * Gets the length of the records.
+     *
+     * @return the length, in bytes, without that of the format
+     */
+    long getLength() {
+        return records.stream()
+                .mapToLong(record -> record.key().length() + record.value().length)
+                .sum();
+    }
+
     List<Runnable> getCallbacks() {
         return callbacks;
     }
--- a/src/test/java/org/standlink/cell/TestCommitQueue.java
+++ b/src/test/java/org/standlink/cell/TestCommitQueue.java
@@ -27,6 +27,7 @@
 import org.standlink.FakeEventLoop;
 import org.standlink.job.JobState;
 import org.standlink.store.FakeKeyedStore;
+import org.standlink.store.KeyedRecord;
 import org.standlink.store.Topic;
 
 /** Tests that no effect runs before its changes are durable, whatever the store does. */
@@ -136,7 +137,7 @@
             assertTrue(events.isEmpty());
         }
         store.setMode(FakeKeyedStore.Mode.UP);
-        loop.advance(CommitQueue.RETRY_INTERVAL_MILLIS + 1);
+        loop.advance(RepetitionInterval.MIN_MILLIS + 1);
         assertEquals(List.of("effect"), events);
         assertEquals(2, store.getRecords(Topic.CELL).size());
     }
@@ -150,7 +151,7 @@
         queue.startAppend();
         loop.advance(650);
         store.setMode(FakeKeyedStore.Mode.UP);
-        loop.advance(CommitQueue.RETRY_INTERVAL_MILLIS + 1);
+        loop.advance(RepetitionInterval.MIN_MILLIS + 1);
         assertEquals(List.of("effect"), events);
     }
 
@@ -238,4 +239,47 @@
         assertEquals(List.of("a", "b"), events);
         assertEquals(4, store.getRecords(Topic.CELL).size());
     }
+
+    /**
+     * Guards against a leader behind a thin link that never completes a large append: a copy of it
+     * was sent every 100 ms, and the copies shared the link.
+     */
+    @Test
+    public void largeAppendIsNotRepeatedWhileItMayBeOnItsWay() {
+        CommitQueue large =
+                new CommitQueue(
+                        store,
+                        Epoch.of(2),
+                        List.of(new LargeChange()),
+                        new LeaderAuthority(clock, clock::nowMillis),
+                        loop,
+                        loop,
+                        () -> events.add("fenced"));
+        store.setMode(FakeKeyedStore.Mode.UNRESPONSIVE);
+        large.startAppend();
+        loop.advance(1900);
+        assertEquals(1, store.getAppendCount(), "500 kB take 2 s at 2 Mbit/s");
+        loop.advance(200);
+        assertEquals(2, store.getAppendCount());
+    }
+
+    /** A state whose first change is large. */
+    private static final class LargeChange implements ChangeSource {
+
+        private boolean changed = true;
+
+        @Override
+        public boolean hasChanges() {
+            return changed;
+        }
+
+        @Override
+        public List<KeyedRecord> takeChanges() {
+            changed = false;
+            return List.of(new KeyedRecord("large", new byte[500_000]));
+        }
+
+        @Override
+        public void markPersisted() {}
+    }
 }
