A leader notices that another one appends under its epoch before callers are told

Each leader now numbers its appends from a number of its own (WriterId), so the store answers 409 (seq) to one of the two, and the end that an answer names must be the expected one. Either ends the leader before any action of that append runs, and the leader vacates its claim (EPOCH_SHARED), since there is no newer one to wait for; before, such a leader only stopped. This also holds for a topic in which an earlier version has left an older epoch.

TestCommitQueue (2), TestLeadershipManager (1), TestLeadershipHandover (1). Without the check of the end one of them fails, without the numbers another one, and without both also olderEpochBehindANewerOneLosesNoJob: an accepted job that is not stored.

--- a/src/main/java/org/standlink/ErrorCode.java
+++ b/src/main/java/org/standlink/ErrorCode.java
@@ -50,6 +50,8 @@
     CONDITION_FAILED(4),
     /** A newer leader has written, so this one may no longer write. */
     EPOCH_FENCED(4),
+    /** Another writer appends under the epoch of this one. */
+    EPOCH_SHARED(4),
     /** The platform did not accept the request, which had no effect. */
     PLATFORM_UNAVAILABLE(5),
     /** A peer could not be reached; nothing was sent. */
--- a/src/main/java/org/standlink/cell/CommitQueue.java
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -21,8 +21,8 @@
 import java.util.concurrent.Executor;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
-import org.standlink.Epoch;
 import org.standlink.ErrorCode;
+import org.standlink.StandlinkException;
 import org.standlink.cell.LeaderAuthority.ClockReading;
 import org.standlink.process.EventLog;
 import org.standlink.process.Guarded;
@@ -32,13 +32,15 @@
 import org.standlink.store.KeyedStore;
 import org.standlink.store.ReadResult;
 import org.standlink.store.Topic;
+import org.standlink.store.WriterId;
 
 /**
  * Persists the changes of a leader in the store, in order and one append at a time, and runs the
  * actions that depend on them only once they are durable.
  *
  * <p>An append without an answer is repeated under the same number until the store has accepted it
- * or reports that a newer leader has written.
+ * or reports that a newer leader has written. If another leader writes under the same epoch, an
+ * exception ends this one, which then has to vacate its claim: there is no newer one to wait for.
  *
  * <p>{@code CommitQueue} is not thread-safe; it is confined to the leader's event loop.
  */
@@ -69,7 +71,7 @@
     private static final EventLog LOG = EventLog.of(CommitQueue.class);
 
     private final KeyedStore store;
-    private final Epoch epoch;
+    private final WriterId writer;
 
     /** The parts of the state that are persisted. */
     private final List<ChangeSource> sources;
@@ -104,22 +106,24 @@
     private boolean closed;
 
     /**
-     * Creates an empty queue that writes to a store under the epoch of the leader.
+     * Creates an empty queue that writes to a store.
      *
+     * @param writer the leader, whose epoch no other writer uses
      * @param sources the parts of the state that are persisted
      * @param authority reads the clocks, and records accepted appends
      * @param fenceListener called when a newer leader has written
      */
     CommitQueue(
             KeyedStore store,
-            Epoch epoch,
+            WriterId writer,
             List<ChangeSource> sources,
             LeaderAuthority authority,
             Executor loop,
             ScheduledExecutorService timers,
             Runnable fenceListener) {
         this.store = store;
-        this.epoch = epoch;
+        this.writer = writer;
+        this.sequence = writer.initialSequence();
         this.sources = List.copyOf(sources);
         this.authority = authority;
         this.loop = loop;
@@ -221,9 +225,10 @@
                 store.append(
                         Topic.CELL,
                         append.getRecords(),
-                        new AppendCondition(epoch, sequence, topicEnd)),
+                        new AppendCondition(writer.epoch(), sequence, topicEnd)),
                 loop,
-                (newEnd, failure) -> closeOnFailure(() -> handleAnswer(append, sent, failure)));
+                (newEnd, failure) ->
+                        closeOnFailure(() -> handleAnswer(append, sent, newEnd, failure)));
         scheduleRetry(append, repetition.getMillis(append.getLength()));
     }
 
@@ -245,7 +250,8 @@
                 () -> loop.execute(() -> closeOnFailure(work)), millis, TimeUnit.MILLISECONDS);
     }
 
-    private void handleAnswer(PendingAppend append, ClockReading sent, Throwable failure) {
+    private void handleAnswer(
+            PendingAppend append, ClockReading sent, Long newEnd, Throwable failure) {
         append.callFinished();
         if (append.isAccepted() || closed) {
             return;
@@ -256,6 +262,7 @@
         }
         boolean repeated = append.getLastCallNumber() > 1;
         if (failure == null && !repeated) {
+            checkEnd(append, newEnd);
             complete(append, sent);
         } else if (repeated
                 && (failure == null
@@ -267,6 +274,17 @@
         }
     }
 
+    /** Checks the answer to an append that was sent once; it may be that to another writer's. */
+    private void checkEnd(PendingAppend append, long newEnd) {
+        long expectedEnd = topicEnd + append.getRecords().size();
+        if (newEnd != expectedEnd) {
+            throw new StandlinkException(
+                    ErrorCode.EPOCH_SHARED,
+                    "append " + sequence + " ended at " + newEnd + " instead of " + expectedEnd,
+                    "claim a higher epoch");
+        }
+    }
+
     /**
      * Reads back an append that was sent more than once. Its answer may say only that the store has
      * seen the number, before the records under that number are written, or that the end of the
@@ -344,7 +362,7 @@
     }
 
     private void handleFenced(Object cause) {
-        LOG.info("append-refused").with("epoch", epoch).with("cause", cause).write();
+        LOG.info("append-refused").with("epoch", writer.epoch()).with("cause", cause).write();
         close();
         fenceListener.run();
     }
@@ -353,11 +371,7 @@
         StoreFailureClassifier.rethrowDefect(failure);
         Throwable cause = WorkFailures.unwrap(failure);
         ErrorCode code = StoreFailureClassifier.codeOf(failure);
-        boolean superseded =
-                code == ErrorCode.EPOCH_FENCED
-                        || code == ErrorCode.INTERNAL
-                        || code == ErrorCode.CONDITION_FAILED;
-        if (superseded) {
+        if (code == ErrorCode.EPOCH_FENCED || code == ErrorCode.CONDITION_FAILED) {
             handleFenced(cause);
             return;
         }
--- a/src/main/java/org/standlink/cell/JobCellLeader.java
+++ b/src/main/java/org/standlink/cell/JobCellLeader.java
@@ -33,6 +33,7 @@
 import org.standlink.store.KeyedStore;
 import org.standlink.store.ReadResult;
 import org.standlink.store.Topic;
+import org.standlink.store.WriterId;
 import org.standlink.wire.AgentGrant;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.JobAnswer;
@@ -102,7 +103,7 @@
     /**
      * Creates a leader of the job cell for an epoch.
      *
-     * @param epoch the epoch
+     * @param writer the epoch and the process of the leader
      * @param store the store
      * @param times the durations agreed with the agents
      * @param contention the decisions for contended workers
@@ -116,7 +117,7 @@
      * @param endListener is notified when this leader has ended
      */
     public JobCellLeader(
-            Epoch epoch,
+            WriterId writer,
             KeyedStore store,
             CellTimes times,
             ContentionOptions contention,
@@ -128,7 +129,7 @@
             ScheduledExecutorService loop,
             AdmissionListener admissions,
             LeaderEndListener endListener) {
-        this.epoch = epoch;
+        this.epoch = writer.epoch();
         this.store = store;
         this.times = times;
         this.clock = clock;
@@ -145,7 +146,7 @@
         this.commits =
                 new CommitQueue(
                         store,
-                        epoch,
+                        writer,
                         List.of(jobs, workers, interferencePersistence),
                         new LeaderAuthority(clock, wallClock),
                         this.loop,
--- a/src/main/java/org/standlink/cell/LeadershipManager.java
+++ b/src/main/java/org/standlink/cell/LeadershipManager.java
@@ -33,6 +33,7 @@
 import org.standlink.process.EventLog;
 import org.standlink.process.Guarded;
 import org.standlink.store.KeyedStore;
+import org.standlink.store.WriterId;
 import org.standlink.wire.Hello;
 import org.standlink.wire.LeaderNotice;
 import org.standlink.wire.Message;
@@ -153,7 +154,7 @@
         if (isHeldBySelf(claim)) {
             leader =
                     new JobCellLeader(
-                            claim.epoch(),
+                            new WriterId(claim.epoch(), self),
                             store,
                             times,
                             contention,
--- a/src/main/java/org/standlink/cell/StoreFailureClassifier.java
+++ b/src/main/java/org/standlink/cell/StoreFailureClassifier.java
@@ -41,8 +41,8 @@
     }
 
     /**
-     * Rethrows a failure that was not caused by the store but by a defect of this process, where a
-     * retry is of no use.
+     * Rethrows a failure where a retry is of no use: one that was not caused by the store but by a
+     * defect of this process, or an epoch that has two writers.
      *
      * @param failure the failure of a call, null if the call succeeded
      */
@@ -54,5 +54,9 @@
         if (cause instanceof RuntimeException defect && !(cause instanceof StandlinkException)) {
             throw defect;
         }
+        if (cause instanceof StandlinkException known
+                && known.getCode() == ErrorCode.EPOCH_SHARED) {
+            throw known;
+        }
     }
 }
--- a/src/main/java/org/standlink/platform/HttpStore.java
+++ b/src/main/java/org/standlink/platform/HttpStore.java
@@ -195,9 +195,7 @@
                         ? new StandlinkException(
                                 ErrorCode.EPOCH_FENCED, problem, "stop leading the cell")
                         : new StandlinkException(
-                                ErrorCode.INTERNAL,
-                                problem,
-                                "report a defect: the sequence numbers are inconsistent");
+                                ErrorCode.EPOCH_SHARED, problem, "claim a higher epoch");
             }
             case 410 ->
                     throw new StandlinkException(
--- a/src/main/java/org/standlink/store/AppendCondition.java
+++ b/src/main/java/org/standlink/store/AppendCondition.java
@@ -24,7 +24,7 @@
  * <p>{@code AppendCondition} is thread-safe and immutable.
  *
  * @param epoch the epoch of the writer
- * @param sequence the sequence number of the append in the epoch, from 0
+ * @param sequence the sequence number of the append in the epoch; the first one may be any number
  * @param expectedEnd the offset at which the topic must end, or {@link #ANY_END}
  */
 public record AppendCondition(Epoch epoch, long sequence, long expectedEnd) {
--- a/src/main/java/org/standlink/store/KeyedStore.java
+++ b/src/main/java/org/standlink/store/KeyedStore.java
@@ -46,8 +46,9 @@
      * @param topic the topic
      * @param records the records
      * @param condition the epoch, number and expected position of the append
-     * @return the new end offset; fails with EPOCH_FENCED if there is a writer of a newer epoch and
-     *     with CONDITION_FAILED if the topic ends elsewhere than expected
+     * @return the new end offset; fails with EPOCH_FENCED if there is a writer of a newer epoch,
+     *     with EPOCH_SHARED if another writer numbers its appends under the same epoch, and with
+     *     CONDITION_FAILED if the topic ends elsewhere than expected
      */
     CompletableFuture<Long> append(
             Topic topic, List<KeyedRecord> records, AppendCondition condition);
--- a/src/test/java/org/standlink/cell/AgentReportTestCase.java
+++ b/src/test/java/org/standlink/cell/AgentReportTestCase.java
@@ -33,6 +33,7 @@
 import org.standlink.job.WorkerIncarnation;
 import org.standlink.policy.InterferenceTable;
 import org.standlink.store.FakeKeyedStore;
+import org.standlink.store.WriterId;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.WorkerReport;
 
@@ -49,7 +50,7 @@
     final CommitQueue commits =
             new CommitQueue(
                     store,
-                    Epoch.of(1),
+                    new WriterId(Epoch.of(1), Incarnation.of(1)),
                     List.of(jobs, workers),
                     new LeaderAuthority(clock, clock::nowMillis),
                     loop,
--- a/src/test/java/org/standlink/cell/CellFixtures.java
+++ b/src/test/java/org/standlink/cell/CellFixtures.java
@@ -21,6 +21,7 @@
 import org.standlink.FakeClock;
 import org.standlink.FakeEventLoop;
 import org.standlink.HallId;
+import org.standlink.Incarnation;
 import org.standlink.JobId;
 import org.standlink.Resources;
 import org.standlink.admission.AdmissionListener;
@@ -33,6 +34,7 @@
 import org.standlink.job.WorkerIncarnation;
 import org.standlink.ordering.OrderMetrics;
 import org.standlink.store.KeyedStore;
+import org.standlink.store.WriterId;
 
 /** Provides jobs, workers, leaders and a configuration for tests. */
 final class CellFixtures {
@@ -128,7 +130,7 @@
             Supplier<Configuration> configuration) {
         JobCellLeader leader =
                 new JobCellLeader(
-                        Epoch.of(epoch),
+                        new WriterId(Epoch.of(epoch), Incarnation.of(epoch)),
                         store,
                         new CellTimes(6000, 120_000),
                         ContentionOptions.NONE,
--- a/src/test/java/org/standlink/cell/TestCommitQueue.java
+++ b/src/test/java/org/standlink/cell/TestCommitQueue.java
@@ -17,18 +17,23 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import org.standlink.Epoch;
+import org.standlink.ErrorCode;
 import org.standlink.FakeClock;
 import org.standlink.FakeEventLoop;
+import org.standlink.Incarnation;
+import org.standlink.StandlinkException;
 import org.standlink.job.JobState;
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.store.KeyedRecord;
 import org.standlink.store.Topic;
+import org.standlink.store.WriterId;
 
 /** Tests that no effect runs before its changes are durable, whatever the store does. */
 public class TestCommitQueue {
@@ -41,7 +46,7 @@
     private final CommitQueue queue =
             new CommitQueue(
                     store,
-                    Epoch.of(2),
+                    new WriterId(Epoch.of(2), Incarnation.of(2)),
                     List.of(jobs),
                     new LeaderAuthority(clock, clock::nowMillis),
                     loop,
@@ -249,7 +254,7 @@
         CommitQueue large =
                 new CommitQueue(
                         store,
-                        Epoch.of(2),
+                        new WriterId(Epoch.of(2), Incarnation.of(2)),
                         List.of(new LargeChange()),
                         new LeaderAuthority(clock, clock::nowMillis),
                         loop,
@@ -263,6 +268,56 @@
         assertEquals(2, store.getAppendCount());
     }
 
+    private CommitQueue otherQueue(Incarnation process, JobRegistry source) {
+        CommitQueue other =
+                new CommitQueue(
+                        store,
+                        new WriterId(Epoch.of(2), process),
+                        List.of(source),
+                        new LeaderAuthority(clock, clock::nowMillis),
+                        loop,
+                        loop,
+                        () -> events.add("other fenced"));
+        return other;
+    }
+
+    /**
+     * Appends a job by another writer of the same epoch, which must not take it for durable.
+     *
+     * @param readAgain whether the other writer has read the state after the first one's append
+     */
+    private void assertSharedEpochIsNoticed(Incarnation process, boolean readAgain) {
+        jobs.add(CellFixtures.job("a", 1));
+        queue.startAppend();
+        loop.advance(0);
+        JobRegistry otherJobs = new JobRegistry();
+        CommitQueue other = otherQueue(process, otherJobs);
+        other.setTopicEnd(readAgain ? store.getRecords(Topic.CELL).size() : 0);
+        otherJobs.add(CellFixtures.job("b", 1));
+        other.afterCommit(() -> events.add("other effect"));
+        other.startAppend();
+        StandlinkException shared =
+                assertThrows(StandlinkException.class, () -> loop.advance(1000));
+        assertEquals(ErrorCode.EPOCH_SHARED, shared.getCode());
+        loop.advance(1000);
+        assertEquals(List.of(), events);
+    }
+
+    /**
+     * Guards against accepted jobs that are lost when an epoch has two leaders: the store gave the
+     * first answer to an append of the other one again, as both numbered their appends alike.
+     */
+    @Test
+    public void answerToAnAppendOfAnotherWriterIsNotTakenForItsOwn() {
+        assertSharedEpochIsNoticed(Incarnation.of(2), true);
+    }
+
+    /** The same for two leaders that have read the same state, whose appends end alike. */
+    @Test
+    public void writersOfOneEpochNumberTheirAppendsDifferently() {
+        assertSharedEpochIsNoticed(Incarnation.of(3), false);
+    }
+
     /** A state whose first change is large. */
     private static final class LargeChange implements ChangeSource {
 
--- a/src/test/java/org/standlink/cell/TestJobAdmission.java
+++ b/src/test/java/org/standlink/cell/TestJobAdmission.java
@@ -47,6 +47,7 @@
 import org.standlink.ordering.OrderMetrics;
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.store.Topic;
+import org.standlink.store.WriterId;
 import org.standlink.wire.AgentGrant;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.CancelJob;
@@ -122,7 +123,7 @@
     private void startLeader(long epoch, boolean backlogAdmission) {
         leader =
                 new JobCellLeader(
-                        Epoch.of(epoch),
+                        new WriterId(Epoch.of(epoch), Incarnation.of(epoch)),
                         store,
                         new CellTimes(6000, 120_000),
                         new ContentionOptions(false, backlogAdmission),
--- a/src/test/java/org/standlink/cell/TestLateAppends.java
+++ b/src/test/java/org/standlink/cell/TestLateAppends.java
@@ -24,9 +24,11 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeEventLoop;
+import org.standlink.Incarnation;
 import org.standlink.job.WorkerIncarnation;
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.store.Topic;
+import org.standlink.store.WriterId;
 
 /**
  * Tests that the stored state never reverts to an earlier one than has been reported.
@@ -57,7 +59,7 @@
     private CommitQueue queue(long epoch, JobRegistry source) {
         return new CommitQueue(
                 store,
-                Epoch.of(epoch),
+                new WriterId(Epoch.of(epoch), Incarnation.of(epoch)),
                 List.of(source),
                 new LeaderAuthority(clock, clock::nowMillis),
                 loop,
--- a/src/test/java/org/standlink/cell/TestLeadershipManager.java
+++ b/src/test/java/org/standlink/cell/TestLeadershipManager.java
@@ -31,10 +31,13 @@
 import org.standlink.election.LeaderLink;
 import org.standlink.job.EvacuatedHalls;
 import org.standlink.ordering.OrderMetrics;
+import org.standlink.store.AppendCondition;
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.store.KeyedRecord;
 import org.standlink.store.Topic;
+import org.standlink.wire.JobAnswer;
 import org.standlink.wire.LeaderNotice;
+import org.standlink.wire.Message;
 import org.standlink.wire.SubmitJob;
 
 /** Tests that a process whose leader has failed vacates its claim, so that another can lead. */
@@ -168,4 +171,25 @@
         loop.advance(3000);
         assertEquals(NEXT_CLAIM, newestClaim());
     }
+
+    /** Guards against a leader that ends without a newer claim, after which nobody would lead. */
+    @Test
+    public void epochThatAnotherLeaderUsesIsVacated() {
+        List<KeyedRecord> foreign = List.of(new KeyedRecord("heartbeat", new byte[] {1}));
+        store.append(
+                Topic.CELL,
+                foreign,
+                new AppendCondition(CLAIM.epoch(), 7, AppendCondition.ANY_END));
+        store.getRecords(Topic.CLAIMS).add(CLAIM.toRecord());
+        read(CLAIM);
+        loop.advance(50);
+        manager.handle(entry, 1, new SubmitJob(CellFixtures.job("a", 1)));
+        loop.advance(1000);
+        assertEquals(CLAIM.resigned(), newestClaim());
+        assertFalse(isDone(entry.findAnswer(1)), "the job is not stored");
+    }
+
+    private static boolean isDone(Message answer) {
+        return answer instanceof JobAnswer job && job.result() == JobAnswer.Result.DONE;
+    }
 }
--- a/src/test/java/org/standlink/cell/TestMovePlanner.java
+++ b/src/test/java/org/standlink/cell/TestMovePlanner.java
@@ -24,6 +24,7 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeEventLoop;
+import org.standlink.Incarnation;
 import org.standlink.LeaseGeneration;
 import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.RunEnd;
@@ -32,6 +33,7 @@
 import org.standlink.ordering.OrderMetrics;
 import org.standlink.policy.InterferenceTable;
 import org.standlink.store.FakeKeyedStore;
+import org.standlink.store.WriterId;
 import org.standlink.wire.ImageShare;
 
 /** Tests when a throttled run is moved, and to which worker. */
@@ -50,7 +52,7 @@
     private final CommitQueue commits =
             new CommitQueue(
                     store,
-                    Epoch.of(1),
+                    new WriterId(Epoch.of(1), Incarnation.of(1)),
                     List.of(jobs, workers),
                     new LeaderAuthority(clock, clock::nowMillis),
                     loop,
--- a/src/test/java/org/standlink/cell/TestOrderDispatcher.java
+++ b/src/test/java/org/standlink/cell/TestOrderDispatcher.java
@@ -22,9 +22,11 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeEventLoop;
+import org.standlink.Incarnation;
 import org.standlink.job.EvacuatedHalls;
 import org.standlink.job.WorkerDescription;
 import org.standlink.store.FakeKeyedStore;
+import org.standlink.store.WriterId;
 
 /** Tests that no order is sent before the record of its run is durable. */
 public class TestOrderDispatcher {
@@ -40,7 +42,7 @@
     private final CommitQueue commits =
             new CommitQueue(
                     store,
-                    Epoch.of(1),
+                    new WriterId(Epoch.of(1), Incarnation.of(1)),
                     List.of(jobs),
                     new LeaderAuthority(clock, clock::nowMillis),
                     loop,
--- a/src/test/java/org/standlink/cell/TestReportedStateIsDurable.java
+++ b/src/test/java/org/standlink/cell/TestReportedStateIsDurable.java
@@ -43,6 +43,7 @@
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.store.KeyedRecord;
 import org.standlink.store.Topic;
+import org.standlink.store.WriterId;
 import org.standlink.wire.AgentGrant;
 import org.standlink.wire.AgentReport;
 import org.standlink.wire.CancelJob;
@@ -132,7 +133,7 @@
             leaderClock = new ThrowingClock(clock, thrown);
             leader =
                     new JobCellLeader(
-                            Epoch.of(1),
+                            new WriterId(Epoch.of(1), Incarnation.of(1)),
                             store,
                             new CellTimes(6000, 120_000),
                             ContentionOptions.NONE,
--- a/src/test/java/org/standlink/cell/TestThrowingChangeSources.java
+++ b/src/test/java/org/standlink/cell/TestThrowingChangeSources.java
@@ -25,9 +25,11 @@
 import org.standlink.Epoch;
 import org.standlink.FakeClock;
 import org.standlink.FakeEventLoop;
+import org.standlink.Incarnation;
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.store.KeyedRecord;
 import org.standlink.store.Topic;
+import org.standlink.store.WriterId;
 
 /**
  * Tests that a commit queue runs no effect whose changes are not in the store, whichever call of a
@@ -109,7 +111,7 @@
         CommitQueue queue =
                 new CommitQueue(
                         store,
-                        Epoch.of(call),
+                        new WriterId(Epoch.of(call), Incarnation.of(call)),
                         List.of(first, second),
                         new LeaderAuthority(clock, clock::nowMillis),
                         loop,
--- a/src/test/java/org/standlink/simulation/SimulatedLeader.java
+++ b/src/test/java/org/standlink/simulation/SimulatedLeader.java
@@ -17,6 +17,7 @@
 
 import java.util.function.Supplier;
 import org.standlink.Epoch;
+import org.standlink.Incarnation;
 import org.standlink.admission.AdmissionListener;
 import org.standlink.cell.CellTimes;
 import org.standlink.cell.ContentionOptions;
@@ -25,6 +26,7 @@
 import org.standlink.job.EvacuatedHalls;
 import org.standlink.ordering.OrderMetrics;
 import org.standlink.store.FakeKeyedStore;
+import org.standlink.store.WriterId;
 import org.standlink.wire.LeaderNotice;
 import org.standlink.wire.Message;
 import org.standlink.wire.MessageChannel;
@@ -66,7 +68,7 @@
         this.store = new SimulatedStoreClient(environment, sharedStore, sharedFaults);
         this.leader =
                 new JobCellLeader(
-                        epoch,
+                        new WriterId(epoch, Incarnation.of(epoch.getValue())),
                         store,
                         times,
                         CONTENTION,
--- a/src/test/java/org/standlink/simulation/SimulatedStoreClient.java
+++ b/src/test/java/org/standlink/simulation/SimulatedStoreClient.java
@@ -35,6 +35,7 @@
 final class SimulatedStoreClient implements KeyedStore {
 
     private static final long CALL_TIMEOUT_MILLIS = 1000;
+    private static final long POLL_MILLIS = 20;
     private static final int LOST_PERCENT = 60;
     private static final int DELAYED_PERCENT = 25;
     private static final int REFUSED_PERCENT = 30;
@@ -87,7 +88,24 @@
 
     @Override
     public CompletableFuture<ReadResult> read(Topic topic, long from, long waitMillis) {
-        return call(() -> store.read(topic, from, waitMillis));
+        if (waitMillis < POLL_MILLIS) {
+            return call(() -> store.read(topic, from, waitMillis));
+        }
+        // Whether there is a record is only checked at the end of this time.
+        CompletableFuture<ReadResult> answer = new CompletableFuture<>();
+        environment.schedule(
+                POLL_MILLIS,
+                () ->
+                        call(() -> store.read(topic, from, 0))
+                                .whenComplete(
+                                        (read, failure) -> {
+                                            if (failure == null) {
+                                                answer.complete(read);
+                                            } else {
+                                                answer.completeExceptionally(failure);
+                                            }
+                                        }));
+        return answer;
     }
 
     @Override
--- a/src/test/java/org/standlink/simulation/TestLeadershipHandover.java
+++ b/src/test/java/org/standlink/simulation/TestLeadershipHandover.java
@@ -267,4 +267,30 @@
         assertAcceptedJobsAreStored("in series");
         assertJobsAreAccepted("in series");
     }
+
+    /**
+     * Guards against a shared epoch, however it came about: here a topic in which an earlier
+     * version has left an older epoch behind a newer one.
+     */
+    @Test
+    public void olderEpochBehindANewerOneLosesNoJob() {
+        Claim older = new Claim(Epoch.of(1), "", Incarnation.of(90));
+        for (Successor fate : List.of(Successor.LIVES, Successor.ENDS_AFTER_ITS_FIRST_APPEND)) {
+            TestLeadershipHandover scene = new TestLeadershipHandover();
+            scene.startCallers();
+            scene.store.getRecords(Topic.CLAIMS).add(older.toRecord());
+            SimulatedContender leader = scene.start(SECOND);
+            scene.runUntil("the leader of epoch 2", () -> scene.isClaimed(2));
+            scene.runUntil("its first job", () -> !scene.accepted.isEmpty());
+            if (fate != Successor.LIVES) {
+                leader.end();
+            }
+            scene.store.getRecords(Topic.CLAIMS).add(older.toRecord());
+            scene.start(FIRST);
+            scene.run(6000);
+            scene.assertAcceptedJobsAreStored("older epoch, leader " + fate);
+            scene.assertJobsAreAccepted("older epoch, leader " + fate);
+            assertTrue(scene.isClaimed(3), "a higher epoch is claimed");
+        }
+    }
 }
--- a/src/test/java/org/standlink/store/FakeKeyedStore.java
+++ b/src/test/java/org/standlink/store/FakeKeyedStore.java
@@ -163,7 +163,7 @@
                     }
                     long last = sequences.getOrDefault(topic, condition.sequence() - 1);
                     if (condition.sequence() != last + 1) {
-                        throw failure(ErrorCode.INTERNAL);
+                        throw failure(ErrorCode.EPOCH_SHARED);
                     }
                     if (!matchesEnd(topic, condition)) {
                         throw failure(ErrorCode.CONDITION_FAILED);
