--- a/src/test/java/org/standlink/platform/TestHttpStore.java
+++ b/src/test/java/org/standlink/platform/TestHttpStore.java
@@ -18,6 +18,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
@@ -107,4 +108,27 @@
         assertEquals(5, following.nextOffset());
         assertEquals("c", following.records().get(0).key());
     }
+
+    /** Guards against a refused number of another leader that ends a leader as if it were newer. */
+    @Test
+    public void refusedSequenceNumberMeansAnotherWriterOfTheEpoch() throws IOException {
+        String reason = "{\"reason\":\"seq\",\"seq\":7}";
+        String answer = "HTTP/1.1 409 Conflict\r\nContent-Length: " + reason.length() + "\r\n\r\n";
+        ScriptedServer.Script refusal =
+                peer -> {
+                    while (peer.readRequest()) {
+                        peer.write(answer + reason);
+                    }
+                };
+        try (ScriptedServer server = new ScriptedServer(threads, refusal)) {
+            HttpStore refusing =
+                    new HttpStore(new PlatformHttpClient(threads), server.getAddress());
+            CompletableFuture<Long> append =
+                    refusing.append(
+                            Topic.CELL,
+                            List.of(),
+                            new AppendCondition(Epoch.of(1), 1, AppendCondition.ANY_END));
+            assertEquals(ErrorCode.EPOCH_SHARED, codeOf(append));
+        }
+    }
 }
