--- a/src/test/java/org/standlink/specification/TestClaimSpecification.java
+++ b/src/test/java/org/standlink/specification/TestClaimSpecification.java
@@ -22,8 +22,8 @@
 import org.junit.jupiter.api.TestFactory;
 
 /**
- * Checks the specification of claims and resignations with TLC. The design holds; no caller is told
- * of an append that is not kept even if epochs are shared, but only with both defences.
+ * Checks the specification of claims and resignations with TLC. The design holds. If epochs are
+ * shared, each acknowledged append is still stored, but only with both defences.
  */
 public class TestClaimSpecification {
 
