Scripted test server accepts no connection once it is closed

Not a fault of the client: the script closes the server and expects the repetition to be refused, but an accept that is in progress may still succeed while the listener is closed, and the server then answered the repetition with 200.

Traced with a line at that place and 1,500 repetitions beside ten busy processes: 21 failures, and 21 connections accepted after the close. Such a connection is now closed at once; the check of the test is unchanged. With it the same 1,500 repetitions failed in none.

--- a/src/test/java/org/standlink/platform/ScriptedServer.java
+++ b/src/test/java/org/standlink/platform/ScriptedServer.java
@@ -81,6 +81,11 @@
         while (!listener.isClosed()) {
             try {
                 Socket socket = listener.accept();
+                if (listener.isClosed()) {
+                    // An accept that was in progress may succeed while the listener is closed.
+                    socket.close();
+                    return;
+                }
                 Script script = scripts.get(Math.min(sockets.size(), scripts.size() - 1));
                 sockets.add(socket);
                 threads.execute(() -> serve(socket, script));
