--- a/review/standins-2/Minion.java
+++ b/review/standins-2/Minion.java
@@ -18,6 +18,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Executors;
+import java.util.concurrent.atomic.AtomicInteger;
 
 /**
  * A minion that runs tasks for as long as their spec says: {"ms": 500} ends done after 500 ms, 0
@@ -26,6 +27,9 @@
  */
 final class Minion implements AutoCloseable {
 
+    /** The bounds of the settings: bounds.max_hold_ms. */
+    private static final long MOST_HOLD_MILLIS = 6000;
+
     private final Rig rig;
     private final int number;
     private final String control;
@@ -57,36 +61,19 @@
     /** The number of starts, and of ends, that are written to the record. */
     private static final int MOST_LOGGED = 300;
 
-    private static final java.util.concurrent.atomic.AtomicInteger STARTS_LOGGED =
-            new java.util.concurrent.atomic.AtomicInteger();
-
-    /** How often runs of each task were stopped, and the longest run; guarded by STARTS. */
-    private static final Map<String, Integer> STOPS = new HashMap<>();
-
-    private static final Map<String, Long> LONGEST = new HashMap<>();
-
-    static int countStops(String job) {
-        synchronized (STARTS) {
-            return STOPS.keySet().stream()
-                    .filter(task -> task.startsWith(job))
-                    .mapToInt(STOPS::get)
-                    .sum();
-        }
-    }
+    private static final AtomicInteger STARTS_LOGGED =
+            new AtomicInteger();
 
-    static long longestRunMillis(String job) {
+    /** Counts the tasks, of the jobs whose id begins so, that have been started. */
+    static int countStarted(String job) {
         synchronized (STARTS) {
-            return LONGEST.keySet().stream()
-                    .filter(task -> task.startsWith(job))
-                    .mapToLong(LONGEST::get)
-                    .max()
-                    .orElse(0);
+            return (int) STARTS.keySet().stream().filter(task -> task.startsWith(job)).count();
         }
     }
 
     /** The number of runs that have ended on all minions. */
-    private static final java.util.concurrent.atomic.AtomicInteger ENDS =
-            new java.util.concurrent.atomic.AtomicInteger();
+    private static final AtomicInteger ENDS =
+            new AtomicInteger();
 
     static int countEnds() {
         return ENDS.get();
@@ -263,12 +250,6 @@
     private void end(Run run, String how) {
         running.remove(run.task);
         over.merge(run.task, run.run, Math::max);
-        synchronized (STARTS) {
-            LONGEST.merge(run.task, clock() - run.began, Math::max);
-            if (how.equals("stopped")) {
-                STOPS.merge(run.task, 1, Integer::sum);
-            }
-        }
         ended.add(new Object[] {++endNumber, run.task, run.run, how});
         if (ENDS.incrementAndGet() <= MOST_LOGGED) {
             rig.log("minion " + id + ": end of " + run.task + " run " + run.run + " " + how);
@@ -298,7 +279,7 @@
                     answer.put("reason", "fence");
                 } else {
                     highestFence = fence;
-                    holdUntil = Math.max(holdUntil, Math.min(until(body), clock() + 6000));
+                    holdUntil = Math.max(holdUntil, Math.min(until(body), clock() + MOST_HOLD_MILLIS));
                     handler.handle(body, answer);
                     status = answer.has("reason") ? 409 : 200;
                 }
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -32,6 +32,7 @@
     private final HttpServer server;
     private final Map<String, Log> topics = new HashMap<>();
 
+    /** The number of appends that were longer than the settings allow. */
     private int refused;
 
     private static final class Log {
@@ -133,16 +134,19 @@
         }
         if (longest > RECORD_BYTES || body.length > CALL_BYTES) {
             refused++;
-            if (refused % 50 == 1) rig.log(
-                    "store: refused an append to "
-                            + query.get("topic")
-                            + " by epoch "
-                            + query.get("epoch")
-                            + ": longest record "
-                            + longest
-                            + " bytes, call "
-                            + body.length
-                            + " bytes");
+            if (refused % 50 == 1) {
+                rig.log(
+                        "store: refused an append to "
+                                + query.get("topic")
+                                + " by epoch "
+                                + query.get("epoch")
+                                + ": longest record "
+                                + longest
+                                + " bytes, call "
+                                + body.length
+                                + " bytes; refused so far: "
+                                + refused);
+            }
             return json(400, Rig.JSON.createObjectNode().put("error", "too long"));
         }
         if (query.containsKey("producer")) {
