--- a/review/5/run.sh
+++ b/review/5/run.sh
@@ -5,7 +5,7 @@
 cd "$folder/../.." || exit 2
 [ -f target/review-2/Rig.class ] && [ -f target/standlink-0.1.0.jar ] || { echo "build first" >&2; exit 2; }
 timeout 115 java -Xmx256m -Djdk.httpclient.allowRestrictedHeaders=host \
-  -cp target/review-2:target/standlink-0.1.0.jar LargeAppend "${RECORD:-$folder/record.txt}"
+  -cp target/review-2:target/standlink-0.1.0.jar SoleAgent "${RECORD:-$folder/record.txt}"
 code=$?
 [ $code -le 2 ] || code=2
 exit $code
--- a/review/standins-2/Rig.java
+++ b/review/standins-2/Rig.java
@@ -57,6 +57,9 @@
     /** The present process of each name. */
     private final Map<String, Process> running = new ConcurrentHashMap<>();
 
+    /** The processes whose machine is lost for good. */
+    private final Set<String> lost = ConcurrentHashMap.newKeySet();
+
     /** The processes that this test has killed. */
     private final Set<String> killed = ConcurrentHashMap.newKeySet();
 
@@ -223,7 +226,7 @@
         process.onExit()
                 .thenAccept(
                         ended -> {
-                            if (closing) {
+                            if (closing || lost.contains(name)) {
                                 return;
                             }
                             if (!killed.remove(name)) {
@@ -244,8 +247,30 @@
                         });
     }
 
-    /** Kills the agent that leads, as the output tells; the platform starts it again. */
+    /** Kills the agent that leads; the platform starts it again. */
     void killLeader() throws IOException {
+        String leader = findLeader();
+        log("KILLED " + leader + ", the leader");
+        killed.add(leader);
+        running.get(leader).destroyForcibly();
+    }
+
+    /** Loses all machines with agents for good, but for the one that leads. */
+    void loseAllButLeader() throws IOException {
+        String leader = findLeader();
+        for (int i = 0; i < minions.size(); i++) {
+            String name = "agent-" + i;
+            if (!name.equals(leader)) {
+                log("LOST the machine of " + name + " for good; " + leader + " leads");
+                lost.add(name);
+                running.get(name).destroyForcibly();
+                minions.get(i).close();
+            }
+        }
+    }
+
+    /** Finds the agent that leads, as the output tells. */
+    private String findLeader() throws IOException {
         String leader = "";
         long newest = -1;
         try (Stream<Path> files = Files.list(temporary)) {
@@ -261,9 +286,7 @@
                 }
             }
         }
-        log("KILLED " + leader + ", the leader of epoch " + newest);
-        killed.add(leader);
-        running.get(leader).destroyForcibly();
+        return leader;
     }
 
     /** Logs the lines of the processes' output that contain one of the words. */
--- a/review/standins-2/Store.java
+++ b/review/standins-2/Store.java
@@ -35,7 +35,13 @@
     /** The number of appends that were longer than the settings allow. */
     private int refused;
 
+    /** Whether the answer to the next append of the leader is lost and the history forgotten. */
+    private boolean forgetting;
+
     private static final class Log {
+        /** The first record that is kept. */
+        int first;
+
         final List<byte[]> records = new ArrayList<>();
         final TreeMap<String, byte[]> newest = new TreeMap<>();
         final Map<String, Producer> producers = new HashMap<>();
@@ -72,6 +78,14 @@
         server.stop(0);
     }
 
+    /**
+     * Loses the answer to the next append to the state of the cell, which is done, and forgets the
+     * history of that topic at the same moment. The newest record of each key stays.
+     */
+    synchronized void loseAnswerAndForget() {
+        forgetting = true;
+    }
+
     /** Writes a record as the operator does. */
     synchronized void publish(String key, String value) {
         byte[] keyBytes = key.getBytes(StandardCharsets.US_ASCII);
@@ -96,8 +110,15 @@
                 query.put(parts[0], URLDecoder.decode(parts[1], StandardCharsets.UTF_8));
             }
             Reply reply = handler.handle(query, exchange.getRequestBody().readAllBytes());
+            if (reply == null) {
+                // The channel says nothing more.
+                Rig.sleep(60_000);
+                return;
+            }
             exchange.sendResponseHeaders(reply.status(), reply.body().length);
             exchange.getResponseBody().write(reply.body());
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
         }
     }
 
@@ -188,6 +209,12 @@
         }
         records.forEach(record -> add(log, record));
         notifyAll();
+        if (forgetting && query.containsKey("seq")) {
+            forgetting = false;
+            log.first = log.records.size();
+            rig.log("store: did append " + query.get("seq") + ", LOST its answer, FORGOT the history");
+            return null;
+        }
         return appended(end, log.records.size());
     }
 
@@ -212,6 +239,9 @@
             Thread.currentThread().interrupt();
         }
         int end = log.records.size();
+        if (from < log.first) {
+            return json(410, Rig.JSON.createObjectNode().put("first", log.first));
+        }
         int size = 16;
         int last = (int) Math.min(from, end);
         int first = last;
@@ -219,7 +249,7 @@
             size += 4 + log.records.get(last).length;
             last++;
         }
-        ByteBuffer answer = ByteBuffer.allocate(size).putLong(end).putLong(0);
+        ByteBuffer answer = ByteBuffer.allocate(size).putLong(end).putLong(log.first);
         for (byte[] record : log.records.subList(first, last)) {
             answer.putInt(record.length).put(record);
         }
