--- a/review/standins-2/RecurringJobs.java
+++ b/review/standins-2/RecurringJobs.java
@@ -69,6 +69,10 @@
         int taken = 0;
         for (int i = 0; i < QUESTIONS; i++) {
             known += rig.call("GET", path(i), null).status() == 200 ? 1 : 0;
+            Rig.sleep(1000);
+        }
+        // Not judged: whether other jobs are accepted.
+        for (int i = 0; i < QUESTIONS; i++) {
             String other = "/match/5c0e7a21d94b39" + String.format("%02x", i);
             String body = SoundJobs.body("{\\\"ms\\\":1000}", 1, 1000, "");
             taken += rig.call("POST", other, body).status() == 200 ? 1 : 0;
