A deposed leader vacates its claim unless there is a newer one

Cause: an append without an answer is read back. Where its history is gone (410) its outcome cannot be known, and the leader ended through the listener that is meant for a newer leader: it stopped and wrote no resignation. Its claim stayed the newest, and a process that holds the newest claim does not claim.

Evidence: append-refused (the store answered 410), deposed, and no line of an election after it; the newest claim in the store stays that of epoch 1. Ruled out: the store, which answered all reads and writes of other topics; the candidate, which claims again after any resignation.

Why this works: a resignation is conditional on the claims that the process has read, so it is refused behind a newer claim and repeated until a claim shows the end of the leadership. The related paths go through the same listener: a record that differs, a refused condition, an agent that knows a newer leader, a stop in order meanwhile.

--- a/src/main/java/org/standlink/cell/CommitQueue.java
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -39,8 +39,9 @@
  * actions that depend on them only once they are durable.
  *
  * <p>An append without an answer is repeated under the same number until the store has accepted it
- * or reports that a newer leader has written. If another leader writes under the same epoch, an
- * exception ends this one, which then has to vacate its claim: there is no newer one to wait for.
+ * or reports that a newer leader has written, or until its outcome can no longer be read. If
+ * another leader writes under the same epoch, an exception ends this one. Not each of these ends
+ * proves that there is a newer claim, so the leader's own has to be vacated.
  *
  * <p>{@code CommitQueue} is not thread-safe; it is confined to the leader's event loop.
  */
@@ -80,7 +81,7 @@
     private final Executor loop;
     private final ScheduledExecutorService timers;
 
-    /** Called when a newer leader has written. */
+    /** Called when this leader can write no more: it is superseded, or its last append unknown. */
     private final Runnable fenceListener;
 
     /** The actions to run after the next append. */
@@ -111,7 +112,8 @@
      * @param writer the leader, whose epoch no other writer uses
      * @param sources the parts of the state that are persisted
      * @param authority reads the clocks, and records accepted appends
-     * @param fenceListener called when a newer leader has written
+     * @param fenceListener called when a newer leader has written, or when the outcome of an append
+     *     can no longer be read
      */
     CommitQueue(
             KeyedStore store,
--- a/src/main/java/org/standlink/cell/LeaderEndListener.java
+++ b/src/main/java/org/standlink/cell/LeaderEndListener.java
@@ -23,7 +23,10 @@
 @FunctionalInterface
 public interface LeaderEndListener {
 
-    /** Called when another process leads. */
+    /**
+     * Called when the leader cannot be sure to be the only one any more. Not every such sign proves
+     * that there is a newer claim: the outcome of an append may be unknown for good.
+     */
     void leaderDeposed();
 
     /**
--- a/src/main/java/org/standlink/cell/LeadershipManager.java
+++ b/src/main/java/org/standlink/cell/LeadershipManager.java
@@ -204,7 +204,7 @@
      *     not lead; fails with CONDITION_FAILED if there is a newer claim
      */
     public synchronized CompletableFuture<Long> resign(long timeoutMillis) {
-        if (leader == null) {
+        if (!isHeldBySelf(newestClaim)) {
             return CompletableFuture.completedFuture(0L);
         }
         stopLeader();
@@ -215,31 +215,34 @@
     // -----------------------------------------------------------------------
 
     /**
-     * Resigns on behalf of a failed leader; repeated until a claim shows that its leadership has
-     * ended.
+     * Resigns on behalf of a leader that has ended; repeated until a claim shows that its
+     * leadership has ended. If there is a newer claim, this process reads it soon, and the store
+     * refuses the resignation until then.
+     *
+     * @param event what is logged
      */
-    private synchronized void resignAfterFailure(Epoch epoch) {
+    private synchronized void vacateClaim(Epoch epoch, String event) {
         if (!isHeldBySelf(newestClaim) || !newestClaim.epoch().equals(epoch)) {
             return;
         }
         stopLeader();
-        LOG.info("resigning-after-failure").with("epoch", epoch).write();
+        LOG.info(event).with("epoch", epoch).write();
         Guarded.onCompletionAsync(
-                "resigning-after-failure",
+                event,
                 claims.write(newestClaim.resigned()),
                 loop,
-                (end, failure) -> handleResignation(epoch, failure));
+                (end, failure) -> handleResignation(epoch, event, failure));
     }
 
     private boolean isHeldBySelf(Claim claim) {
         return claim.isHeld() && claim.holder().equals(self);
     }
 
-    private void handleResignation(Epoch epoch, Throwable failure) {
+    private void handleResignation(Epoch epoch, String event, Throwable failure) {
         if (failure != null) {
             LOG.info("resignation-failed").with("epoch", epoch).with("cause", failure).write();
             loop.schedule(
-                    () -> resignAfterFailure(epoch),
+                    () -> vacateClaim(epoch, event),
                     RESIGNATION_RETRY_MILLIS,
                     TimeUnit.MILLISECONDS);
         }
@@ -258,11 +261,12 @@
         @Override
         public void leaderDeposed() {
             stopLeader();
+            vacateClaim(epoch, "resigning-after-deposition");
         }
 
         @Override
         public void leaderFailed() {
-            resignAfterFailure(epoch);
+            vacateClaim(epoch, "resigning-after-failure");
         }
     }
 
--- a/src/test/java/org/standlink/cell/TestLeadershipManager.java
+++ b/src/test/java/org/standlink/cell/TestLeadershipManager.java
@@ -189,6 +189,69 @@
         assertFalse(isDone(entry.findAnswer(1)), "the job is not stored");
     }
 
+    /**
+     * Guards against a cell that nobody leads: the only process was deposed by an append whose
+     * outcome could no longer be read, and waited for another process to claim the leadership.
+     */
+    @Test
+    public void claimOfALeaderThatCannotReadBackItsAppendIsVacated() {
+        becomeLeader();
+        loseAnswerAndHistory();
+        loop.advance(1000);
+        assertEquals(CLAIM.resigned(), newestClaim());
+        assertFalse(isDone(entry.findAnswer(2)), "the outcome is unknown");
+    }
+
+    /** The same if the answer to the resignation is lost as well, and the claims' history gone. */
+    @Test
+    public void resignationOfADeposedLeaderIsRepeatedUntilItIsRead() {
+        becomeLeader();
+        claimsRead = -1;
+        loseAnswerAndHistory();
+        loop.advance(2000);
+        assertTrue(newestClaim().isHeld(), "the claims have not been read");
+        claimsRead = 1;
+        store.setMode(FakeKeyedStore.Mode.ANSWERS_LOST);
+        loop.advance(500);
+        assertEquals(CLAIM.resigned(), newestClaim());
+        int written = store.getRecords(Topic.CLAIMS).size();
+        store.setMode(FakeKeyedStore.Mode.UP);
+        read(newestClaim());
+        loop.advance(3000);
+        assertEquals(written, store.getRecords(Topic.CLAIMS).size());
+    }
+
+    /** The same if the process is stopped in order before its resignation is stored. */
+    @Test
+    public void stoppedProcessVacatesTheClaimOfItsDeposedLeader() {
+        becomeLeader();
+        claimsRead = -1;
+        loseAnswerAndHistory();
+        loop.advance(300);
+        claimsRead = 1;
+        manager.resign(1000);
+        assertEquals(CLAIM.resigned(), newestClaim());
+    }
+
+    @Test
+    public void deposedLeaderWritesNothingBehindTheClaimOfItsSuccessor() {
+        becomeLeader();
+        store.getRecords(Topic.CLAIMS).add(NEXT_CLAIM.toRecord());
+        store.fence(Topic.CELL, NEXT_CLAIM.epoch());
+        manager.handle(entry, 2, new SubmitJob(CellFixtures.job("b", 1)));
+        loop.advance(3000);
+        assertEquals(NEXT_CLAIM, newestClaim());
+    }
+
+    /** Submits a job whose append is stored without an answer, and drops the history after it. */
+    private void loseAnswerAndHistory() {
+        store.setMode(FakeKeyedStore.Mode.ANSWERS_LOST);
+        manager.handle(entry, 2, new SubmitJob(CellFixtures.job("b", 1)));
+        loop.advance(50);
+        store.dropHistory();
+        store.setMode(FakeKeyedStore.Mode.UP);
+    }
+
     private static boolean isDone(Message answer) {
         return answer instanceof JobAnswer job && job.result() == JobAnswer.Result.DONE;
     }
--- a/src/test/java/org/standlink/simulation/TestLeadershipHandover.java
+++ b/src/test/java/org/standlink/simulation/TestLeadershipHandover.java
@@ -164,6 +164,43 @@
         scene.assertJobsAreAccepted("in series");
     }
 
+    /**
+     * Guards against a cell that nobody leads, since its only process was deposed by a lost answer
+     * and a dropped history and then waited for another one to claim.
+     */
+    @Test
+    public void onlyProcessLeadsAgainAfterItsAppendCannotBeReadBack() {
+        for (long seed = 1; seed <= 20; seed++) {
+            playLostHistory(seed, false);
+        }
+    }
+
+    /** The same beside a second process, which may claim first. */
+    @Test
+    public void cellIsLedAgainAfterAnAppendCannotBeReadBack() {
+        for (long seed = 1; seed <= 20; seed++) {
+            playLostHistory(seed, true);
+        }
+    }
+
+    private static void playLostHistory(long seed, boolean secondProcess) {
+        ContentionScene lossy = new ContentionScene(new SimulationEnvironment(seed));
+        long lossMillis = 300 + 200 * seed;
+        String order = "seed " + seed;
+        SimulatedContender leader = lossy.start(FIRST);
+        lossy.runUntil("the first leader", leader::leads);
+        if (secondProcess) {
+            lossy.start(SECOND);
+        }
+        lossy.runUntil("its first job", lossy::hasAcceptedJobs);
+        leader.getStore().getOwnFaults().loseAnswers(lossMillis);
+        lossy.getEnvironment().scheduleRepeating(5, lossy.getStore()::dropHistory);
+        lossy.run(lossMillis + 5000);
+        lossy.assertEpochsAreClaimedOnce(order);
+        lossy.assertAcceptedJobsAreStored(order);
+        lossy.assertJobsAreAccepted(order);
+    }
+
     /**
      * Guards against a shared epoch, however it came about: here a topic in which an earlier
      * version has left an older epoch behind a newer one.
--- a/src/test/java/org/standlink/store/FakeKeyedStore.java
+++ b/src/test/java/org/standlink/store/FakeKeyedStore.java
@@ -69,7 +69,10 @@
 
     private Mode mode = Mode.UP;
     private int appendCount;
-    private boolean historyDropped;
+
+    /** The first offset of each topic that can still be read; 0 if none is listed. */
+    private final Map<Topic, Integer> firstRetained = new EnumMap<>(Topic.class);
+
     private ScheduledExecutorService timers;
     private long callTimeoutMillis;
     private long refusalDelayMillis;
@@ -96,9 +99,9 @@
         maxRecordsPerRead = records;
     }
 
-    /** Drops the history: from now on only the newest record of each key can be read. */
+    /** Drops the history: only the newest record of each key and later records can be read. */
     public void dropHistory() {
-        historyDropped = true;
+        topics.forEach((topic, records) -> firstRetained.put(topic, records.size()));
     }
 
     /** Gets the number of appends attempted under a condition of a writer. */
@@ -194,7 +197,7 @@
     public CompletableFuture<ReadResult> read(Topic topic, long from, long waitMillis) {
         return call(
                 () -> {
-                    if (historyDropped) {
+                    if (from < firstRetained.getOrDefault(topic, 0)) {
                         throw failure(ErrorCode.LOG_GAP);
                     }
                     List<KeyedRecord> all = getRecords(topic);
