A job keeps its due and unfinished repetitions only

Cause: JobEntry had an entry for each task of each repetition from the start, JobRecord a record for each, and every round visited them all. A new leader held pages, decoded records and entries at once. Next to it: an append beyond one call of the store was repeated unchanged for ever.

Evidence: the processes end before `leading`, and each new one reads the same state. Ruled out: a leak; the heap that is kept is that of the entries.

Why this works: RepetitionWindow opens repetitions in their order when they are due and closes them when all tasks are done and released, so one number tells the others. A finished task stays known by the definition: late ends and late runs are answered as before, nothing starts again. AppendBatches divides appends, JobSizePolicy refuses at once what no leader could keep, one job is decoded at a time at a take-over. A record is removed before a new one of the same job is written, as a job may be submitted again after its removal.

--- a/src/main/java/org/standlink/cell/BacklogReader.java
+++ b/src/main/java/org/standlink/cell/BacklogReader.java
@@ -27,7 +27,6 @@
 import java.util.stream.Collectors;
 import org.standlink.admission.BacklogSnapshot;
 import org.standlink.job.Configuration;
-import org.standlink.job.JobDefinition;
 import org.standlink.job.QueueDefinition;
 import org.standlink.job.StepDefinition;
 import org.standlink.ordering.Timeliness;
@@ -184,16 +183,37 @@
             QueueDefinition queue,
             long now,
             long wallMillis) {
-        JobDefinition definition = job.getDefinition();
+        List<StepDefinition> steps = job.getDefinition().steps();
         Timeliness timeliness = predictTimeliness(job, queue, now);
-        Iterator<TaskEntry> tasks = job.allTasks().iterator();
-        for (int repetition = 0; repetition < definition.repetitionCount(); repetition++) {
-            long startMillis =
-                    definition.firstStartMillis() + repetition * definition.intervalMillis();
-            if (definition.isTimed() && wallMillis < startMillis) {
-                return;
+        for (Repetition repetition : job.getWindow().getOpen()) {
+            Iterator<TaskEntry> tasks = repetition.allTasks().iterator();
+            addSteps(snapshot, steps, tasks, queue.priority(), timeliness);
+        }
+        int unopened = job.getWindow().countDueUnopened(wallMillis);
+        if (unopened > 0) {
+            addUnopened(snapshot, steps, unopened, queue.priority(), timeliness);
+        }
+    }
+
+    /** Adds the tasks of repetitions that are due, and wait until earlier ones have been placed. */
+    private static void addUnopened(
+            BacklogSnapshot snapshot,
+            List<StepDefinition> steps,
+            int repetitions,
+            int priority,
+            Timeliness timeliness) {
+        for (StepDefinition step : steps) {
+            if (!step.longRunning()) {
+                double milliCores =
+                        (double) repetitions * step.count() * step.demand().milliCores();
+                snapshot.addWaiting(
+                        priority,
+                        step.bestEffort(),
+                        timeliness,
+                        milliCores,
+                        step.estimatedMillis(),
+                        0);
             }
-            addSteps(snapshot, definition.steps(), tasks, queue.priority(), timeliness);
         }
     }
 
--- a/src/main/java/org/standlink/cell/CommitQueue.java
+++ b/src/main/java/org/standlink/cell/CommitQueue.java
@@ -15,7 +15,6 @@
  */
 package org.standlink.cell;
 
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Executor;
@@ -66,9 +65,6 @@
      */
     static final int MAX_CONCURRENT_CALLS = 10;
 
-    /** The key of the record that only shows that the leader is alive. */
-    private static final String HEARTBEAT_KEY = "heartbeat";
-
     private static final EventLog LOG = EventLog.of(CommitQueue.class);
 
     private final KeyedStore store;
@@ -87,6 +83,9 @@
     /** The actions to run after the next append. */
     private List<Runnable> waitingActions = new ArrayList<>();
 
+    /** The records that are still to be appended before further changes are taken. */
+    private final AppendBatches batches;
+
     /** The number of the last append. */
     private long sequence;
 
@@ -127,6 +126,7 @@
         this.writer = writer;
         this.sequence = writer.initialSequence();
         this.sources = List.copyOf(sources);
+        this.batches = new AppendBatches(store.getLimits());
         this.authority = authority;
         this.loop = loop;
         this.timers = timers;
@@ -170,13 +170,14 @@
         }
         List<KeyedRecord> records = new ArrayList<>();
         sources.forEach(source -> records.addAll(source.takeChanges()));
-        if (records.isEmpty()) {
-            byte[] number = Long.toString(sequence + 1).getBytes(StandardCharsets.US_ASCII);
-            records.add(new KeyedRecord(HEARTBEAT_KEY, number));
-        }
+        batches.set(records, takeWaitingActions());
+        appendNextBatch();
+    }
+
+    private void appendNextBatch() {
         sequence++;
         startedAt = authority.now();
-        send(new PendingAppend(records, takeWaitingActions()));
+        send(batches.takeNext(sequence));
     }
 
     /**
@@ -336,6 +337,10 @@
             LOG.info("store-regained").with("after", authority.getMillisSinceConfirmed()).write();
         }
         authority.appendAccepted(sent);
+        if (!batches.isEmpty()) {
+            appendNextBatch();
+            return;
+        }
         startedAt = null;
         sources.forEach(ChangeSource::markPersisted);
         runActions(append.getCallbacks());
--- a/src/main/java/org/standlink/cell/FinishedJobRecord.java
+++ b/src/main/java/org/standlink/cell/FinishedJobRecord.java
@@ -65,6 +65,6 @@
      * @return the record
      */
     JobRecord toRecord() {
-        return new JobRecord(order, state, List.of(), acceptedWallMillis);
+        return new JobRecord(order, state, List.of(), acceptedWallMillis, 0, null);
     }
 }
--- a/src/main/java/org/standlink/cell/JobCellLeader.java
+++ b/src/main/java/org/standlink/cell/JobCellLeader.java
@@ -77,7 +77,7 @@
     private final AttemptLimits attemptLimits;
     private final LeaderLoop loop;
     private final LeaderEndListener endListener;
-    private final JobRegistry jobs = new JobRegistry();
+    private final JobRegistry jobs;
     private final WorkerRegistry workers;
     private final InterferencePersistence interferencePersistence;
     private final Scheduler scheduler;
@@ -131,6 +131,7 @@
             LeaderEndListener endListener) {
         this.epoch = writer.epoch();
         this.store = store;
+        this.jobs = new JobRegistry(store.getLimits());
         this.times = times;
         this.clock = clock;
         this.wallClock = wallClock;
--- a/src/main/java/org/standlink/cell/JobEntry.java
+++ b/src/main/java/org/standlink/cell/JobEntry.java
@@ -37,13 +37,19 @@
      */
     private static final long MAX_AGE_MILLIS = 600_000;
 
+    /**
+     * The maximum number of tasks of a job that are placed at a time. The record of a placed task
+     * is four times as long as that of another one.
+     */
+    private static final long MAX_PLACED_TASKS = 2000;
+
     private final JobDefinition definition;
 
     /** The position in the order of acceptance. */
     private final long order;
 
-    /** The tasks by repetition, step and index. */
-    private final List<List<List<TaskEntry>>> tasks = new ArrayList<>();
+    /** The repetitions that are due and not finished. */
+    private final RepetitionWindow window;
 
     private JobState state = JobState.QUEUED;
 
@@ -70,28 +76,17 @@
     /** When the job became final, on the leader's clock; negative before. */
     private long finalAt = -1;
 
-    JobEntry(JobDefinition definition, long order) {
+    /**
+     * Creates an entry.
+     *
+     * @param definition the definition
+     * @param order the position in the order of acceptance
+     * @param budget the number of tasks that may be kept
+     */
+    JobEntry(JobDefinition definition, long order, TaskBudget budget) {
         this.definition = definition;
         this.order = order;
-        for (int repetition = 0; repetition < definition.repetitionCount(); repetition++) {
-            List<List<TaskEntry>> steps = new ArrayList<>();
-            for (int step = 0; step < definition.steps().size(); step++) {
-                steps.add(newTasks(repetition, step));
-            }
-            tasks.add(steps);
-        }
-    }
-
-    private List<TaskEntry> newTasks(int repetition, int step) {
-        StepDefinition stepDefinition = definition.steps().get(step);
-        List<TaskEntry> created = new ArrayList<>();
-        for (int index = 0; index < stepDefinition.count(); index++) {
-            created.add(
-                    new TaskEntry(
-                            new TaskName(definition.id(), repetition, step, index),
-                            stepDefinition));
-        }
-        return created;
+        this.window = new RepetitionWindow(definition, budget);
     }
 
     // -----------------------------------------------------------------------
@@ -105,10 +100,8 @@
         sentState = state;
         persistedState = state;
         acceptedWallMillis = record.acceptedWallMillis();
-        List<TaskEntry> all = allTasks().toList();
-        for (int i = 0; i < Math.min(all.size(), record.tasks().size()); i++) {
-            all.get(i).restore(record.tasks().get(i));
-        }
+        window.restore(record);
+        releaseIfFinal();
     }
 
     /**
@@ -118,8 +111,17 @@
      */
     JobRecord toRecord() {
         sentState = state;
-        List<SubmittedTaskRecord> records = allTasks().map(TaskEntry::toRecord).toList();
-        return new JobRecord(order, state, records, acceptedWallMillis);
+        if (definition.isTimed()) {
+            return new JobRecord(
+                    order,
+                    state,
+                    null,
+                    acceptedWallMillis,
+                    window.getFirstUnstarted(),
+                    window.toRecords());
+        }
+        List<SubmittedTaskRecord> tasks = allTasks().map(TaskEntry::toRecord).toList();
+        return new JobRecord(order, state, tasks, acceptedWallMillis, 0, null);
     }
 
     /**
@@ -133,17 +135,27 @@
         }
         if (allTasks().anyMatch(task -> task.hasFailedPermanently(maxAttempts))) {
             state = JobState.FAILED;
-        } else if (allTasks().allMatch(TaskEntry::isDone)) {
+        } else if (window.isDone()) {
             state = JobState.COMPLETED;
         } else if (hasStarted()) {
             state = JobState.RUNNING;
         }
+        window.closeFinished();
+        releaseIfFinal();
+    }
+
+    /** A final job starts nothing, so only what its last runs need is kept, and not for long. */
+    private void releaseIfFinal() {
+        if (state.isFinal()) {
+            window.release();
+        }
     }
 
     /** Cancels the job, unless it is final. */
     void cancel() {
         if (!state.isFinal()) {
             state = JobState.CANCELLED;
+            releaseIfFinal();
         }
     }
 
@@ -158,15 +170,32 @@
         if (state.isFinal()) {
             return ready;
         }
-        for (int repetition = 0; repetition < tasks.size(); repetition++) {
-            if (definition.isTimed() && wallMillis < dueMillis(repetition)) {
-                break;
-            }
-            addReady(tasks.get(repetition), ready);
-        }
+        window.openDue(wallMillis);
+        window.getOpen().forEach(repetition -> ready.addAll(repetition.listReadyTasks()));
         return ready;
     }
 
+    /**
+     * Gets the repetitions that are due and not finished, as far as there is room for them.
+     *
+     * @return the repetitions, in their order
+     */
+    RepetitionWindow getWindow() {
+        return window;
+    }
+
+    /**
+     * Calculates how many more tasks may be placed, so that the record of the job can be stored.
+     *
+     * @return the number of tasks
+     */
+    long getPlacementRoom() {
+        if (window.countTasks() <= MAX_PLACED_TASKS) {
+            return MAX_PLACED_TASKS;
+        }
+        return MAX_PLACED_TASKS - allTasks().filter(task -> task.getWorker() != null).count();
+    }
+
     /**
      * Computes the length of the longest chain of steps, by the caller's estimates.
      *
@@ -174,15 +203,14 @@
      * @return the length, in milliseconds
      */
     long criticalPathMillis(boolean unfinishedOnly) {
-        List<List<TaskEntry>> first = tasks.get(0);
-        long[] pathMillis = new long[first.size()];
+        long[] pathMillis = new long[definition.steps().size()];
         long longest = 0;
         for (int step = 0; step < pathMillis.length; step++) {
             StepDefinition stepDefinition = definition.steps().get(step);
             for (int predecessor : stepDefinition.after()) {
                 pathMillis[step] = Math.max(pathMillis[step], pathMillis[predecessor]);
             }
-            boolean counted = !unfinishedOnly || !isDone(first.get(step));
+            boolean counted = !unfinishedOnly || !window.isFirstDone(step);
             pathMillis[step] += counted ? stepDefinition.estimatedMillis() : 0;
             longest = Math.max(longest, pathMillis[step]);
         }
@@ -204,7 +232,7 @@
      * @return true if so
      */
     boolean hasStarted() {
-        return allTasks().anyMatch(TaskEntry::hasStarted);
+        return window.hasStarted();
     }
 
     /**
@@ -227,49 +255,44 @@
         starvedSince = -1;
     }
 
-    private long dueMillis(int repetition) {
-        return definition.firstStartMillis() + repetition * definition.intervalMillis();
-    }
-
-    private void addReady(List<List<TaskEntry>> steps, List<TaskEntry> ready) {
-        for (int step = 0; step < steps.size(); step++) {
-            boolean unblocked =
-                    definition.steps().get(step).after().stream()
-                            .allMatch(predecessor -> isDone(steps.get(predecessor)));
-            if (unblocked) {
-                steps.get(step).stream()
-                        .filter(task -> !task.isDone() && task.getWorker() == null)
-                        .filter(task -> !task.getTrial().isAwaitingOutcomes())
-                        .forEach(ready::add);
-            }
-        }
-    }
-
-    private static boolean isDone(List<TaskEntry> step) {
-        return step.stream().allMatch(TaskEntry::isDone);
-    }
-
     /**
-     * Finds a task.
+     * Finds a task of an open repetition.
      *
      * @param name the name
-     * @return the task, null if the job has none of that name
+     * @return the task, null if its repetition is finished or not yet open, or if the job has none
+     *     of that name
      */
     TaskEntry findTask(TaskName name) {
+        Repetition repetition = findStep(name) == null ? null : window.find(name.repetition());
+        return repetition == null ? null : repetition.getTask(name);
+    }
+
+    /**
+     * Finds the step of a task, of whichever repetition.
+     *
+     * @param name the name of the task
+     * @return the step, null if the job has no task of that name
+     */
+    StepDefinition findStep(TaskName name) {
         boolean exists =
-                name.repetition() < tasks.size()
+                name.repetition() < definition.repetitionCount()
                         && name.step() < definition.steps().size()
                         && name.index() < definition.steps().get(name.step()).count();
-        return exists ? tasks.get(name.repetition()).get(name.step()).get(name.index()) : null;
+        return exists ? definition.steps().get(name.step()) : null;
     }
 
     /**
-     * Lists all tasks, in the order of repetition, step and index.
+     * Lists the tasks of the open repetitions, in the order of repetition, step and index.
      *
      * @return the tasks
      */
     Stream<TaskEntry> allTasks() {
-        return tasks.stream().flatMap(List::stream).flatMap(List::stream);
+        return window.getOpen().stream().flatMap(Repetition::allTasks);
+    }
+
+    /** Gives back the room that the job was granted, once it is removed. */
+    void release() {
+        window.release();
     }
 
     // -----------------------------------------------------------------------
--- a/src/main/java/org/standlink/cell/JobProfiles.java
+++ b/src/main/java/org/standlink/cell/JobProfiles.java
@@ -74,12 +74,14 @@
     private static JobProfile compute(JobEntry job, QueueDefinition queue) {
         boolean longRunning =
                 job.getDefinition().steps().stream().anyMatch(StepDefinition::longRunning);
-        double total = 0;
-        double remaining = 0;
+        double repetitionWork =
+                job.getDefinition().steps().stream()
+                        .mapToDouble(step -> step.count() * estimateWork(step))
+                        .sum();
+        double total = repetitionWork * job.getDefinition().repetitionCount();
+        double remaining = repetitionWork * job.getWindow().countUnopened();
         for (TaskEntry task : job.allTasks().toList()) {
-            double work = estimateWork(task.getStep());
-            total += work;
-            remaining += task.isDone() ? 0 : work;
+            remaining += task.isDone() ? 0 : estimateWork(task.getStep());
         }
         long pathMillis = job.criticalPathMillis(false);
         return new JobProfile(
--- a/src/main/java/org/standlink/cell/JobRecord.java
+++ b/src/main/java/org/standlink/cell/JobRecord.java
@@ -28,10 +28,48 @@
  *
  * @param order the position in the order of acceptance
  * @param state the state
- * @param tasks the tasks, in the order of repetition, step and index
+ * @param tasks the tasks, in the order of step and index; null for a job with start times, which an
+ *     earlier version stored with the tasks of all repetitions and would start from the first one
  * @param acceptedWallMillis when the job was accepted, in milliseconds since 1970 by the clock of
  *     the leader of that time; suitable for the age of a job, not for exact decisions
+ * @param nextRepetition the first repetition of a job with start times that was never started; all
+ *     earlier ones that are not listed are finished
+ * @param repetitions the started and unfinished repetitions of a job with start times, null for
+ *     other jobs
  */
 @JsonFormat(shape = JsonFormat.Shape.ARRAY)
 record JobRecord(
-        long order, JobState state, List<SubmittedTaskRecord> tasks, long acceptedWallMillis) {}
+        long order,
+        JobState state,
+        List<SubmittedTaskRecord> tasks,
+        long acceptedWallMillis,
+        int nextRepetition,
+        List<RepetitionRecord> repetitions) {
+
+    /**
+     * Returns a copy without checkpoints, from which tasks are started without their progress.
+     *
+     * @return the shorter record
+     */
+    JobRecord withoutCheckpoints() {
+        return new JobRecord(
+                order,
+                state,
+                tasks == null ? null : withoutCheckpoints(tasks),
+                acceptedWallMillis,
+                nextRepetition,
+                repetitions == null
+                        ? null
+                        : repetitions.stream()
+                                .map(
+                                        repetition ->
+                                                new RepetitionRecord(
+                                                        repetition.number(),
+                                                        withoutCheckpoints(repetition.tasks())))
+                                .toList());
+    }
+
+    private static List<SubmittedTaskRecord> withoutCheckpoints(List<SubmittedTaskRecord> tasks) {
+        return tasks.stream().map(SubmittedTaskRecord::withoutCheckpoint).toList();
+    }
+}
--- a/src/main/java/org/standlink/cell/JobRecordFormat.java
+++ b/src/main/java/org/standlink/cell/JobRecordFormat.java
@@ -38,11 +38,13 @@
 
         @Override
         public void write(PackOutput output, JobRecord value) {
-            output.array(4)
+            output.array(6)
                     .number(value.order())
                     .name(value.state())
                     .list(value.tasks(), TASK)
-                    .number(value.acceptedWallMillis());
+                    .number(value.acceptedWallMillis())
+                    .number(value.nextRepetition())
+                    .list(value.repetitions(), REPETITION);
         }
 
         @Override
@@ -56,7 +58,9 @@
                             parts.number(),
                             parseState(parts.text()),
                             parts.list(TASK),
-                            parts.number());
+                            parts.number(),
+                            parts.integer(),
+                            parts.list(REPETITION));
             parts.end();
             return value;
         }
@@ -90,6 +94,27 @@
         }
     }
 
+    private static final PackFormat<RepetitionRecord> REPETITION = new RepetitionFormat();
+
+    private static final class RepetitionFormat implements PackFormat<RepetitionRecord> {
+
+        @Override
+        public void write(PackOutput output, RepetitionRecord value) {
+            output.array(2).number(value.number()).list(value.tasks(), TASK);
+        }
+
+        @Override
+        public RepetitionRecord read(PackInput input) {
+            PackArray parts = input.array();
+            if (parts == null) {
+                return null;
+            }
+            RepetitionRecord value = new RepetitionRecord(parts.integer(), parts.list(TASK));
+            parts.end();
+            return value;
+        }
+    }
+
     private static final PackFormat<SubmittedTaskRecord> TASK = new TaskFormat();
 
     private static final class TaskFormat implements PackFormat<SubmittedTaskRecord> {
--- a/src/main/java/org/standlink/cell/JobRegistry.java
+++ b/src/main/java/org/standlink/cell/JobRegistry.java
@@ -17,6 +17,8 @@
 
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Comparator;
+import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -26,10 +28,12 @@
 import org.standlink.job.JobDefinition;
 import org.standlink.job.JobDefinitionFormat;
 import org.standlink.job.RunId;
+import org.standlink.job.StepDefinition;
 import org.standlink.job.TaskName;
-import org.standlink.pack.PackFormat;
+import org.standlink.process.EventLog;
 import org.standlink.store.KeyedRecord;
 import org.standlink.store.MessagePackCodec;
+import org.standlink.store.StoreLimits;
 
 /**
  * All jobs of a cell, and which of them have changed since they were last persisted.
@@ -38,6 +42,8 @@
  */
 final class JobRegistry implements ChangeSource {
 
+    private static final EventLog LOG = EventLog.of(JobRegistry.class);
+
     /** The key prefix of definitions. */
     private static final String DEFINITION_KEY = "d/";
 
@@ -71,9 +77,37 @@
      */
     private final JobProfiles profiles = new JobProfiles();
 
+    /** The number of tasks that may be kept. */
+    private final TaskBudget budget = new TaskBudget();
+
+    private final StoreLimits limits;
+
     /** The position of the next job in the order of acceptance. */
     private long nextOrder = 1;
 
+    /** Creates an empty registry for a store that states no limits. */
+    JobRegistry() {
+        this(StoreLimits.DEFAULT);
+    }
+
+    /**
+     * Creates an empty registry.
+     *
+     * @param limits the largest records that the store accepts
+     */
+    JobRegistry(StoreLimits limits) {
+        this.limits = limits;
+    }
+
+    /**
+     * Gets the policy that decides which jobs can be kept.
+     *
+     * @return the policy
+     */
+    JobSizePolicy getSizePolicy() {
+        return new JobSizePolicy(limits, budget);
+    }
+
     // -----------------------------------------------------------------------
     /**
      * Restores the jobs from the store.
@@ -81,60 +115,63 @@
      * @param records the records, in any order; a later one of the same key counts
      */
     void restore(List<KeyedRecord> records) {
-        Map<JobId, JobDefinition> definitions = new LinkedHashMap<>();
-        Map<JobId, JobRecord> states = new LinkedHashMap<>();
-        Map<JobId, FinishedJobRecord> finished = new LinkedHashMap<>();
+        Map<JobId, byte[]> definitions = new HashMap<>();
+        Map<JobId, byte[]> states = new HashMap<>();
+        Map<JobId, byte[]> finished = new HashMap<>();
         for (KeyedRecord record : records) {
-            if (record.key().startsWith(DEFINITION_KEY)) {
-                collect(
-                        record,
-                        DEFINITION_KEY,
-                        JobDefinition.class,
-                        JobDefinitionFormat.JOB,
-                        definitions);
-            } else if (record.key().startsWith(STATE_KEY)) {
-                collect(record, STATE_KEY, JobRecord.class, JobRecordFormat.STATE, states);
-            } else if (record.key().startsWith(FINISHED_KEY)) {
-                collect(
-                        record,
-                        FINISHED_KEY,
-                        FinishedJobRecord.class,
-                        JobRecordFormat.FINISHED,
-                        finished);
-            }
+            collect(record, DEFINITION_KEY, definitions);
+            collect(record, STATE_KEY, states);
+            collect(record, FINISHED_KEY, finished);
+        }
+        // One record is decoded at a time: decoded, those of an earlier version may take far more
+        // memory than what is kept of them.
+        List<JobEntry> entries = new ArrayList<>();
+        finished.forEach((id, value) -> entries.add(restoreFinished(id, value)));
+        definitions.keySet().removeAll(finished.keySet());
+        definitions.forEach(
+                (id, value) -> {
+                    if (states.containsKey(id)) {
+                        entries.add(restore(value, states.get(id)));
+                    } else {
+                        // The append that contained its state was not accepted.
+                        removed.add(id);
+                    }
+                });
+        entries.sort(Comparator.comparingLong(JobEntry::getOrder));
+        for (JobEntry entry : entries) {
+            jobs.put(entry.getId(), entry);
+            nextOrder = Math.max(nextOrder, entry.getOrder() + 1);
         }
-        finished.forEach((id, job) -> definitions.put(id, job.toDefinition(id)));
-        finished.forEach((id, job) -> states.put(id, job.toRecord()));
-        definitions.entrySet().stream()
-                .filter(entry -> states.containsKey(entry.getKey()))
-                .sorted((a, b) -> Long.compare(orderOf(states, a), orderOf(states, b)))
-                .forEach(entry -> restore(entry.getValue(), states.get(entry.getKey())));
-    }
-
-    private static long orderOf(
-            Map<JobId, JobRecord> states, Map.Entry<JobId, JobDefinition> definition) {
-        return states.get(definition.getKey()).order();
     }
 
-    private static <T> void collect(
-            KeyedRecord record,
-            String prefix,
-            Class<T> type,
-            PackFormat<T> format,
-            Map<JobId, T> found) {
+    private static void collect(KeyedRecord record, String prefix, Map<JobId, byte[]> found) {
+        if (!record.key().startsWith(prefix)) {
+            return;
+        }
         JobId id = JobId.parse(record.key().substring(prefix.length()));
         if (record.value().length == 0) {
             found.remove(id);
         } else {
-            found.put(id, MessagePackCodec.decode(record.value(), type, format));
+            found.put(id, record.value());
         }
     }
 
-    private void restore(JobDefinition definition, JobRecord record) {
-        JobEntry entry = new JobEntry(definition, record.order());
+    private JobEntry restoreFinished(JobId id, byte[] value) {
+        FinishedJobRecord record =
+                MessagePackCodec.decode(value, FinishedJobRecord.class, JobRecordFormat.FINISHED);
+        return restore(record.toDefinition(id), record.toRecord());
+    }
+
+    private JobEntry restore(byte[] definition, byte[] state) {
+        return restore(
+                MessagePackCodec.decode(definition, JobDefinition.class, JobDefinitionFormat.JOB),
+                MessagePackCodec.decode(state, JobRecord.class, JobRecordFormat.STATE));
+    }
+
+    private JobEntry restore(JobDefinition definition, JobRecord record) {
+        JobEntry entry = new JobEntry(definition, record.order(), budget);
         entry.restore(record);
-        jobs.put(entry.getId(), entry);
-        nextOrder = Math.max(nextOrder, record.order() + 1);
+        return entry;
     }
 
     // -----------------------------------------------------------------------
@@ -145,7 +182,7 @@
      * @return the entry of the job
      */
     JobEntry add(JobDefinition definition) {
-        JobEntry entry = new JobEntry(definition, nextOrder++);
+        JobEntry entry = new JobEntry(definition, nextOrder++, budget);
         jobs.put(entry.getId(), entry);
         added.add(entry.getId());
         changed.add(entry.getId());
@@ -182,6 +219,7 @@
      * @param job the job
      */
     void remove(JobEntry job) {
+        job.release();
         jobs.remove(job.getId());
         profiles.invalidate(job.getId());
         added.remove(job.getId());
@@ -205,6 +243,7 @@
      * @param job the job
      */
     void withdraw(JobEntry job) {
+        job.release();
         jobs.remove(job.getId());
         profiles.invalidate(job.getId());
         added.remove(job.getId());
@@ -225,13 +264,24 @@
      * Finds a task.
      *
      * @param name the name
-     * @return the task, null if there is none
+     * @return the task, null if there is none or its repetition is finished
      */
     TaskEntry findTask(TaskName name) {
         JobEntry job = jobs.get(name.job());
         return job == null ? null : job.findTask(name);
     }
 
+    /**
+     * Finds the step of a task, also if the task is not kept any more because it is finished.
+     *
+     * @param name the name of the task
+     * @return the step, null if no job has a task of that name
+     */
+    StepDefinition findStep(TaskName name) {
+        JobEntry job = jobs.get(name.job());
+        return job == null ? null : job.findStep(name);
+    }
+
     /**
      * Checks whether a run is the last one of its task and is assigned to a worker.
      *
@@ -287,6 +337,11 @@
     @Override
     public List<KeyedRecord> takeChanges() {
         List<KeyedRecord> records = new ArrayList<>();
+        // A job may have been submitted again since it was removed.
+        for (JobId id : removed) {
+            removeTaskRecords(id, records);
+            records.add(new KeyedRecord(FINISHED_KEY + id, new byte[0]));
+        }
         for (JobId id : added) {
             byte[] value =
                     MessagePackCodec.encode(jobs.get(id).getDefinition(), JobDefinitionFormat.JOB);
@@ -305,22 +360,29 @@
                                 MessagePackCodec.encode(finishedRecord, JobRecordFormat.FINISHED)));
                 removeTaskRecords(id, records);
             } else {
-                records.add(
-                        new KeyedRecord(
-                                STATE_KEY + id,
-                                MessagePackCodec.encode(record, JobRecordFormat.STATE)));
+                records.add(newStateRecord(id, record));
             }
         }
-        for (JobId id : removed) {
-            removeTaskRecords(id, records);
-            records.add(new KeyedRecord(FINISHED_KEY + id, new byte[0]));
-        }
         added.clear();
         changed.clear();
         removed.clear();
         return records;
     }
 
+    /** Creates the record of a state; one that the store would refuse goes without checkpoints. */
+    private KeyedRecord newStateRecord(JobId id, JobRecord record) {
+        KeyedRecord state =
+                new KeyedRecord(
+                        STATE_KEY + id, MessagePackCodec.encode(record, JobRecordFormat.STATE));
+        if (StoreLimits.lengthOf(state) <= limits.recordBytes()) {
+            return state;
+        }
+        LOG.warning("checkpoints-dropped").with("job", id).write();
+        return new KeyedRecord(
+                STATE_KEY + id,
+                MessagePackCodec.encode(record.withoutCheckpoints(), JobRecordFormat.STATE));
+    }
+
     private static void removeTaskRecords(JobId id, List<KeyedRecord> records) {
         records.add(new KeyedRecord(DEFINITION_KEY + id, new byte[0]));
         records.add(new KeyedRecord(STATE_KEY + id, new byte[0]));
--- a/src/main/java/org/standlink/cell/JobRequestHandler.java
+++ b/src/main/java/org/standlink/cell/JobRequestHandler.java
@@ -49,6 +49,18 @@
     /** The reason given for a job that the backlog would make useless to its caller. */
     private static final String BACKLOG = "the backlog would delay the job too much";
 
+    /** The reason given for a job that no leader can keep. */
+    private static final String TOO_LARGE = "the job has too many tasks or steps";
+
+    /** The reason given for a job that does not fit beside the others. */
+    private static final String TOO_MANY_TASKS = "the jobs of the cell have too many tasks";
+
+    /** When to retry a job that is too large, in seconds: not before it was changed. */
+    private static final long TOO_LARGE_RETRY_SECONDS = 3600;
+
+    /** When to retry a job for which other jobs leave no room, in seconds. */
+    private static final long TOO_MANY_TASKS_RETRY_SECONDS = 10;
+
     /** The reason given for an unknown outcome after a change of leader. */
     private static final String REPLACED = "the leader was replaced while it was storing the job";
 
@@ -69,6 +81,7 @@
     private final WorkerRegistry workers;
     private final CommitQueue commits;
     private final JobAdmission admission;
+    private final JobSizePolicy sizePolicy;
     private final MonotonicClock clock;
 
     /** The time of day, in milliseconds since 1970. */
@@ -110,6 +123,7 @@
         this.workers = workers;
         this.commits = commits;
         this.admission = admission;
+        this.sizePolicy = jobs.getSizePolicy();
         this.clock = clock;
         this.wallClock = wallClock;
         this.finalListener = finalListener;
@@ -235,9 +249,17 @@
      * @return true if the job was refused
      */
     private boolean refuse(MessageChannel connection, long call, JobDefinition job) {
+        if (sizePolicy.isTooLarge(job)) {
+            refuse(connection, call, job, TOO_LARGE, TOO_LARGE_RETRY_SECONDS);
+            return true;
+        }
         if (commits.getMillisSinceAppend() >= MAX_CONFIRMATION_AGE_MILLIS) {
             return false;
         }
+        if (!sizePolicy.hasRoomFor(job)) {
+            refuse(connection, call, job, TOO_MANY_TASKS, TOO_MANY_TASKS_RETRY_SECONDS);
+            return true;
+        }
         AdmissionDecision decision = admission.decide(job);
         if (decision.admitted()) {
             return false;
@@ -254,6 +276,22 @@
         return true;
     }
 
+    private static void refuse(
+            MessageChannel connection,
+            long call,
+            JobDefinition job,
+            String reason,
+            long retryAfterSeconds) {
+        LOG.info("refused")
+                .with("job", job.id())
+                .with("queue", job.queue())
+                .with("reason", reason)
+                .with("tasks", job.tasksPerRepetition())
+                .with("steps", job.steps().size())
+                .write();
+        connection.answer(call, JobAnswer.ofRefused(reason, retryAfterSeconds));
+    }
+
     private void reject(MessageChannel connection, long call, JobId job) {
         LOG.info("refused").with("job", job).with("reason", STORE_UNAVAILABLE).write();
         connection.answer(call, JobAnswer.of(JobAnswer.Result.NOT_DONE, STORE_UNAVAILABLE));
--- a/src/main/java/org/standlink/cell/RunEndHandler.java
+++ b/src/main/java/org/standlink/cell/RunEndHandler.java
@@ -109,14 +109,18 @@
                 .with("worker", worker.getIncarnation())
                 .with("how", end.kind())
                 .with("number", end.number())
-                .with("known", task != null)
+                .with("known", jobs.findStep(end.run().task()) != null)
                 .write();
-        if (task == null) {
+        if (jobs.findStep(end.run().task()) == null) {
             return;
         }
         if (end.kind() == RunEndKind.DONE || end.kind() == RunEndKind.FAILED) {
             workers.recordOutcome(worker, end.kind() == RunEndKind.DONE, clock.nowMillis());
         }
+        if (task == null) {
+            // The repetition of the task is finished and released.
+            return;
+        }
         WorkerIncarnation formerWorker = task.getWorker();
         if (!task.recordEnd(worker.getIncarnation(), end)) {
             return;
--- a/src/main/java/org/standlink/cell/RunReconciler.java
+++ b/src/main/java/org/standlink/cell/RunReconciler.java
@@ -22,6 +22,7 @@
 import org.standlink.Resources;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
+import org.standlink.job.StepDefinition;
 import org.standlink.wire.WorkerReport;
 
 /**
@@ -80,9 +81,7 @@
      * any more.
      */
     private Resources requiredCapacity(WorkerEntry worker, RunId run) {
-        TaskEntry task = jobs.findTask(run.task());
-        return task == null
-                ? worker.getDescription().capacity()
-                : task.getStep().requiredCapacity();
+        StepDefinition step = jobs.findStep(run.task());
+        return step == null ? worker.getDescription().capacity() : step.requiredCapacity();
     }
 }
--- a/src/main/java/org/standlink/cell/Scheduler.java
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -183,13 +183,16 @@
         JobEntry job = candidate.job();
         String service = candidate.queue().service();
         TaskName withoutWorker = null;
+        long room = job.getPlacementRoom();
         for (TaskEntry task : job.listReadyTasks(wallMillis)) {
             // All tasks of a step have the same requirements, except those that require isolation
             // or a certain worker: if none is found for one of them, none is found for the next.
             boolean stepWaits = withoutWorker != null && withoutWorker.isOfSameStep(task.getName());
             boolean inDoubt = workers.getInDoubtRuns().containsTask(task.getName());
             WorkerEntry worker = null;
-            if (inDoubt) {
+            if (room == 0) {
+                break;
+            } else if (inDoubt) {
                 worker = chooseWhileInDoubt(task, eligibleWorkers);
             } else if (!stepWaits) {
                 worker = choice.choose(job, task, service, eligibleWorkers, now);
@@ -204,6 +207,7 @@
                 waiting.merge(job.getId().toString(), 1, Integer::sum);
                 continue;
             }
+            room--;
             job.clearStarvation();
             task.assign(worker.getIncarnation());
             task.getEarlierStarts().setInDoubt(inDoubt);
--- a/src/main/java/org/standlink/cell/SubmittedTaskRecord.java
+++ b/src/main/java/org/standlink/cell/SubmittedTaskRecord.java
@@ -47,4 +47,24 @@
         int crashes,
         int lateCrashes,
         int suspicion,
-        boolean startInDoubt) {}
+        boolean startInDoubt) {
+
+    /**
+     * Returns a copy without a checkpoint.
+     *
+     * @return the shorter record
+     */
+    SubmittedTaskRecord withoutCheckpoint() {
+        return new SubmittedTaskRecord(
+                lastRun,
+                failures,
+                lastFailedRun,
+                done,
+                worker,
+                "",
+                crashes,
+                lateCrashes,
+                suspicion,
+                startInDoubt);
+    }
+}
--- a/src/main/java/org/standlink/cell/TaskEntry.java
+++ b/src/main/java/org/standlink/cell/TaskEntry.java
@@ -158,6 +158,7 @@
         boolean current = number == lastRun && from.equals(worker);
         if (end.kind() == RunEndKind.DONE) {
             done = true;
+            checkpoint = "";
             if (current) {
                 worker = null;
             }
--- a/src/main/java/org/standlink/command/PlatformAgentCommand.java
+++ b/src/main/java/org/standlink/command/PlatformAgentCommand.java
@@ -91,7 +91,7 @@
         PlatformSettings settings = PlatformSettings.readAgent(TextFiles.read(settingsFile));
         SettingsReload.install(settingsFile, settings, PlatformSettings::readAgent);
         LOG.info("starting").with("node", settings.node()).with("incarnation", incarnation).write();
-        PlatformContext context = new PlatformContext(settings.store());
+        PlatformContext context = new PlatformContext(settings);
         String address =
                 settings.listen().getAddress().getHostAddress() + ":" + settings.listen().getPort();
         LeaderLink leader =
--- a/src/main/java/org/standlink/command/PlatformContext.java
+++ b/src/main/java/org/standlink/command/PlatformContext.java
@@ -68,10 +68,10 @@
     /**
      * Creates the resources.
      *
-     * @param storeAddress the address of the store, host and port
+     * @param settings the settings of the process
      */
-    PlatformContext(String storeAddress) {
-        store = new HttpStore(storeClient, storeAddress);
+    PlatformContext(PlatformSettings settings) {
+        store = new HttpStore(storeClient, settings.store(), settings.storeLimits());
     }
 
     /**
--- a/src/main/java/org/standlink/command/PlatformEntryCommand.java
+++ b/src/main/java/org/standlink/command/PlatformEntryCommand.java
@@ -66,7 +66,7 @@
         PlatformSettings settings = PlatformSettings.readEntry(TextFiles.read(settingsFile));
         SettingsReload.install(settingsFile, settings, PlatformSettings::readEntry);
         LOG.info("starting").with("node", settings.node()).with("hall", settings.hall()).write();
-        PlatformContext context = new PlatformContext(settings.store());
+        PlatformContext context = new PlatformContext(settings);
         LeaderLink leader =
                 new LeaderLink(
                         context.getExecutor(),
--- a/src/main/java/org/standlink/command/PlatformSettings.java
+++ b/src/main/java/org/standlink/command/PlatformSettings.java
@@ -21,6 +21,7 @@
 import org.standlink.json.Addresses;
 import org.standlink.json.JsonSection;
 import org.standlink.json.ValidationErrors;
+import org.standlink.store.StoreLimits;
 
 /**
  * The settings of a process on the users' platform, as in the templates under {@code deploy/}.
@@ -32,6 +33,7 @@
  * @param listen where other processes of standlink reach this one; null for an entry
  * @param metrics where metrics are served
  * @param store the platform's store, host and port
+ * @param storeLimits the largest records and appends that the store accepts
  * @param callers where callers connect; null for an agent
  * @param ready where the balancer queries the readiness; null for an agent
  * @param heartbeats where the worker sends heartbeats; null for an entry
@@ -48,6 +50,7 @@
         InetSocketAddress listen,
         InetSocketAddress metrics,
         String store,
+        StoreLimits storeLimits,
         InetSocketAddress callers,
         InetSocketAddress ready,
         InetSocketAddress heartbeats,
@@ -56,6 +59,9 @@
         long graceMillis,
         ContentionOptions contention) {
 
+    /** The largest limit of a store that is accepted, in bytes. */
+    private static final long MAX_BYTES = 1 << 30;
+
     /**
      * Reads and checks the settings of an entry.
      *
@@ -73,6 +79,7 @@
                         null,
                         top.requiredValue("metrics", Addresses::parse),
                         top.requiredText("store"),
+                        StoreLimits.DEFAULT,
                         top.requiredValue("callers", Addresses::parse),
                         top.requiredValue("ready", Addresses::parse),
                         null,
@@ -102,6 +109,7 @@
                         top.requiredValue("listen", Addresses::parse),
                         top.requiredValue("metrics", Addresses::parse),
                         top.requiredText("store"),
+                        readStoreLimits(top),
                         null,
                         null,
                         top.requiredValue("heartbeats", Addresses::parse),
@@ -115,4 +123,11 @@
         errors.throwIfAny(ErrorCode.INVALID_SETTINGS, "the agent's settings");
         return settings;
     }
+
+    private static StoreLimits readStoreLimits(JsonSection top) {
+        StoreLimits fallback = StoreLimits.DEFAULT;
+        return new StoreLimits(
+                (int) top.integer("storeRecordBytes", fallback.recordBytes(), 65_536, MAX_BYTES),
+                (int) top.integer("storeCallBytes", fallback.callBytes(), 65_536, MAX_BYTES));
+    }
 }
--- a/src/main/java/org/standlink/job/JobDefinition.java
+++ b/src/main/java/org/standlink/job/JobDefinition.java
@@ -53,6 +53,15 @@
         return Math.max(1, repetitions);
     }
 
+    /**
+     * Gets the number of tasks of one repetition.
+     *
+     * @return the number of tasks of all steps
+     */
+    public long tasksPerRepetition() {
+        return steps.stream().mapToLong(StepDefinition::count).sum();
+    }
+
     /**
      * Checks whether the job has start times.
      *
--- a/src/main/java/org/standlink/platform/HttpStore.java
+++ b/src/main/java/org/standlink/platform/HttpStore.java
@@ -29,6 +29,7 @@
 import org.standlink.store.KeyedRecord;
 import org.standlink.store.KeyedStore;
 import org.standlink.store.ReadResult;
+import org.standlink.store.StoreLimits;
 import org.standlink.store.Topic;
 
 /**
@@ -66,18 +67,27 @@
     /** The host and port of the store. */
     private final String address;
 
+    private final StoreLimits limits;
+
     /**
      * Creates a client of a store.
      *
      * @param client the HTTP client
      * @param address the host and port of the store
+     * @param limits the largest records and appends that the store accepts
      */
-    public HttpStore(PlatformHttpClient client, String address) {
+    public HttpStore(PlatformHttpClient client, String address, StoreLimits limits) {
         this.client = client;
         this.address = address;
+        this.limits = limits;
     }
 
     // -----------------------------------------------------------------------
+    @Override
+    public StoreLimits getLimits() {
+        return limits;
+    }
+
     @Override
     public CompletableFuture<Long> appendAt(
             Topic topic, List<KeyedRecord> records, long expectedEnd) {
@@ -231,7 +241,7 @@
         static byte[] encode(List<KeyedRecord> records) {
             int size = 0;
             for (KeyedRecord record : records) {
-                size += 5 + record.key().length() + record.value().length;
+                size += StoreLimits.lengthOf(record);
             }
             ByteBuffer bytes = ByteBuffer.allocate(size);
             for (KeyedRecord record : records) {
--- a/src/main/java/org/standlink/store/KeyedStore.java
+++ b/src/main/java/org/standlink/store/KeyedStore.java
@@ -30,6 +30,16 @@
  */
 public interface KeyedStore {
 
+    /**
+     * Gets the largest records and appends that the store accepts. A larger append fails however
+     * often it is repeated.
+     *
+     * @return the limits
+     */
+    default StoreLimits getLimits() {
+        return StoreLimits.DEFAULT;
+    }
+
     /**
      * Appends records if the topic ends at a given offset.
      *
--- a/src/test/java/org/standlink/cell/TestAgentReportHandler.java
+++ b/src/test/java/org/standlink/cell/TestAgentReportHandler.java
@@ -26,6 +26,9 @@
 import org.standlink.HallId;
 import org.standlink.Resources;
 import org.standlink.job.EvacuatedHalls;
+import org.standlink.job.JobDefinition;
+import org.standlink.job.RunEnd;
+import org.standlink.job.RunEndKind;
 import org.standlink.job.RunId;
 import org.standlink.job.RunProgress;
 import org.standlink.job.TaskName;
@@ -224,4 +227,28 @@
         handler.stopStalledRuns();
         assertEquals(true, isFirstRunning());
     }
+
+    /** Guards against a run that ends again, or is listed late, and then runs a second time. */
+    @Test
+    public void taskOfAFinishedRepetitionIsAnsweredLikeAFinishedTask() {
+        JobDefinition once = CellFixtures.job("b", 1);
+        JobEntry job =
+                jobs.add(new JobDefinition(once.id(), "q", "text", once.steps(), 0, 60_000, 9));
+        TaskEntry task = job.listReadyTasks(0).get(0);
+        task.assign(WORKER.incarnation());
+        workers.addTask(task, clock.nowMillis() + 6000);
+        RunEnd end = new RunEnd(1, task.getRun(), RunEndKind.DONE, "");
+        report(false, List.of(new RunProgress(task.getRun(), "", 5, 0)), end);
+        assertNull(jobs.findTask(task.getName()));
+        WorkerEntry worker = workers.find(WORKER.incarnation());
+        RunProgress late = new RunProgress(new RunId(task.getName(), 1), "", 7, 0);
+        report(false, List.of(late), new RunEnd(2, task.getRun(), RunEndKind.FAILED, ""));
+        loop.advance(10);
+        assertEquals(2, worker.getEnds().getLastHandled());
+        assertEquals(
+                5000,
+                worker.getFreeCapacity().milliCores(),
+                "two assigned runs and the listed one");
+        assertEquals(List.of(), job.listReadyTasks(0));
+    }
 }
--- a/src/test/java/org/standlink/cell/TestCommitQueue.java
+++ b/src/test/java/org/standlink/cell/TestCommitQueue.java
@@ -32,6 +32,7 @@
 import org.standlink.job.JobState;
 import org.standlink.store.FakeKeyedStore;
 import org.standlink.store.KeyedRecord;
+import org.standlink.store.StoreLimits;
 import org.standlink.store.Topic;
 import org.standlink.store.WriterId;
 
@@ -43,15 +44,18 @@
     private final FakeKeyedStore store = new FakeKeyedStore();
     private final JobRegistry jobs = new JobRegistry();
     private final List<String> events = new ArrayList<>();
-    private final CommitQueue queue =
-            new CommitQueue(
-                    store,
-                    new WriterId(Epoch.of(2), Incarnation.of(2)),
-                    List.of(jobs),
-                    new LeaderAuthority(clock, clock::nowMillis),
-                    loop,
-                    loop,
-                    () -> events.add("fenced"));
+    private final CommitQueue queue = newQueue();
+
+    private CommitQueue newQueue() {
+        return new CommitQueue(
+                store,
+                new WriterId(Epoch.of(2), Incarnation.of(2)),
+                List.of(jobs),
+                new LeaderAuthority(clock, clock::nowMillis),
+                loop,
+                loop,
+                () -> events.add("fenced"));
+    }
 
     @Test
     public void effectsWaitWhileTheStoreIsDown() {
@@ -245,12 +249,56 @@
         assertEquals(4, store.getRecords(Topic.CELL).size());
     }
 
+    /**
+     * Guards against leaders that repeat for ever an append that the store refuses for its size:
+     * many jobs changed at once.
+     */
+    @Test
+    public void changesThatExceedOneCallAreAppendedInSeveral() {
+        store.setLimits(new StoreLimits(1000, 1000));
+        CommitQueue divided = newQueue();
+        for (int i = 1; i <= 50; i++) {
+            jobs.add(CellFixtures.job(String.format("%016x", i), 1));
+        }
+        divided.afterCommit(() -> events.add("effect"));
+        divided.startAppend();
+        loop.advance(1000);
+        assertEquals(List.of("effect"), events);
+        assertEquals(50, restore().getJobs().size());
+    }
+
+    /** Guards against a job of which a new leader knows the definition, and no state. */
+    @Test
+    public void leaderAfterPartOfTheAppendsKnowsWholeJobsOnly() {
+        store.setLimits(new StoreLimits(1000, 1000));
+        CommitQueue divided = newQueue();
+        for (int i = 1; i <= 50; i++) {
+            jobs.add(CellFixtures.job(String.format("%016x", i), 1));
+        }
+        divided.afterCommit(() -> events.add("effect"));
+        divided.startAppend();
+        divided.close();
+        loop.advance(1000);
+        assertEquals(List.of(), events);
+        JobRegistry next = restore();
+        assertTrue(next.getJobs().size() < 50);
+        next.getJobs().forEach(job -> assertEquals(1, job.listReadyTasks(0).size()));
+        assertTrue(next.hasChanges(), "definitions without a state are removed");
+    }
+
+    private JobRegistry restore() {
+        JobRegistry restored = new JobRegistry();
+        restored.restore(store.getRecords(Topic.CELL));
+        return restored;
+    }
+
     /**
      * Guards against a leader behind a thin link that never completes a large append: a copy of it
      * was sent every 100 ms, and the copies shared the link.
      */
     @Test
     public void largeAppendIsNotRepeatedWhileItMayBeOnItsWay() {
+        store.setLimits(new StoreLimits(1_000_000, 1_000_000));
         CommitQueue large =
                 new CommitQueue(
                         store,
--- a/src/test/java/org/standlink/cell/TestJobRecordFormat.java
+++ b/src/test/java/org/standlink/cell/TestJobRecordFormat.java
@@ -19,6 +19,7 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertThrows;
 
+import java.util.List;
 import java.util.Random;
 import net.jqwik.api.ForAll;
 import net.jqwik.api.Property;
@@ -63,7 +64,15 @@
                         values.number(),
                         values.constant(JobState.class),
                         values.list(() -> values.orNull(() -> task(values))),
-                        values.number());
+                        values.number(),
+                        values.integer(),
+                        values.orNull(
+                                () ->
+                                        values.list(
+                                                () ->
+                                                        new RepetitionRecord(
+                                                                values.integer(),
+                                                                List.of(task(values))))));
         assertSame(value, JobRecord.class, JobRecordFormat.STATE);
     }
 
--- a/src/test/java/org/standlink/platform/TestHttpStore.java
+++ b/src/test/java/org/standlink/platform/TestHttpStore.java
@@ -35,6 +35,7 @@
 import org.standlink.store.AppendCondition;
 import org.standlink.store.KeyedRecord;
 import org.standlink.store.ReadResult;
+import org.standlink.store.StoreLimits;
 import org.standlink.store.Topic;
 
 /** Tests the client of the store against the stand-in, over real connections. */
@@ -47,7 +48,11 @@
     @BeforeEach
     public void listen() {
         standIn = new StandInStore(new InetSocketAddress("127.0.0.1", 0), threads);
-        store = new HttpStore(new PlatformHttpClient(threads), "127.0.0.1:" + standIn.getPort());
+        store =
+                new HttpStore(
+                        new PlatformHttpClient(threads),
+                        "127.0.0.1:" + standIn.getPort(),
+                        StoreLimits.DEFAULT);
     }
 
     @AfterEach
@@ -122,7 +127,10 @@
                 };
         try (ScriptedServer server = new ScriptedServer(threads, refusal)) {
             HttpStore refusing =
-                    new HttpStore(new PlatformHttpClient(threads), server.getAddress());
+                    new HttpStore(
+                            new PlatformHttpClient(threads),
+                            server.getAddress(),
+                            StoreLimits.DEFAULT);
             CompletableFuture<Long> append =
                     refusing.append(
                             Topic.CELL,
--- a/src/test/java/org/standlink/platform/TestStalledStoreConnections.java
+++ b/src/test/java/org/standlink/platform/TestStalledStoreConnections.java
@@ -35,6 +35,7 @@
 import org.standlink.process.ProcessThreads;
 import org.standlink.store.AppendCondition;
 import org.standlink.store.KeyedRecord;
+import org.standlink.store.StoreLimits;
 import org.standlink.store.Topic;
 
 /**
@@ -61,7 +62,11 @@
     public void listen() throws IOException {
         standIn = new StandInStore(new InetSocketAddress("127.0.0.1", 0), threads);
         proxy = new StallingProxy(standIn.getPort(), threads);
-        store = new HttpStore(new PlatformHttpClient(threads), "127.0.0.1:" + proxy.getPort());
+        store =
+                new HttpStore(
+                        new PlatformHttpClient(threads),
+                        "127.0.0.1:" + proxy.getPort(),
+                        StoreLimits.DEFAULT);
         store.append(Topic.CELL, records("a"), FIRST).join();
         assertTrue(proxy.stallOpenConnections() > 0, "a connection is kept open");
     }
--- a/src/test/java/org/standlink/platform/TestThinStoreLinks.java
+++ b/src/test/java/org/standlink/platform/TestThinStoreLinks.java
@@ -37,6 +37,7 @@
 import org.standlink.process.ProcessThreads;
 import org.standlink.store.AppendCondition;
 import org.standlink.store.KeyedRecord;
+import org.standlink.store.StoreLimits;
 import org.standlink.store.Topic;
 
 /**
@@ -67,7 +68,11 @@
     public void listen() throws IOException {
         standIn = new StandInStore(new InetSocketAddress("127.0.0.1", 0), threads);
         proxy = new StallingProxy(standIn.getPort(), threads);
-        store = new HttpStore(new PlatformHttpClient(threads), "127.0.0.1:" + proxy.getPort());
+        store =
+                new HttpStore(
+                        new PlatformHttpClient(threads),
+                        "127.0.0.1:" + proxy.getPort(),
+                        StoreLimits.DEFAULT);
         new Random(1).nextBytes(large);
     }
 
--- a/src/test/java/org/standlink/store/FakeKeyedStore.java
+++ b/src/test/java/org/standlink/store/FakeKeyedStore.java
@@ -58,6 +58,8 @@
 
     private int maxRecordsPerRead = 1_000_000;
 
+    private StoreLimits limits = StoreLimits.DEFAULT;
+
     private final List<Runnable> delayedAppends = new ArrayList<>();
 
     private final Map<Topic, List<KeyedRecord>> topics = new EnumMap<>(Topic.class);
@@ -94,6 +96,29 @@
         timers = loop;
     }
 
+    @Override
+    public StoreLimits getLimits() {
+        return limits;
+    }
+
+    /** Sets the largest records and appends; larger ones are refused. */
+    public void setLimits(StoreLimits largest) {
+        limits = largest;
+    }
+
+    private void checkLength(List<KeyedRecord> added) {
+        int length = 0;
+        for (KeyedRecord record : added) {
+            if (StoreLimits.lengthOf(record) > limits.recordBytes()) {
+                throw failure(ErrorCode.PLATFORM_UNAVAILABLE);
+            }
+            length += StoreLimits.lengthOf(record);
+        }
+        if (length > limits.callBytes()) {
+            throw failure(ErrorCode.PLATFORM_UNAVAILABLE);
+        }
+    }
+
     /** Sets the maximum number of records that a read returns. */
     public void setMaxRecordsPerRead(int records) {
         maxRecordsPerRead = records;
@@ -159,6 +184,7 @@
         }
         return call(
                 () -> {
+                    checkLength(added);
                     raiseEpoch(topic, condition.epoch());
                     Long firstAnswer = answersOf(topic).get(condition.sequence());
                     if (firstAnswer != null) {
