A long-running task is started again after a completed run

Cause: TaskEntry.recordEnd took any completed run for the end of the task, also of a step that lasts; JobEntry passed over it and took the job for completed.

Evidence: `final` with state=COMPLETED right after the last `ended` with how=DONE. Ruled out: orders and workers; runs that end failed are followed by the next one at once.

Why this works: a long-running task is never finished. That a run has completed is kept, since steps that depend on it may start then; records keep their form, and one with that mark is read as a task to be started. A late completion of a former run changes nothing of the present one.

--- a/src/main/java/org/standlink/cell/JobEntry.java
+++ b/src/main/java/org/standlink/cell/JobEntry.java
@@ -210,7 +210,7 @@
             for (int predecessor : stepDefinition.after()) {
                 pathMillis[step] = Math.max(pathMillis[step], pathMillis[predecessor]);
             }
-            boolean counted = !unfinishedOnly || !window.isFirstDone(step);
+            boolean counted = !unfinishedOnly || !window.isFirstCompleted(step);
             pathMillis[step] += counted ? stepDefinition.estimatedMillis() : 0;
             longest = Math.max(longest, pathMillis[step]);
         }
--- a/src/main/java/org/standlink/cell/Repetition.java
+++ b/src/main/java/org/standlink/cell/Repetition.java
@@ -101,13 +101,13 @@
     }
 
     /**
-     * Checks whether all tasks of a step are done.
+     * Checks whether a run of each task of a step has completed.
      *
      * @param step the index of the step
-     * @return true if so
+     * @return true if the steps that depend on it may start
      */
-    boolean isDone(int step) {
-        return steps.get(step).stream().allMatch(TaskEntry::isDone);
+    boolean isCompleted(int step) {
+        return steps.get(step).stream().allMatch(TaskEntry::hasCompletedRun);
     }
 
     /**
@@ -146,7 +146,7 @@
         List<TaskEntry> ready = new ArrayList<>();
         for (int step = 0; step < steps.size(); step++) {
             boolean unblocked =
-                    definition.steps().get(step).after().stream().allMatch(this::isDone);
+                    definition.steps().get(step).after().stream().allMatch(this::isCompleted);
             if (unblocked) {
                 addReadyTasks(step, ready);
             }
--- a/src/main/java/org/standlink/cell/RepetitionWindow.java
+++ b/src/main/java/org/standlink/cell/RepetitionWindow.java
@@ -273,14 +273,14 @@
     }
 
     /**
-     * Checks whether all tasks of a step of the first repetition are done.
+     * Checks whether a run of each task of a step of the first repetition has completed.
      *
      * @param step the index of the step
      * @return true if so
      */
-    boolean isFirstDone(int step) {
+    boolean isFirstCompleted(int step) {
         Repetition first = open.get(0);
-        return first == null ? next > 0 : first.isDone(step);
+        return first == null ? next > 0 : first.isCompleted(step);
     }
 
     /**
--- a/src/main/java/org/standlink/cell/SubmittedTaskRecord.java
+++ b/src/main/java/org/standlink/cell/SubmittedTaskRecord.java
@@ -27,7 +27,7 @@
  * @param lastRun the number of the last run, 0 before the first
  * @param failures the number of failed runs
  * @param lastFailedRun the number of the last run that was counted as failed
- * @param done whether a run has completed
+ * @param done whether a run has completed, also of a long-running task, which is started again
  * @param worker where the last run may still be, empty if nowhere
  * @param checkpoint the last checkpoint, empty if none
  * @param crashes how many workers crashed shortly after a run had started
--- a/src/main/java/org/standlink/cell/TaskEntry.java
+++ b/src/main/java/org/standlink/cell/TaskEntry.java
@@ -42,7 +42,7 @@
     /** The number of the last run that was counted as failed. */
     private int lastFailedRun;
 
-    /** Whether a run has completed. */
+    /** Whether a run has completed; the next one of a long-running task begins nevertheless. */
     private boolean done;
 
     /** The worker on which the last run may still be, null if there is none. */
@@ -151,18 +151,21 @@
      * @return true if this changed the task
      */
     boolean recordEnd(WorkerIncarnation from, RunEnd end) {
-        if (done) {
+        if (isDone()) {
             return false;
         }
         int number = end.run().number();
         boolean current = number == lastRun && from.equals(worker);
         if (end.kind() == RunEndKind.DONE) {
+            boolean changed = !done || current;
             done = true;
-            checkpoint = "";
             if (current) {
                 worker = null;
+                earlierStarts.setBarringWorker(from);
             }
-            return true;
+            // The next run of a long-running task begins anew.
+            checkpoint = current || isDone() ? "" : checkpoint;
+            return changed;
         }
         boolean counted = end.kind() == RunEndKind.FAILED && number > lastFailedRun;
         if (counted) {
@@ -197,7 +200,7 @@
      */
     boolean hasFailedPermanently(int maxAttempts) {
         boolean failed = !step.longRunning() && failures >= maxAttempts;
-        return !done && (failed || trial.getCrashHistory().isFailedPermanently());
+        return !isDone() && (failed || trial.getCrashHistory().isFailedPermanently());
     }
 
     /**
@@ -339,11 +342,20 @@
     }
 
     /**
-     * Checks whether a run has completed.
+     * Checks whether the task is finished. A long-running one never is, however its runs end.
      *
-     * @return true if so
+     * @return true if no run is needed any more
      */
     boolean isDone() {
+        return done && !step.longRunning();
+    }
+
+    /**
+     * Checks whether a run has completed, so that the steps that depend on it may start.
+     *
+     * @return true if so
+     */
+    boolean hasCompletedRun() {
         return done;
     }
 
--- a/src/test/java/org/standlink/cell/TestJobRegistry.java
+++ b/src/test/java/org/standlink/cell/TestJobRegistry.java
@@ -16,6 +16,7 @@
 package org.standlink.cell;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertNull;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
@@ -27,6 +28,7 @@
 import org.standlink.job.JobState;
 import org.standlink.job.RunEnd;
 import org.standlink.job.RunEndKind;
+import org.standlink.job.RunId;
 import org.standlink.job.WorkerIncarnation;
 import org.standlink.store.KeyedRecord;
 
@@ -78,6 +80,62 @@
         assertEquals(1, job.listReadyTasks(0).size());
     }
 
+    /**
+     * Guards against a long-running job that is shown as completed and never runs again, because
+     * the runs of its tasks ended as done.
+     */
+    @Test
+    public void longRunningTaskIsStartedAgainAfterACompletedRun() {
+        JobEntry job = jobs.add(CellFixtures.of("a", CellFixtures.step(2, List.of(), 0, true)));
+        for (int i = 0; i < 5; i++) {
+            job.listReadyTasks(0).forEach(task -> runToEnd(task, RunEndKind.DONE));
+            job.updateState(2);
+            assertEquals(JobState.RUNNING, job.getState());
+            assertEquals(2, job.listReadyTasks(0).size());
+        }
+        job.cancel();
+        assertEquals(List.of(), job.listReadyTasks(0));
+        assertTrue(job.isFinalAndReleased());
+    }
+
+    /** The same if a new leader, or one that follows an earlier version, reads the record. */
+    @Test
+    public void longRunningTaskIsStartedAgainByANewLeader() {
+        JobEntry job = jobs.add(CellFixtures.of("a", CellFixtures.step(1, List.of(), 0, true)));
+        runToEnd(job.listReadyTasks(0).get(0), RunEndKind.DONE);
+        JobRegistry restoredJobs = new JobRegistry();
+        restoredJobs.restore(jobs.takeChanges());
+        JobEntry restored = restoredJobs.find(JobId.parse("a"));
+        TaskEntry task = restored.listReadyTasks(0).get(0);
+        restored.updateState(2);
+        assertEquals(JobState.RUNNING, restored.getState());
+        task.assign(WORKER);
+        assertEquals(2, task.getRun().number());
+        assertFalse(
+                task.recordEnd(
+                        WORKER, new RunEnd(1, new RunId(task.getName(), 1), RunEndKind.DONE, "")),
+                "the end of the former run, listed again");
+        assertEquals(WORKER, task.getWorker());
+    }
+
+    @Test
+    public void stepsAfterALongRunningOneStartOnceItsRunsHaveCompleted() {
+        JobEntry job =
+                jobs.add(
+                        CellFixtures.of(
+                                "a",
+                                CellFixtures.step(2, List.of(), 0, true),
+                                CellFixtures.step(1, List.of(0), 0, false)));
+        runToEnd(job.listReadyTasks(0).get(0), RunEndKind.DONE);
+        assertEquals(2, job.listReadyTasks(0).size());
+        runToEnd(job.listReadyTasks(0).get(1), RunEndKind.DONE);
+        assertEquals(3, job.listReadyTasks(0).size());
+        runToEnd(job.listReadyTasks(0).get(2), RunEndKind.DONE);
+        job.updateState(2);
+        assertEquals(JobState.RUNNING, job.getState(), "until it is cancelled");
+        assertEquals(2, job.listReadyTasks(0).size());
+    }
+
     @Test
     public void aRepeatedJobIsDueAtItsTimes() {
         JobDefinition once = CellFixtures.job("a", 1);
--- a/src/test/java/org/standlink/cell/TestTaskEntry.java
+++ b/src/test/java/org/standlink/cell/TestTaskEntry.java
@@ -96,4 +96,20 @@
         assertFalse(task.recordEnd(WORKER, end(1, RunEndKind.FAILED, "")));
         assertEquals(0, task.getFailures());
     }
+
+    /** A completed run of a long-running task does not end its next run, nor its checkpoint. */
+    @Test
+    public void lateCompletionOfAFormerRunKeepsTheNextRunOfALongRunningTask() {
+        TaskEntry lasting = new TaskEntry(NAME, CellFixtures.step(1, List.of(), 0, true));
+        lasting.assign(WORKER);
+        lasting.release();
+        lasting.assign(OTHER_WORKER);
+        lasting.saveCheckpoint("c");
+        assertTrue(lasting.recordEnd(WORKER, end(1, RunEndKind.DONE, "")));
+        assertEquals(OTHER_WORKER, lasting.getWorker());
+        assertEquals("c", lasting.getCheckpoint());
+        assertFalse(lasting.isDone());
+        assertTrue(lasting.recordEnd(OTHER_WORKER, end(2, RunEndKind.DONE, "")));
+        assertEquals("", lasting.getCheckpoint(), "the next run begins anew");
+    }
 }
