Jobs of a removed queue are run by its last definition

Cause: the service, attempts, priority and target of a queue were read from the newest configuration alone. The scheduler passed over jobs of other queues, and one attempt was assumed for them. A leader that begins meanwhile could not know more, as nothing was stored.

Evidence: no line of a decision on the lasting task, not even `waiting`; `final` with state=FAILED in the same millisecond as its first `ended`. Ruled out: workers and orders; with no manifest written both jobs are run.

Why this works: RetainedQueues stores the definitions beside the jobs, in the same append, and adds those that the published configuration no longer names to it for everything the leader decides: scheduling, attempts, backlog. While a queue is named, its present values count. Attempts are applied to all jobs whenever the configuration changes, so a queue that is back with fewer of them starts nothing beyond. Unknown queues limit nothing and start nothing.

--- a/src/main/java/org/standlink/cell/AttemptLimits.java
+++ b/src/main/java/org/standlink/cell/AttemptLimits.java
@@ -32,8 +32,8 @@
 
     private final Supplier<Configuration> configuration;
 
-    /** Whether the limits have been applied to all jobs. */
-    private boolean applied;
+    /** The configuration whose limits were applied to all jobs last. */
+    private Configuration applied = Configuration.NONE;
 
     AttemptLimits(Supplier<Configuration> configuration) {
         this.configuration = configuration;
@@ -45,18 +45,19 @@
     }
 
     /**
-     * Applies the limits to all jobs as soon as a configuration has been read, since the jobs were
-     * evaluated without limits until then. Later calls have no effect.
+     * Applies the limits to all jobs once a configuration has been read or has changed: the jobs
+     * were evaluated by other limits until then, those of unknown queues without any.
      *
      * @param jobs the jobs
      * @return the jobs that have become final; they are marked as changed in the registry
      */
-    List<JobEntry> applyOnce(JobRegistry jobs) {
+    List<JobEntry> applyIfChanged(JobRegistry jobs) {
         List<JobEntry> finalJobs = new ArrayList<>();
-        if (applied || !configuration.get().isRead()) {
+        Configuration current = configuration.get();
+        if (current == applied || !current.isRead()) {
             return finalJobs;
         }
-        applied = true;
+        applied = current;
         for (JobEntry job : jobs.getJobs()) {
             boolean wasOpen = !job.getState().isFinal();
             job.updateState(applyAsInt(job));
--- a/src/main/java/org/standlink/cell/JobCellLeader.java
+++ b/src/main/java/org/standlink/cell/JobCellLeader.java
@@ -73,7 +73,9 @@
     /** The time of day, in milliseconds since 1970. */
     private final LongSupplier wallClock;
 
-    private final Supplier<Configuration> configuration;
+    /** The configuration by which the jobs are run. */
+    private final RetainedQueues queues;
+
     private final AttemptLimits attemptLimits;
     private final LeaderLoop loop;
     private final LeaderEndListener endListener;
@@ -135,8 +137,8 @@
         this.times = times;
         this.clock = clock;
         this.wallClock = wallClock;
-        this.configuration = configuration;
-        this.attemptLimits = new AttemptLimits(configuration);
+        this.queues = new RetainedQueues(configuration);
+        this.attemptLimits = new AttemptLimits(queues);
         this.workers = new WorkerRegistry(evacuated);
         this.loop = new LeaderLoop(loop, this::fail);
         this.endListener = endListener;
@@ -148,7 +150,7 @@
                 new CommitQueue(
                         store,
                         writer,
-                        List.of(jobs, workers, interferencePersistence),
+                        List.of(queues, jobs, workers, interferencePersistence),
                         new LeaderAuthority(clock, wallClock),
                         this.loop,
                         loop,
@@ -156,7 +158,7 @@
         this.orders = new OrderDispatcher(epoch, jobs, workers, commits);
         MoveCostEstimator moveCost = new MoveCostEstimator();
         this.movePlanner = new MovePlanner(workers, placement, orders, commits, moveCost);
-        BacklogReader backlog = new BacklogReader(jobs, workers, configuration, wallClock);
+        BacklogReader backlog = new BacklogReader(jobs, workers, queues, wallClock);
         JobAdmission admission = new JobAdmission(contention, backlog, clock, admissions);
         this.requests =
                 new JobRequestHandler(
@@ -249,6 +251,7 @@
         }
         long now = clock.nowMillis();
         commits.setTopicEnd(state.nextOffset());
+        queues.restore(state.records());
         jobs.restore(state.records());
         workers.restore(state.records(), now + times.waitAfterFenceMillis());
         interferencePersistence.restore(state.records());
@@ -300,15 +303,15 @@
         }
         agents.removeUnresponsive(now);
         jobs.removeExpired(now - times.statusRetentionMillis());
+        queues.removeUnused(jobs, now);
     }
 
     /** Assigns tasks to workers and persists the changes. */
     private void decide() {
-        attemptLimits.applyOnce(jobs).forEach(this::recordIfFinal);
+        attemptLimits.applyIfChanged(jobs).forEach(this::recordIfFinal);
         if (!commits.isStalled()) {
             List<TaskEntry> assigned =
-                    scheduler.schedule(
-                            configuration.get(), clock.nowMillis(), wallClock.getAsLong());
+                    scheduler.schedule(queues.get(), clock.nowMillis(), wallClock.getAsLong());
             jobs.updateStates(assigned);
             orders.startAfterCommit(assigned);
         }
--- a/src/main/java/org/standlink/job/Configuration.java
+++ b/src/main/java/org/standlink/job/Configuration.java
@@ -38,9 +38,6 @@
     /** The configuration in force before any has been published. */
     public static final Configuration NONE = new Configuration(0, List.of(), List.of(), 0);
 
-    /** The maximum number of failed runs of a task whose queue is no longer configured. */
-    private static final int UNCONFIGURED_ATTEMPTS = 1;
-
     /**
      * Finds the queue of a request: the one with the longest path prefix among those of its host.
      *
@@ -74,12 +71,10 @@
      * Gets the maximum number of failed runs of a task of a queue.
      *
      * @param name the name of the queue
-     * @return the maximum; 1 if the queue is no longer configured, no limit as long as no
-     *     configuration has been read
+     * @return the maximum; no limit if the queue is not known, since nothing of it is started then
      */
     public int getMaxAttempts(String name) {
-        int fallback = isRead() ? UNCONFIGURED_ATTEMPTS : Integer.MAX_VALUE;
-        return findQueue(name).map(QueueDefinition::mostAttempts).orElse(fallback);
+        return findQueue(name).map(QueueDefinition::mostAttempts).orElse(Integer.MAX_VALUE);
     }
 
     /**
