Failures of tasks that fail on several workers suspend no worker

Cause: each failed run counted against its worker, so all workers were suspended within 2 s, and the run that tests a suspended worker was given by the usual order, which puts long-running jobs first: the failing task again. Such a task was also started again at once after each end.

Evidence: `worker-set-aside` for all four workers every 3 s; the `assigned` lines between name the failing job alone, and no other run failed. Ruled out: capacity, reports and leases; with no failing job all jobs run.

Why this works: failures are kept by step and by worker. Those of a step that fails on two workers count against none, also in hindsight, until one of its tasks completes or lasts. A suspect task tests no worker before others could. At most half of a service's workers are suspended. A worker on which all fails is suspended at the third failure, as before. Restarts of long-running tasks that end early, failed or done, are delayed by 2 s at most. Runs that stall are attributed in the same way.

--- a/src/main/java/org/standlink/cell/AgentReportHandler.java
+++ b/src/main/java/org/standlink/cell/AgentReportHandler.java
@@ -245,7 +245,12 @@
                         .with("run", task.getRun())
                         .with("worker", worker.getIncarnation())
                         .write();
-                workers.recordOutcome(worker, false, now);
+                workers.getOutcomes()
+                        .recordFailure(
+                                worker,
+                                task.getName(),
+                                task.getProgress().getListedMillis(now),
+                                now);
             }
             orders.stopAfterCommit(stalled);
         }
@@ -263,7 +268,7 @@
         }
         workerReport
                 .running()
-                .forEach(progress -> saveProgress(progress, workerReport.reachable()));
+                .forEach(progress -> saveProgress(worker, progress, workerReport.reachable()));
         worker.getMetrics().updateThrottled(workerReport.throttled(), clock.nowMillis());
         interferenceLearner.learn(worker, workerReport.running());
         endHandler.handle(worker, workerReport.ended(), report);
@@ -282,7 +287,7 @@
         withdrawExcessOrders(worker);
     }
 
-    private void saveProgress(RunProgress progress, boolean reachable) {
+    private void saveProgress(WorkerEntry worker, RunProgress progress, boolean reachable) {
         TaskEntry task = jobs.findTask(progress.run().task());
         if (task != null && task.getRun().equals(progress.run())) {
             task.saveCheckpoint(progress.checkpoint());
@@ -293,6 +298,7 @@
             }
             if (reachable) {
                 task.getTrial().recordRunning(clock.nowMillis());
+                workers.getOutcomes().recordRunning(worker, task, clock.nowMillis());
             }
         }
     }
--- a/src/main/java/org/standlink/cell/JobCellLeader.java
+++ b/src/main/java/org/standlink/cell/JobCellLeader.java
@@ -304,6 +304,7 @@
         agents.removeUnresponsive(now);
         jobs.removeExpired(now - times.statusRetentionMillis());
         queues.removeUnused(jobs, now);
+        workers.getOutcomes().removeExpired(now);
     }
 
     /** Assigns tasks to workers and persists the changes. */
--- a/src/main/java/org/standlink/cell/RunEndHandler.java
+++ b/src/main/java/org/standlink/cell/RunEndHandler.java
@@ -91,8 +91,7 @@
 
     /** Withholds an end that forbids further runs of its task while one may still start late. */
     private void withholdIfInDoubt(WorkerEntry worker, RunEnd end) {
-        boolean counts = end.kind() == RunEndKind.DONE || end.kind() == RunEndKind.FAILED;
-        if (counts && inDoubtRuns.containsTask(end.run().task())) {
+        if (isOutcome(end) && inDoubtRuns.containsTask(end.run().task())) {
             worker.getEnds().withhold(end.number(), end.run().task());
             LOG.info("end-withheld")
                     .with("run", end.run())
@@ -102,6 +101,18 @@
         }
     }
 
+    private static boolean isOutcome(RunEnd end) {
+        return end.kind() == RunEndKind.DONE || end.kind() == RunEndKind.FAILED;
+    }
+
+    private void recordOutcome(WorkerEntry worker, RunEnd end, long ranMillis, long now) {
+        if (end.kind() == RunEndKind.DONE) {
+            workers.getOutcomes().recordSuccess(worker, end.run().task());
+        } else if (end.kind() == RunEndKind.FAILED) {
+            workers.getOutcomes().recordFailure(worker, end.run().task(), ranMillis, now);
+        }
+    }
+
     private void handleEnd(WorkerEntry worker, RunEnd end) {
         TaskEntry task = jobs.findTask(end.run().task());
         LOG.info("ended")
@@ -114,9 +125,10 @@
         if (jobs.findStep(end.run().task()) == null) {
             return;
         }
-        if (end.kind() == RunEndKind.DONE || end.kind() == RunEndKind.FAILED) {
-            workers.recordOutcome(worker, end.kind() == RunEndKind.DONE, clock.nowMillis());
-        }
+        long now = clock.nowMillis();
+        boolean current = task != null && task.getRun().equals(end.run());
+        long ranMillis = current ? task.getProgress().getListedMillis(now) : 0;
+        recordOutcome(worker, end, ranMillis, now);
         if (task == null) {
             // The repetition of the task is finished and released.
             return;
@@ -125,6 +137,9 @@
         if (!task.recordEnd(worker.getIncarnation(), end)) {
             return;
         }
+        if (current && task.getStep().longRunning() && isOutcome(end)) {
+            task.getProgress().getBackoff().recordEnd(ranMillis, now);
+        }
         if (formerWorker != null && task.getWorker() == null) {
             workers.removeTask(task, formerWorker);
         } else if (task.isDone() && formerWorker != null) {
--- a/src/main/java/org/standlink/cell/RunOutcomeHealth.java
+++ b/src/main/java/org/standlink/cell/RunOutcomeHealth.java
@@ -15,40 +15,120 @@
  */
 package org.standlink.cell;
 
+import java.util.ArrayDeque;
+import java.util.Deque;
+
 /**
- * The health of one incarnation of a worker, as shown by the outcomes of its runs.
+ * The failed runs of a worker since the last one that succeeded.
  *
- * <p>{@code RunOutcomeHealth} is mutable and not thread-safe; it is confined to the leader's event
- * loop.
+ * <p>{@code RunOutcomeHealth} is not thread-safe; it is confined to the leader's event loop.
  */
 final class RunOutcomeHealth {
 
-    /** The number of failed runs since the last one that succeeded. */
-    private int consecutiveFailures;
+    /** The number of consecutive failed runs from which on a worker is not trusted. */
+    static final int MAX_CONSECUTIVE_FAILURES = 3;
+
+    /** The maximum number of failures that are kept. */
+    private static final int MAX_KEPT = 100;
+
+    /** The failures, the oldest first. */
+    private final Deque<Failure> failures = new ArrayDeque<>();
 
     /** Until when nothing is started there, on the leader's clock. */
     private long avoidUntil;
 
+    /** Until when nothing is started there as long as the worker is not trusted. */
+    private long suspendedUntil;
+
+    /** A failed run: its step, its duration and when it ended, on the leader's clock. */
+    private record Failure(StepOutcomes step, long ranMillis, long endedAt) {}
+
+    /**
+     * Records a failed run.
+     *
+     * @param step the outcomes of its step
+     * @param ranMillis how long the run was listed, in milliseconds
+     * @param now the time on the leader's clock
+     */
+    void recordFailure(StepOutcomes step, long ranMillis, long now) {
+        if (failures.size() == MAX_KEPT) {
+            failures.removeFirst();
+        }
+        failures.add(new Failure(step, ranMillis, now));
+    }
+
+    /** Records that a run succeeded. */
+    void recordSuccess() {
+        failures.clear();
+    }
+
+    /**
+     * Records that a run lasts, which shows that failures from before its start are over.
+     *
+     * @param since when it was first listed, on the leader's clock
+     */
+    void recordLastingRun(long since) {
+        failures.removeIf(failure -> failure.endedAt() < since);
+    }
+
     /**
-     * Records the outcome of a run.
+     * Gets the duration of the longest failed run.
      *
-     * @param succeeded whether the run succeeded
+     * @return the duration, in milliseconds; negative if no run has failed
      */
-    void recordOutcome(boolean succeeded) {
-        consecutiveFailures = succeeded ? 0 : consecutiveFailures + 1;
+    long getLongestFailureMillis() {
+        return failures.stream().mapToLong(Failure::ranMillis).max().orElse(-1);
     }
 
     /**
-     * Gets the number of failed runs since the last one that succeeded.
+     * Counts the failed runs since the last one that succeeded, except those of steps that are at
+     * fault themselves.
      *
-     * @return the number
+     * @return the number of runs
      */
     int getConsecutiveFailures() {
-        return consecutiveFailures;
+        return (int) failures.stream().filter(failure -> !failure.step().isAtFault()).count();
+    }
+
+    /**
+     * Checks whether the worker may be given any number of runs.
+     *
+     * @return false if too many runs have failed there since the last success
+     */
+    boolean isTrusted() {
+        return getConsecutiveFailures() < MAX_CONSECUTIVE_FAILURES;
+    }
+
+    /**
+     * Checks whether nothing is started there because too many runs have failed.
+     *
+     * @param now the time on the leader's clock
+     * @return true if so; false again as soon as the failures are explained otherwise
+     */
+    boolean isSuspended(long now) {
+        return now < suspendedUntil && !isTrusted();
+    }
+
+    /**
+     * Gets until when the worker is suspended, as long as it is not trusted.
+     *
+     * @return the time on the leader's clock
+     */
+    long getSuspendedUntil() {
+        return suspendedUntil;
+    }
+
+    /**
+     * Extends the suspension, which holds as long as the worker is not trusted.
+     *
+     * @param until the time on the leader's clock; ignored if it is earlier than the present limit
+     */
+    void suspendUntil(long until) {
+        suspendedUntil = Math.max(suspendedUntil, until);
     }
 
     /**
-     * Gets until when nothing is started there.
+     * Gets until when nothing is started there, whatever the outcomes of its runs are.
      *
      * @return the time on the leader's clock
      */
--- a/src/main/java/org/standlink/cell/Scheduler.java
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -185,6 +185,9 @@
         TaskName withoutWorker = null;
         long room = job.getPlacementRoom();
         for (TaskEntry task : job.listReadyTasks(wallMillis)) {
+            if (task.getProgress().getBackoff().isWaiting(now)) {
+                continue;
+            }
             // All tasks of a step have the same requirements, except those that require isolation
             // or a certain worker: if none is found for one of them, none is found for the next.
             boolean stepWaits = withoutWorker != null && withoutWorker.isOfSameStep(task.getName());
@@ -195,7 +198,7 @@
             } else if (inDoubt) {
                 worker = chooseWhileInDoubt(task, eligibleWorkers);
             } else if (!stepWaits) {
-                worker = choice.choose(job, task, service, eligibleWorkers, now);
+                worker = choose(job, task, service, eligibleWorkers, now);
             }
             if (worker == null) {
                 boolean hasOwnConditions =
@@ -213,7 +216,7 @@
             task.getEarlierStarts().setInDoubt(inDoubt);
             workers.addTask(task, worker.getLeaseExpiryMillis());
             choice.reset();
-            if (!workers.recordAssignment(worker, now)) {
+            if (!workers.getOutcomes().recordAssignment(worker, now)) {
                 eligibleWorkers.remove(worker);
             }
             jobs.markChanged(job);
@@ -226,6 +229,22 @@
         }
     }
 
+    /** Chooses a worker; what is found for a suspect task says nothing about other tasks. */
+    private WorkerEntry choose(
+            JobEntry job,
+            TaskEntry task,
+            String service,
+            List<WorkerEntry> eligibleWorkers,
+            long now) {
+        List<WorkerEntry> selected =
+                workers.getOutcomes().selectFor(task.getName(), eligibleWorkers, now);
+        WorkerEntry worker = choice.choose(job, task, service, selected, now);
+        if (selected != eligibleWorkers) {
+            choice.reset();
+        }
+        return worker;
+    }
+
     /**
      * Chooses a worker for a task of which a later incarnation of another worker may still start an
      * earlier run: only the worker that certainly refuses to do so. On any other one, two runs
--- a/src/main/java/org/standlink/cell/TaskProgress.java
+++ b/src/main/java/org/standlink/cell/TaskProgress.java
@@ -51,6 +51,17 @@
      */
     private long moveStartedAt = UNKNOWN;
 
+    private final RestartBackoff backoff = new RestartBackoff();
+
+    /**
+     * Gets the delay of the next run, if the task is long-running.
+     *
+     * @return the delay, which changes with the ends of the runs
+     */
+    RestartBackoff getBackoff() {
+        return backoff;
+    }
+
     /** Resets the progress for the next run. */
     void begin() {
         percent = UNKNOWN;
@@ -93,6 +104,16 @@
         return percent != UNKNOWN;
     }
 
+    /**
+     * Gets how long the run has been listed.
+     *
+     * @param now the time on the leader's clock
+     * @return the time, in milliseconds; 0 if the run is not listed
+     */
+    long getListedMillis(long now) {
+        return isListed() ? now - listedAt : 0;
+    }
+
     /**
      * Gets when the progress changed last.
      *
--- a/src/main/java/org/standlink/cell/WorkerRegistry.java
+++ b/src/main/java/org/standlink/cell/WorkerRegistry.java
@@ -38,18 +38,6 @@
  */
 final class WorkerRegistry implements ChangeSource {
 
-    /** The number of consecutive failed runs after which a worker is suspended. */
-    private static final int MAX_CONSECUTIVE_FAILURES = 3;
-
-    /** How long a failing worker is suspended before it is tried again, in milliseconds. */
-    private static final long SUSPENSION_MILLIS = 3000;
-
-    /**
-     * How long a worker that was suspended gets no further run after the one that tests it, in
-     * milliseconds. Most tasks that fail do so within this time.
-     */
-    private static final long PROBATION_MILLIS = 1500;
-
     /** The age of an agent's last report from which its workers are not used, in milliseconds. */
     static final long REPORT_TIMEOUT_MILLIS = 1500;
 
@@ -67,6 +55,8 @@
 
     private final InDoubtRuns inDoubtRuns = new InDoubtRuns();
 
+    private final RunOutcomes outcomes = new RunOutcomes();
+
     /** The halls in which nothing may be started. */
     private final Supplier<EvacuatedHalls> evacuatedHalls;
 
@@ -213,40 +203,6 @@
         }
     }
 
-    /**
-     * Records the outcome of a run, and suspends a worker after too many consecutive failures.
-     *
-     * @param worker the worker
-     * @param succeeded whether the run succeeded
-     * @param now the time on the leader's clock
-     */
-    void recordOutcome(WorkerEntry worker, boolean succeeded, long now) {
-        worker.getHealth().recordOutcome(succeeded);
-        if (worker.getHealth().getConsecutiveFailures() >= MAX_CONSECUTIVE_FAILURES) {
-            worker.getHealth().avoidUntil(now + SUSPENSION_MILLIS);
-            LOG.info("worker-set-aside")
-                    .with("worker", worker.getIncarnation())
-                    .with("failures", worker.getHealth().getConsecutiveFailures())
-                    .write();
-        }
-    }
-
-    /**
-     * Records that a run was assigned to a worker. A worker with too many consecutive failures gets
-     * only this one for a while.
-     *
-     * @param worker the worker
-     * @param now the time on the leader's clock
-     * @return true if it may be assigned more runs
-     */
-    boolean recordAssignment(WorkerEntry worker, long now) {
-        boolean trusted = worker.getHealth().getConsecutiveFailures() < MAX_CONSECUTIVE_FAILURES;
-        if (!trusted) {
-            worker.getHealth().avoidUntil(now + PROBATION_MILLIS);
-        }
-        return trusted;
-    }
-
     /**
      * Finds the workers to which new runs may be assigned.
      *
@@ -274,7 +230,16 @@
                 usable.add(worker);
             }
         }
-        return usable;
+        return outcomes.withoutSuspended(usable, now);
+    }
+
+    /**
+     * Gets the outcomes of the runs, which decide whether a worker is suspended.
+     *
+     * @return the outcomes, which change with the reports
+     */
+    RunOutcomes getOutcomes() {
+        return outcomes;
     }
 
     /**
