A repetition waits again once a clock that ran ahead is set back

A leader whose time of day had jumped forward opened repetitions and, after the jump back, would have gone on to start them ahead of their time (ORDER). Before the window, the time was compared at each decision; now it is again, for open repetitions as well. The new test of TestRepetitionWindow failed before (6 tasks ready instead of 2).

--- a/src/main/java/org/standlink/cell/BacklogReader.java
+++ b/src/main/java/org/standlink/cell/BacklogReader.java
@@ -185,7 +185,7 @@
             long wallMillis) {
         List<StepDefinition> steps = job.getDefinition().steps();
         Timeliness timeliness = predictTimeliness(job, queue, now);
-        for (Repetition repetition : job.getWindow().getOpen()) {
+        for (Repetition repetition : job.getWindow().getDue(wallMillis)) {
             Iterator<TaskEntry> tasks = repetition.allTasks().iterator();
             addSteps(snapshot, steps, tasks, queue.priority(), timeliness);
         }
--- a/src/main/java/org/standlink/cell/JobEntry.java
+++ b/src/main/java/org/standlink/cell/JobEntry.java
@@ -171,7 +171,7 @@
             return ready;
         }
         window.openDue(wallMillis);
-        window.getOpen().forEach(repetition -> ready.addAll(repetition.listReadyTasks()));
+        window.getDue(wallMillis).forEach(repetition -> ready.addAll(repetition.listReadyTasks()));
         return ready;
     }
 
--- a/src/main/java/org/standlink/cell/RepetitionWindow.java
+++ b/src/main/java/org/standlink/cell/RepetitionWindow.java
@@ -253,6 +253,16 @@
         return open.size() * definition.tasksPerRepetition();
     }
 
+    /**
+     * Gets the open repetitions that are due. Others may be open after the clock was set back.
+     *
+     * @param wallMillis the time of day, in milliseconds since 1970
+     * @return the repetitions, in the order of their numbers
+     */
+    Collection<Repetition> getDue(long wallMillis) {
+        return open.headMap(countDue(wallMillis)).values();
+    }
+
     /**
      * Gets the open repetitions.
      *
--- a/src/main/java/org/standlink/cell/Scheduler.java
+++ b/src/main/java/org/standlink/cell/Scheduler.java
@@ -193,7 +193,7 @@
             boolean stepWaits = withoutWorker != null && withoutWorker.isOfSameStep(task.getName());
             boolean inDoubt = workers.getInDoubtRuns().containsTask(task.getName());
             WorkerEntry worker = null;
-            if (room == 0) {
+            if (room <= 0) {
                 break;
             } else if (inDoubt) {
                 worker = chooseWhileInDoubt(task, eligibleWorkers);
--- a/src/test/java/org/standlink/cell/TestRepetitionWindow.java
+++ b/src/test/java/org/standlink/cell/TestRepetitionWindow.java
@@ -253,6 +253,16 @@
         assertTrue(job.getWindow().countDueUnopened(wallMillis) > YEAR_OF_MINUTES - 100);
     }
 
+    /** Guards against starts ahead of their time, by a leader whose clock had run ahead. */
+    @Test
+    public void repetitionIsNotReadyAfterTheClockWasSetBack() {
+        JobEntry job = add(YEAR_OF_MINUTES, 1);
+        assertEquals(6, job.listReadyTasks(dueAt(5)).size());
+        assertEquals(2, job.listReadyTasks(dueAt(1)).size());
+        assertEquals(0, job.listReadyTasks(dueAt(0) - 1).size());
+        assertEquals(3, job.listReadyTasks(dueAt(2)).size());
+    }
+
     @Test
     public void placedTasksDoNotKeepLaterRepetitionsWaiting() {
         JobEntry job = add(YEAR_OF_MINUTES, 100);
