--- a/src/main/java/org/standlink/cell/RepetitionWindow.java
+++ b/src/main/java/org/standlink/cell/RepetitionWindow.java
@@ -26,11 +26,11 @@
 /**
  * The repetitions of a job that are due and not finished, which are the only ones that are kept.
  *
- * <p>A repetition is opened when it is due and closed when all of its tasks are done and released.
- * Repetitions are opened in their order, so one number tells all those that were never opened; any
- * other that is not open is finished. The cost of a job thereby does not depend on how often it
- * repeats. A job without start times has one repetition, which is open from the start and is never
- * closed.
+ * <p>A repetition is opened when it is due, and closed when all of its tasks are done and released.
+ * Repetitions are opened in ascending order. Those from {@code next} on have not been opened; lower
+ * ones that are not open are finished. The memory that a job takes is therefore independent of its
+ * number of repetitions. A job without start times has one repetition, which is open from the start
+ * and is never closed.
  *
  * <p>If many repetitions are due at once, the window opens further ones as tasks are placed.
  *
