--- a/review/standins-3/Bed.java
+++ b/review/standins-3/Bed.java
@@ -28,6 +28,7 @@
     final List<WorkerStandIn> workers = new ArrayList<>();
     private final List<Process> processes = new ArrayList<>();
     private final List<Process> agents = new ArrayList<>();
+    private final Map<String, List<String>> commands = new HashMap<>();
     private final String storeAddress;
     private final String deployFile;
 
@@ -50,18 +51,34 @@
         fields.put("bind_addresses.ready", ready);
         launch("entry", "edge-1", fields);
         for (int i = 0; i < count; i++) {
-            String control = "127.0.0.1:" + Http.freePort();
-            fields.put("bind_addresses.control", control);
-            agents.add(launch("agent", "side-" + (i + 1), fields));
-            WorkerStandIn worker =
-                    new WorkerStandIn(
-                            "minion-" + (i + 1), Http.freePort(), control, SERVICE,
-                            "r1-" + (1 + i / 3), capacityCpu, record, observer, seed + i);
-            workers.add(worker);
-            worker.start();
+            addMachine(capacityCpu, observer, seed + i);
         }
     }
 
+    /** Adds a machine with an agent and a minion, at addresses of its own. */
+    void addMachine(long capacityCpu, WorkerStandIn.Observer observer, long seed)
+            throws IOException {
+        int i = workers.size();
+        String control = "127.0.0.1:" + Http.freePort();
+        Map<String, String> fields = new HashMap<>();
+        fields.put("bind_addresses.control", control);
+        agents.add(launch("agent", "side-" + (i + 1), fields));
+        WorkerStandIn worker =
+                new WorkerStandIn(
+                        "minion-" + (i + 1), Http.freePort(), control, SERVICE,
+                        "r1-" + (1 + i / 3), capacityCpu, record, observer, seed);
+        workers.add(worker);
+        worker.start();
+    }
+
+    /** Stops the agent of a machine in order and starts it again, as planned work does. */
+    void restartAgent(int number) throws IOException, InterruptedException {
+        signal("TERM", number);
+        agents.get(number).waitFor();
+        record.line("the agent of side-" + (number + 1) + " has ended");
+        agents.set(number, start("side-" + (number + 1)));
+    }
+
     private static String manifest() {
         StringBuilder routes = new StringBuilder();
         String[] names = {"quick", "batch", "lasting"};
@@ -119,14 +136,21 @@
                                 run.group(1)
                                         .replace("/etc/standlink/boot.conf", settings.toString())
                                         .split(" ")));
+        commands.put(node, command);
+        return start(node);
+    }
+
+    private Process start(String node) throws IOException {
         File log = folder.resolve(node + ".log").toFile();
         Process process =
-                new ProcessBuilder(command)
+                new ProcessBuilder(commands.get(node))
                         .directory(root.toFile())
                         .redirectErrorStream(true)
-                        .redirectOutput(log)
+                        .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
                         .start();
-        processes.add(process);
+        synchronized (processes) {
+            processes.add(process);
+        }
         record.line("start " + node);
         return process;
     }
@@ -216,8 +240,12 @@
 
     @Override
     public void close() {
-        processes.forEach(Process::destroyForcibly);
-        for (Process process : processes) {
+        List<Process> started;
+        synchronized (processes) {
+            started = List.copyOf(processes);
+        }
+        started.forEach(Process::destroyForcibly);
+        for (Process process : started) {
             try {
                 process.waitFor();
             } catch (InterruptedException stopped) {
