--- a/review/9/run.sh
+++ b/review/9/run.sh
@@ -1,10 +1,10 @@
 #!/bin/sh
-# Shows whether an accepted job is shown as failed because minions crashed. TROUBLE=0: no crash.
+# Shows whether a lost machine that reads no more stops the process that leads. TROUBLE=0: no loss.
 # Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run.
 here=$(cd "$(dirname "$0")" && pwd)
 root=$(cd "$here/../.." && pwd)
 timeout -k 3 114 java -Xmx128m -cp "$root/target/review-3:$root/target/standlink-0.1.0.jar" \
-  CrashedTasks "$root" "$here/record.txt" "$@"
+  UnreadOrders "$root" "$here/record.txt" "$@"
 status=$?
 [ "$status" -le 2 ] || status=2
 exit "$status"
--- a/review/standins-3/Bed.java
+++ b/review/standins-3/Bed.java
@@ -177,17 +177,27 @@
     Http.Answer submit(
             String queue, String id, int count, int perWorker, boolean lasts, long workMillis,
             long cpu) {
+        return submit(queue, id, count, perWorker, lasts, workMillis, cpu, 0);
+    }
+
+    /** Submits a job; its spec is lengthened by some letters. */
+    Http.Answer submit(
+            String queue, String id, int count, int perWorker, boolean lasts, long workMillis,
+            long cpu, int padding) {
+        long memory = padding > 0 ? 5 : 200;
         String spec =
-                "{\\\"lasts\\\":" + lasts + ",\\\"work_ms\\\":" + workMillis + ",\\\"cpu\\\":" + cpu
-                        + ",\\\"mem_mb\\\":200}";
+                "{\\\"pad\\\":\\\"" + "x".repeat(padding) + "\\\",\\\"lasts\\\":" + lasts + ",\\\"work_ms\\\":" + workMillis + ",\\\"cpu\\\":" + cpu
+                        + ",\\\"mem_mb\\\":" + memory + "}";
         String body =
                 "{\"spec\":\"" + spec + "\",\"steps\":[{\"count\":" + count + ",\"cpu\":" + cpu
-                        + ",\"mem_mb\":200,\"estimated_ms\":" + workMillis
+                        + ",\"mem_mb\":" + memory + ",\"estimated_ms\":" + workMillis
                         + (perWorker > 0 ? ",\"anti_affinity\":" + perWorker : "")
                         + (lasts ? ",\"perpetual\":true" : "") + "}]}";
         Http.Answer answer =
                 Http.call("POST", entry, "/" + queue + "/" + id, HOST, body, 3000);
-        record.line("POST /" + queue + "/" + id + " " + body + " -> " + answer.status());
+        record.line(
+                "POST /" + queue + "/" + id + " " + body.replaceAll("x{20,}", "x...") + " -> "
+                        + answer.status());
         return answer;
     }
 
@@ -233,6 +243,11 @@
         new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
     }
 
+    /** Whether the agent of a machine runs. */
+    boolean isAgentAlive(int number) {
+        return agents.get(number).isAlive();
+    }
+
     /** Whether all programs run. */
     boolean allRunning() {
         return processes.stream().allMatch(Process::isAlive);
--- a/review/standins-3/WorkerStandIn.java
+++ b/review/standins-3/WorkerStandIn.java
@@ -252,7 +252,15 @@
     }
 
     // -----------------------------------------------------------------------
+    private volatile long lastCall = clock();
+
+    /** Gets how long ago the last call came, in milliseconds. */
+    long millisSinceCall() {
+        return clock() - lastCall;
+    }
+
     private void handle(HttpExchange exchange) throws IOException {
+        lastCall = clock();
         JsonNode body = Http.MAPPER.readTree(exchange.getRequestBody().readAllBytes());
         String path = exchange.getRequestURI().getPath();
         String expected = exchange.getRequestHeaders().getFirst("X-Expect-Instance");
