--- a/review/standins-3/WorkerStandIn.java
+++ b/review/standins-3/WorkerStandIn.java
@@ -20,6 +20,7 @@
     static final long HEARTBEAT_MILLIS = 1100;
     static final long STOP_MILLIS = 200;
     static final long MAX_HOLD_MILLIS = 6000;
+    static final long LEAVE_MILLIS = 10_000;
 
     /** Learns what the minions do. */
     interface Observer {
@@ -58,6 +59,7 @@
     private boolean up;
     private String state = "ready";
     private long sequence;
+    private long drainingSince;
     private long endNumber;
     private long fence;
     private long until;
@@ -143,9 +145,17 @@
         stopped.stop(0);
     }
 
-    /** Announces that it leaves. */
+    /** Announces that it leaves, and leaves ten seconds later. */
     synchronized void drain() {
         state = "draining";
+        drainingSince = clock();
+        daemon(
+                () -> {
+                    sleep(LEAVE_MILLIS);
+                    String left = id;
+                    crash();
+                    Http.call("DELETE", control, "/v1/instances/" + left, control, null, 1000);
+                });
         record.line(name + " is draining from now on");
         notifyAll();
     }
@@ -190,7 +200,8 @@
                         .put("gpu", 0);
                 fields.putArray("labels").add("a").add(rack);
                 if (state.equals("draining")) {
-                    fields.put("remaining_ms", 9000);
+                    fields.put(
+                            "remaining_ms", Math.max(0, LEAVE_MILLIS + drainingSince - clock()));
                 }
                 path = "/v1/instances/" + id;
                 body = fields.toString();
