--- a/review/standins-3/PendingJobs.java
+++ b/review/standins-3/PendingJobs.java
@@ -42,14 +42,19 @@
                 new Bed(Path.of(arguments[0]), Path.of(arguments[1]), MACHINES, 16000, observer,
                         seed)) {
             bed.record.line("seed " + seed + ", trouble " + trouble);
-            status = bed.awaitService(20_000) ? run(bed, trouble, new Random(seed), begun) : 2;
+            status = bed.awaitService(20_000) ? run(bed, trouble, new Random(seed), begun, observer) : 2;
             bed.record.line("exit " + status);
         } finally {
             System.exit(status);
         }
     }
 
-    private static int run(Bed bed, boolean trouble, Random random, Set<String> begun)
+    private static int run(
+            Bed bed,
+            boolean trouble,
+            Random random,
+            Set<String> begun,
+            WorkerStandIn.Observer observer)
             throws Exception {
         Thread.sleep(4000);
         if (trouble) {
@@ -60,6 +65,19 @@
             }
             bed.loseMachine(lost);
         }
+        // A new machine comes a second later, at other addresses.
+        Thread arrival =
+                new Thread(
+                        () -> {
+                            try {
+                                Thread.sleep(1000);
+                                bed.addMachine(16000, observer, 99);
+                            } catch (Exception failure) {
+                                bed.record.line("no new machine: " + failure);
+                            }
+                        });
+        arrival.setDaemon(true);
+        arrival.start();
         Map<String, Long> accepted = new LinkedHashMap<>();
         for (int i = 0; i < JOBS; i++) {
             String id = String.format("%016x", random.nextLong());
